--- /dev/null
+++ b/accounts/borrower.c
@@ -0,0 +1,190 @@
+#include "accounts/borrower.h"
+
+#include "accounts/bucket.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#define DEMAND_TIME_CONSTANT ((double)USEC_PER_SEC)
+#define RENEW_BEFORE_END (LOAN_TERM / 2)
+#define DEMAND_IDLE 0.05
+
+typedef struct held_loan {
+	char zone[MEMBER_TEXT_BYTES];
+	uint64_t id;
+	uint64_t sequence;
+	bucket_t bucket;
+	usec_t expires;
+	bool outstanding;
+	usec_t asked;
+} held_loan_t;
+
+struct borrower {
+	char own_zone[MEMBER_TEXT_BYTES];
+	held_loan_t loans[BORROWER_LOANS];
+	double demand;
+	usec_t demand_updated;
+	double pressure;
+};
+
+borrower_t *borrower_create(const char *own_zone)
+{
+	borrower_t *borrower = g_new0(borrower_t, 1);
+
+	g_strlcpy(borrower->own_zone, own_zone, sizeof(borrower->own_zone));
+	return borrower;
+}
+
+void borrower_destroy(borrower_t *borrower)
+{
+	g_free(borrower);
+}
+
+double borrower_demand(const borrower_t *borrower, usec_t now)
+{
+	double age = (double)(now - borrower->demand_updated);
+
+	return borrower->demand * exp(-age / DEMAND_TIME_CONSTANT);
+}
+
+static void count_demand(borrower_t *borrower, usec_t now)
+{
+	borrower->demand = borrower_demand(borrower, now) +
+			   USEC_PER_SEC / DEMAND_TIME_CONSTANT;
+	borrower->demand_updated = now;
+}
+
+static void end_lapsed(held_loan_t *loan, usec_t now)
+{
+	if (now < loan->expires)
+		return;
+	loan->bucket = (bucket_t){.updated = now};
+}
+
+bool borrower_take(borrower_t *borrower, usec_t now)
+{
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		held_loan_t *loan = &borrower->loans[i];
+
+		end_lapsed(loan, now);
+		if (loan->id && bucket_take(&loan->bucket, now, 1.0))
+			return true;
+	}
+	return false;
+}
+
+bool borrower_arrival(borrower_t *borrower, usec_t now)
+{
+	count_demand(borrower, now);
+	return borrower_take(borrower, now);
+}
+
+/* The loan from a zone, or a free or lapsed place for one. */
+static held_loan_t *loan_for(borrower_t *borrower, const char *zone, usec_t now)
+{
+	held_loan_t *place = NULL;
+
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		held_loan_t *loan = &borrower->loans[i];
+
+		if (loan->id && strcmp(loan->zone, zone) == 0)
+			return loan;
+		bool pending = loan->outstanding &&
+			       now - loan->asked < BORROWER_REPLY_TIMEOUT;
+		if (!place && (!loan->id || (now >= loan->expires && !pending)))
+			place = loan;
+	}
+	return place;
+}
+
+bool borrower_ask(borrower_t *borrower, const char *zone, uint32_t want,
+		  uint64_t fresh_loan, usec_t now, loan_request_t *out)
+{
+	held_loan_t *loan = loan_for(borrower, zone, now);
+
+	if (!loan)
+		return false;
+	if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
+		return false;
+	if (!loan->id || strcmp(loan->zone, zone) != 0) {
+		*loan = (held_loan_t){.id = fresh_loan, .bucket.updated = now};
+		g_strlcpy(loan->zone, zone, sizeof(loan->zone));
+	}
+	end_lapsed(loan, now);
+	bucket_refill(&loan->bucket, now);
+	loan->outstanding = true;
+	loan->asked = now;
+	*out = (loan_request_t){
+		.loan = loan->id,
+		.sequence = ++loan->sequence,
+		.holds_rate = loan->bucket.rate,
+		.holds_capacity = loan->bucket.capacity,
+		.holds_tokens = loan->bucket.tokens,
+		.demand = borrower_demand(borrower, now),
+		.want = want,
+		.foreign = strcmp(zone, borrower->own_zone) != 0,
+	};
+	return true;
+}
+
+static held_loan_t *find_by_id(borrower_t *borrower, uint64_t id)
+{
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		if (borrower->loans[i].id == id)
+			return &borrower->loans[i];
+	}
+	return NULL;
+}
+
+uint32_t borrower_reply(borrower_t *borrower, const loan_reply_t *reply, usec_t now)
+{
+	held_loan_t *loan = find_by_id(borrower, reply->loan);
+
+	if (!loan || !loan->outstanding || loan->sequence != reply->sequence)
+		return 0;
+	loan->outstanding = false;
+	if (!reply->granted)
+		return 0;
+	usec_t expires = loan->asked + LOAN_TERM;
+	end_lapsed(loan, now);
+	bucket_resize(&loan->bucket, now, reply->rate, reply->capacity);
+	loan->bucket.tokens =
+		MIN(loan->bucket.tokens + reply->tokens, loan->bucket.capacity);
+	loan->expires = expires;
+	end_lapsed(loan, now);
+	if (strcmp(loan->zone, borrower->own_zone) == 0)
+		borrower->pressure = reply->pressure;
+	return now < loan->asked + SPEND_TERM ? reply->spends : 0;
+}
+
+const char *borrower_renewal(const borrower_t *borrower, usec_t now)
+{
+	if (borrower_demand(borrower, now) < DEMAND_IDLE)
+		return NULL;
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		const held_loan_t *loan = &borrower->loans[i];
+
+		if (!loan->id || loan->bucket.rate <= 0 || now >= loan->expires)
+			continue;
+		if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
+			continue;
+		if (loan->expires - now < RENEW_BEFORE_END)
+			return loan->zone;
+	}
+	return NULL;
+}
+
+bool borrower_is_idle(const borrower_t *borrower, usec_t now)
+{
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		if (now < borrower->loans[i].expires)
+			return false;
+	}
+	return borrower_demand(borrower, now) < DEMAND_IDLE;
+}
+
+double borrower_pressure(const borrower_t *borrower)
+{
+	return borrower->pressure;
+}
--- /dev/null
+++ b/accounts/keeper.c
@@ -0,0 +1,144 @@
+#include "accounts/keeper.h"
+
+#include "accounts/lender.h"
+#include "common/counters.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PARTITION_SEED 0x6b656570u
+#define PORTION_RAISE_PRESSURE 0.9
+#define PORTION_LOWER_PRESSURE 0.3
+#define PORTION_STEP_DIVISOR 5u
+#define PORTION_FLOOR_DIVISOR 4u
+
+typedef struct partition {
+	lease_t lease;
+	uint32_t portion;
+	uint64_t heard_epoch;
+	GHashTable *lenders; /* account -> lender_t */
+} partition_t;
+
+struct keeper {
+	partition_t partitions[KEEPER_PARTITIONS];
+};
+
+uint32_t account_partition(const char *account)
+{
+	return (uint32_t)(XXH64(account, strlen(account), PARTITION_SEED) %
+			  KEEPER_PARTITIONS);
+}
+
+keeper_t *keeper_create(void)
+{
+	keeper_t *keeper = g_new0(keeper_t, 1);
+
+	for (int i = 0; i < KEEPER_PARTITIONS; i++)
+		keeper->partitions[i].lenders =
+			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      (GDestroyNotify)lender_destroy);
+	return keeper;
+}
+
+void keeper_destroy(keeper_t *keeper)
+{
+	if (!keeper)
+		return;
+	for (int i = 0; i < KEEPER_PARTITIONS; i++)
+		g_hash_table_destroy(keeper->partitions[i].lenders);
+	g_free(keeper);
+}
+
+lease_t *keeper_lease(keeper_t *keeper, uint32_t partition)
+{
+	return &keeper->partitions[partition].lease;
+}
+
+void keeper_set_portion(keeper_t *keeper, uint32_t partition, uint32_t milli)
+{
+	keeper->partitions[partition].portion = MIN(milli, PORTION_WHOLE);
+}
+
+uint32_t keeper_portion(const keeper_t *keeper, uint32_t partition)
+{
+	return keeper->partitions[partition].portion;
+}
+
+void keeper_drop_lenders(keeper_t *keeper, uint32_t partition)
+{
+	g_hash_table_remove_all(keeper->partitions[partition].lenders);
+}
+
+static lender_t *lender_for(partition_t *partition, const char *account, double rate,
+			    double burst, usec_t now)
+{
+	lender_t *lender = g_hash_table_lookup(partition->lenders, account);
+
+	if (!lender) {
+		lender = lender_create(now, rate, burst);
+		g_hash_table_insert(partition->lenders, g_strdup(account), lender);
+	} else {
+		lender_resize(lender, now, rate, burst);
+	}
+	return lender;
+}
+
+void keeper_lend(keeper_t *keeper, const char *account, double rate, double burst,
+		 const loan_request_t *request, usec_t now, loan_reply_t *reply)
+{
+	partition_t *partition = &keeper->partitions[account_partition(account)];
+	double part = (double)partition->portion / PORTION_WHOLE;
+
+	*reply = (loan_reply_t){.loan = request->loan, .sequence = request->sequence};
+	if (!lease_may_lend(&partition->lease, now) || partition->portion == 0)
+		return;
+	lender_t *lender = lender_for(partition, account, rate * part, burst * part, now);
+	lender_request(lender, now, request, reply);
+	counter_add(COUNTER_LOANS, 1);
+}
+
+double keeper_pressure(keeper_t *keeper, uint32_t index, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+	double pressure = 0;
+
+	g_hash_table_iter_init(&iter, keeper->partitions[index].lenders);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pressure = fmax(pressure, lender_pressure(value, now));
+	return pressure;
+}
+
+uint64_t keeper_hear_epoch(keeper_t *keeper, uint32_t index, uint64_t epoch)
+{
+	partition_t *partition = &keeper->partitions[index];
+	uint64_t known = partition->heard_epoch;
+
+	if (partition->lease.state == LEASE_HELD)
+		known = MAX(known, partition->lease.epoch);
+	if (known > epoch)
+		return known;
+	partition->heard_epoch = epoch;
+	if (partition->lease.state == LEASE_HELD && partition->lease.epoch < epoch) {
+		lease_superseded(&partition->lease);
+		keeper_drop_lenders(keeper, index);
+		counter_add(COUNTER_LEASES_LOST, 1);
+	}
+	return 0;
+}
+
+uint32_t portion_plan(uint32_t own, uint32_t free, uint32_t fair, double pressure)
+{
+	uint32_t step = MAX(fair / PORTION_STEP_DIVISOR, 1);
+	uint32_t floor = fair / PORTION_FLOOR_DIVISOR;
+
+	if (own < fair)
+		return own + MIN(fair - own, free);
+	if (pressure > PORTION_RAISE_PRESSURE)
+		return own + MIN(step, free);
+	if (pressure < PORTION_LOWER_PRESSURE && own > fair + step)
+		return own - step;
+	return MAX(own, floor);
+}
--- /dev/null
+++ b/admission/gate.c
@@ -0,0 +1,214 @@
+#include "admission/gate.h"
+
+#include "admission/shed_level.h"
+#include "common/counters.h"
+
+struct gate {
+	limit_t *limit;
+	shed_level_t *level;
+	GSequence *queue; /* of gate_ticket_t, best first */
+	GQueue shed;	  /* of gate_ticket_t, to be yielded as GATE_SHED */
+	uint32_t inflight;
+	uint32_t queue_slots;
+	bool open;
+};
+
+gate_t *gate_create(limit_algorithm_t algorithm)
+{
+	gate_t *gate = g_new0(gate_t, 1);
+
+	gate->limit = limit_create(algorithm);
+	gate->level = shed_level_create();
+	gate->queue = g_sequence_new(NULL);
+	g_queue_init(&gate->shed);
+	return gate;
+}
+
+void gate_destroy(gate_t *gate)
+{
+	if (!gate)
+		return;
+	limit_destroy(gate->limit);
+	shed_level_destroy(gate->level);
+	g_sequence_free(gate->queue);
+	g_queue_clear(&gate->shed);
+	g_free(gate);
+}
+
+void gate_open(gate_t *gate, usec_t now, uint32_t slots, uint32_t cold_slots,
+	       uint32_t queue_slots, bool fresh)
+{
+	if (fresh)
+		limit_start(gate->limit, now, slots, cold_slots);
+	else
+		limit_set_bounds(gate->limit, slots, cold_slots);
+	gate->queue_slots = queue_slots ? queue_slots : slots;
+	gate->open = true;
+}
+
+void gate_close(gate_t *gate)
+{
+	gate->open = false;
+}
+
+void gate_reset(gate_t *gate, usec_t now)
+{
+	limit_reset(gate->limit, now);
+	counter_add(COUNTER_GATE_RESETS, 1);
+}
+
+static int compare_tickets(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	(void)unused;
+	const gate_ticket_t *left = a;
+	const gate_ticket_t *right = b;
+
+	return (left->priority > right->priority) - (left->priority < right->priority);
+}
+
+static void run(gate_t *gate, gate_ticket_t *ticket, usec_t now)
+{
+	ticket->running = TRUE;
+	ticket->started = now;
+	gate->inflight++;
+	counter_add(COUNTER_GATE_ADMITTED, 1);
+}
+
+static void shed(gate_t *gate)
+{
+	shed_level_shed(gate->level);
+	counter_add(COUNTER_GATE_SHED, 1);
+}
+
+static void unqueue(gate_ticket_t *ticket)
+{
+	g_sequence_remove(ticket->waiting);
+	ticket->waiting = NULL;
+}
+
+/* Expected wait behind `ahead` waiting calls. */
+static usec_t expected_wait(const gate_t *gate, uint32_t ahead)
+{
+	return limit_latency(gate->limit) * (ahead + 1) / limit_value(gate->limit);
+}
+
+static bool can_finish(const gate_t *gate, const gate_ticket_t *ticket, usec_t now,
+		       uint32_t ahead)
+{
+	usec_t need = limit_latency(gate->limit);
+
+	if (ahead > 0)
+		need += expected_wait(gate, ahead);
+	return now + need <= ticket->deadline;
+}
+
+static gate_verdict_t enqueue(gate_t *gate, gate_ticket_t *ticket, usec_t now)
+{
+	uint32_t length = (uint32_t)g_sequence_get_length(gate->queue);
+
+	if (length >= gate->queue_slots) {
+		GSequenceIter *last =
+			g_sequence_iter_prev(g_sequence_get_end_iter(gate->queue));
+		gate_ticket_t *worst = length ? g_sequence_get(last) : NULL;
+		if (!worst || worst->priority <= ticket->priority) {
+			shed(gate);
+			return GATE_SHED;
+		}
+		unqueue(worst);
+		shed(gate);
+		g_queue_push_tail(&gate->shed, worst);
+	}
+	ticket->waiting =
+		g_sequence_insert_sorted(gate->queue, ticket, compare_tickets, NULL);
+	uint32_t ahead = (uint32_t)g_sequence_iter_get_position(ticket->waiting);
+	if (!can_finish(gate, ticket, now, ahead + 1)) {
+		unqueue(ticket);
+		shed(gate);
+		return GATE_EXPIRED;
+	}
+	return GATE_WAIT;
+}
+
+gate_verdict_t gate_request(gate_t *gate, gate_ticket_t *ticket, usec_t now)
+{
+	ticket->waiting = NULL;
+	ticket->running = FALSE;
+	if (!gate->open)
+		return GATE_CLOSED;
+	shed_level_arrival(gate->level, now, ticket->priority);
+	if (!can_finish(gate, ticket, now, 0)) {
+		/* Without a running call nothing would correct the estimate. */
+		if (gate->inflight > 0 || ticket->deadline <= now) {
+			shed(gate);
+			return GATE_EXPIRED;
+		}
+	}
+	if (gate->inflight < limit_value(gate->limit) &&
+	    g_sequence_is_empty(gate->queue)) {
+		run(gate, ticket, now);
+		return GATE_RUN;
+	}
+	return enqueue(gate, ticket, now);
+}
+
+void gate_done(gate_t *gate, gate_ticket_t *ticket, usec_t now, usec_t own_latency,
+	       limit_outcome_t outcome)
+{
+	if (!ticket->running)
+		return;
+	if (limit_sample(gate->limit, now, own_latency, gate->inflight, outcome))
+		counter_add(COUNTER_GATE_RESETS, 1);
+	ticket->running = FALSE;
+	gate->inflight--;
+}
+
+void gate_cancel(gate_t *gate, gate_ticket_t *ticket, usec_t now)
+{
+	counter_add(COUNTER_GATE_CANCELLED, 1);
+	if (ticket->running)
+		gate_done(gate, ticket, now, 0, LIMIT_IGNORED);
+	else if (ticket->waiting)
+		unqueue(ticket);
+	else
+		g_queue_remove(&gate->shed, ticket);
+}
+
+gate_ticket_t *gate_next(gate_t *gate, usec_t now, gate_verdict_t *verdict)
+{
+	gate_ticket_t *ticket = g_queue_pop_head(&gate->shed);
+
+	if (ticket) {
+		*verdict = GATE_SHED;
+		return ticket;
+	}
+	if (g_sequence_is_empty(gate->queue))
+		return NULL;
+	ticket = g_sequence_get(g_sequence_get_begin_iter(gate->queue));
+	if (!gate->open) {
+		unqueue(ticket);
+		*verdict = GATE_CLOSED;
+		return ticket;
+	}
+	if (!can_finish(gate, ticket, now, 0)) {
+		unqueue(ticket);
+		shed(gate);
+		counter_add(COUNTER_GATE_EXPIRED, 1);
+		*verdict = GATE_EXPIRED;
+		return ticket;
+	}
+	if (gate->inflight >= limit_value(gate->limit))
+		return NULL;
+	unqueue(ticket);
+	run(gate, ticket, now);
+	*verdict = GATE_RUN;
+	return ticket;
+}
+
+void gate_load(gate_t *gate, usec_t now, gate_load_t *out)
+{
+	out->level = shed_level_value(gate->level, now);
+	out->limit = limit_value(gate->limit);
+	out->inflight = gate->inflight;
+	out->queued = (uint32_t)g_sequence_get_length(gate->queue);
+	out->cold = limit_is_cold(gate->limit);
+}
--- /dev/null
+++ b/admission/priority.c
@@ -0,0 +1,23 @@
+#include "admission/priority.h"
+
+#include <glib.h>
+#include <xxhash.h>
+
+#define IMPORTANCE_MAX 9u
+#define RANK_HASH_SEED 0x72616e6bu
+
+priority_t priority_make(uint32_t importance, uint32_t rank)
+{
+	importance = MIN(importance, IMPORTANCE_MAX);
+	rank = MIN(rank, PRIORITY_RANK_MAX);
+	return ((IMPORTANCE_MAX - importance) << PRIORITY_RANK_BITS) | rank;
+}
+
+uint32_t priority_rank(const uint8_t request_id[16], double demand_ratio)
+{
+	uint64_t hash = XXH64(request_id, 16, RANK_HASH_SEED);
+	double h = (double)(hash >> 11) / (double)(1ull << 53);
+	double rank = CLAMP(demand_ratio, 0.0, 4.0) * h * RANK_PER_UNIT;
+
+	return MIN((uint32_t)rank, PRIORITY_RANK_MAX);
+}
--- /dev/null
+++ b/config/config.c
@@ -0,0 +1,282 @@
+#include "config/config.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+struct config_log {
+	GHashTable *rows; /* key -> config_row_t */
+	uint64_t revision;
+};
+
+struct config {
+	atomic_int refs;
+	uint64_t revision;
+	GHashTable *records[RECORD_KIND_COUNT]; /* name -> record_t */
+	GHashTable *digests;			/* digest -> record_t of kind key */
+	GPtrArray *routes;			/* record_t, longest prefix first */
+};
+
+static void row_destroy(void *data)
+{
+	config_row_t *row = data;
+
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+config_log_t *config_log_create(void)
+{
+	config_log_t *log = g_new0(config_log_t, 1);
+
+	log->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_destroy);
+	return log;
+}
+
+void config_log_destroy(config_log_t *log)
+{
+	if (!log)
+		return;
+	g_hash_table_destroy(log->rows);
+	g_free(log);
+}
+
+bool config_log_merge(config_log_t *log, const char *key, uint64_t revision,
+		      const char *value)
+{
+	config_row_t *known = g_hash_table_lookup(log->rows, key);
+
+	if (known && known->revision >= revision)
+		return false;
+	config_row_t *row = g_new0(config_row_t, 1);
+	row->key = g_strdup(key);
+	row->revision = revision;
+	row->value = g_strdup(value);
+	g_hash_table_replace(log->rows, row->key, row);
+	return true;
+}
+
+void config_log_advance(config_log_t *log, uint64_t revision)
+{
+	log->revision = MAX(log->revision, revision);
+}
+
+uint64_t config_log_revision(const config_log_t *log)
+{
+	return log->revision;
+}
+
+static int compare_revision(const void *a, const void *b)
+{
+	const config_row_t *left = *(config_row_t *const *)a;
+	const config_row_t *right = *(config_row_t *const *)b;
+
+	return (left->revision > right->revision) - (left->revision < right->revision);
+}
+
+/* Length of the prefix of `rows` within `limit` bytes that ends between revisions. */
+static guint prefix_within(const GPtrArray *rows, size_t limit)
+{
+	size_t bytes = 0;
+	guint whole = 0;
+
+	for (guint i = 0; i < rows->len; i++) {
+		const config_row_t *row = rows->pdata[i];
+		const config_row_t *next = i + 1 < rows->len ? rows->pdata[i + 1] : NULL;
+
+		bytes += strlen(row->key) + (row->value ? strlen(row->value) : 0);
+		if (bytes > limit && whole > 0)
+			break;
+		if (!next || next->revision != row->revision)
+			whole = i + 1;
+	}
+	return whole;
+}
+
+uint64_t config_log_changes(const config_log_t *log, uint64_t after, size_t limit,
+			    GPtrArray *out)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, log->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		config_row_t *row = value;
+		if (row->revision > after && row->revision <= log->revision)
+			g_ptr_array_add(out, row);
+	}
+	g_ptr_array_sort(out, compare_revision);
+	guint keep = prefix_within(out, limit);
+	if (keep == out->len)
+		return log->revision;
+	g_ptr_array_set_size(out, (gint)keep);
+	return ((const config_row_t *)out->pdata[keep - 1])->revision;
+}
+
+static void index_row(config_t *config, const config_row_t *row)
+{
+	record_kind_t kind;
+	char *name = NULL;
+	uint32_t version;
+
+	if (!row->value || !record_row_key_parse(row->key, &kind, &name, &version))
+		return;
+	g_free(name);
+	if (version > RECORD_SCHEMA_VERSION)
+		return;
+	json_t *json = json_loads(row->value, 0, NULL);
+	record_t *record = json ? record_parse(json, NULL, NULL) : NULL;
+	json_decref(json);
+	if (!record)
+		return;
+	record_t *other = g_hash_table_lookup(config->records[kind], record->name);
+	if (other && other->schema_version > record->schema_version) {
+		record_destroy(record);
+		return;
+	}
+	g_hash_table_replace(config->records[kind], record->name, record);
+}
+
+static int compare_prefix(const void *a, const void *b)
+{
+	const record_t *left = *(record_t *const *)a;
+	const record_t *right = *(record_t *const *)b;
+	size_t left_len = strlen(left->route.prefix);
+	size_t right_len = strlen(right->route.prefix);
+
+	if (left_len != right_len)
+		return left_len > right_len ? -1 : 1;
+	return strcmp(left->name, right->name);
+}
+
+static void index_lookups(config_t *config)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, config->records[RECORD_KEY]);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_insert(config->digests, ((record_t *)value)->key.digest,
+				    value);
+	g_hash_table_iter_init(&iter, config->records[RECORD_ROUTE]);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(config->routes, value);
+	g_ptr_array_sort(config->routes, compare_prefix);
+}
+
+config_t *config_build(const config_log_t *log)
+{
+	config_t *config = g_new0(config_t, 1);
+	GHashTableIter iter;
+	void *value;
+
+	atomic_init(&config->refs, 1);
+	config->revision = log->revision;
+	for (int i = 0; i < RECORD_KIND_COUNT; i++)
+		config->records[i] = g_hash_table_new_full(
+			g_str_hash, g_str_equal, NULL, (GDestroyNotify)record_destroy);
+	config->digests = g_hash_table_new(g_str_hash, g_str_equal);
+	config->routes = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, log->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		index_row(config, value);
+	index_lookups(config);
+	return config;
+}
+
+config_t *config_ref(config_t *config)
+{
+	atomic_fetch_add(&config->refs, 1);
+	return config;
+}
+
+void config_unref(config_t *config)
+{
+	if (!config || atomic_fetch_sub(&config->refs, 1) != 1)
+		return;
+	g_ptr_array_free(config->routes, TRUE);
+	g_hash_table_destroy(config->digests);
+	for (int i = 0; i < RECORD_KIND_COUNT; i++)
+		g_hash_table_destroy(config->records[i]);
+	g_free(config);
+}
+
+uint64_t config_revision(const config_t *config)
+{
+	return config->revision;
+}
+
+const char *config_account_for_digest(const config_t *config, const char *digest)
+{
+	const record_t *record = g_hash_table_lookup(config->digests, digest);
+
+	return record ? record->key.account : NULL;
+}
+
+const client_account_t *config_client_account(const config_t *config, const char *name)
+{
+	const record_t *record =
+		g_hash_table_lookup(config->records[RECORD_CLIENT_ACCOUNT], name);
+
+	return record ? &record->client_account : NULL;
+}
+
+const service_record_t *config_service(const config_t *config, const char *name)
+{
+	const record_t *record =
+		g_hash_table_lookup(config->records[RECORD_SERVICE], name);
+
+	return record ? &record->service : NULL;
+}
+
+bool config_zone_in(const config_t *config, const char *zone)
+{
+	const record_t *record =
+		g_hash_table_lookup(config->records[RECORD_AVAILABILITY_ZONE], zone);
+
+	return !record || record->zone.in;
+}
+
+static bool route_matches(const route_t *route, const char *method, const char *path)
+{
+	size_t len = strlen(route->prefix);
+
+	if (strncmp(path, route->prefix, len) != 0)
+		return false;
+	if (route->prefix[len - 1] != '/' && path[len] != '\0' && path[len] != '/' &&
+	    path[len] != '?')
+		return false;
+	if (route->methods->len == 0)
+		return true;
+	for (guint i = 0; i < route->methods->len; i++) {
+		if (strcmp(route->methods->pdata[i], method) == 0)
+			return true;
+	}
+	return false;
+}
+
+const record_t *config_route(const config_t *config, const char *method, const char *path)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const record_t *record = config->routes->pdata[i];
+		if (route_matches(&record->route, method, path))
+			return record;
+	}
+	return NULL;
+}
+
+uint32_t config_zone_count(const config_t *config)
+{
+	return g_hash_table_size(config->records[RECORD_AVAILABILITY_ZONE]);
+}
+
+void config_foreach(const config_t *config, record_kind_t kind, config_record_fn fn,
+		    void *ctx)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, config->records[kind]);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(ctx, value);
+}
--- /dev/null
+++ b/config/record.c
@@ -0,0 +1,331 @@
+#include "config/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROW_PREFIX "record/"
+#define TIMEOUT_MIN_MS 1
+#define TIMEOUT_MAX_MS 600000
+#define TIMEOUT_DEFAULT_MS 10000
+#define RETRIES_MAX 10
+#define RETRIES_DEFAULT 2
+#define RATE_MAX 1e6
+#define SLOTS_MAX 100000
+#define QUEUE_SLOTS_DEFAULT 0 /* as many as the target's slots */
+#define RETRY_RATIO_DEFAULT 0.1
+
+static const char *const kind_names[RECORD_KIND_COUNT] = {
+	[RECORD_CLIENT_ACCOUNT] = "client_account",
+	[RECORD_KEY] = "key",
+	[RECORD_ROUTE] = "route",
+	[RECORD_AVAILABILITY_ZONE] = "availability_zone",
+	[RECORD_SERVICE] = "service",
+};
+
+typedef struct parse {
+	const json_t *json;
+	record_fault_fn fault;
+	void *ctx;
+	bool failed;
+} parse_t;
+
+static void report(parse_t *p, const char *field, const char *allowed)
+{
+	p->failed = true;
+	if (p->fault)
+		p->fault(p->ctx, field, allowed);
+}
+
+static char *take_string(parse_t *p, const char *field, const char *allowed)
+{
+	const json_t *value = json_object_get(p->json, field);
+
+	if (json_is_string(value) && *json_string_value(value))
+		return g_strdup(json_string_value(value));
+	report(p, field, allowed);
+	return NULL;
+}
+
+static char *take_name(parse_t *p, const char *field)
+{
+	char *name = take_string(p, field, "a name of 1 to 64 characters a-z A-Z 0-9 . _ -");
+
+	if (name && !record_name_valid(name)) {
+		report(p, field, "a name of 1 to 64 characters a-z A-Z 0-9 . _ -");
+		g_free(name);
+		return NULL;
+	}
+	return name;
+}
+
+static double take_number(parse_t *p, const char *field, double low, double high,
+			  double absent, const char *allowed)
+{
+	const json_t *value = json_object_get(p->json, field);
+
+	if (!value && absent >= low)
+		return absent;
+	if (json_is_number(value) && json_number_value(value) >= low &&
+	    json_number_value(value) <= high)
+		return json_number_value(value);
+	report(p, field, allowed);
+	return low;
+}
+
+static uint32_t take_integer(parse_t *p, const char *field, uint32_t low, uint32_t high,
+			     int64_t absent, const char *allowed)
+{
+	const json_t *value = json_object_get(p->json, field);
+
+	if (!value && absent >= 0)
+		return (uint32_t)absent;
+	if (json_is_integer(value) && json_integer_value(value) >= low &&
+	    json_integer_value(value) <= high)
+		return (uint32_t)json_integer_value(value);
+	report(p, field, allowed);
+	return low;
+}
+
+static bool take_bool(parse_t *p, const char *field, bool absent)
+{
+	const json_t *value = json_object_get(p->json, field);
+
+	if (!value)
+		return absent;
+	if (!json_is_boolean(value))
+		report(p, field, "true or false");
+	return json_is_true(value);
+}
+
+static void check_fields(parse_t *p, const char *const *known)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)p->json, key, value)
+	{
+		if (strcmp(key, "kind") == 0 || strcmp(key, "name") == 0 ||
+		    strcmp(key, "schema_version") == 0)
+			continue;
+		if (!g_strv_contains(known, key))
+			report(p, key, "no such field in this kind of record");
+	}
+}
+
+static void parse_client_account(parse_t *p, record_t *r)
+{
+	static const char *const known[] = {"rate", "burst", NULL};
+
+	check_fields(p, known);
+	r->client_account.rate = take_number(p, "rate", 0.001, RATE_MAX, -1,
+					     "requests a second, 0.001 to 1000000");
+	r->client_account.burst =
+		take_number(p, "burst", 1, RATE_MAX, -1, "requests, 1 to 1000000");
+}
+
+static void parse_key(parse_t *p, record_t *r)
+{
+	static const char *const known[] = {"digest", "account", NULL};
+	const char *allowed = "the key's SHA-256 as 64 lower-case hex digits";
+
+	check_fields(p, known);
+	r->key.digest = take_string(p, "digest", allowed);
+	r->key.account = take_name(p, "account");
+	if (r->key.digest && (strlen(r->key.digest) != KEY_DIGEST_HEX_BYTES ||
+			      strspn(r->key.digest, "0123456789abcdef") != KEY_DIGEST_HEX_BYTES))
+		report(p, "digest", allowed);
+}
+
+static bool method_valid(const json_t *value)
+{
+	const char *text = json_string_value(value);
+	size_t len = text ? strlen(text) : 0;
+
+	return len > 0 && len <= 16 && strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == len;
+}
+
+static void parse_methods(parse_t *p, route_t *route)
+{
+	const json_t *list = json_object_get(p->json, "methods");
+	size_t i;
+	json_t *value;
+
+	if (!list)
+		return;
+	if (!json_is_array(list)) {
+		report(p, "methods", "a list of HTTP methods in capitals");
+		return;
+	}
+	json_array_foreach(list, i, value)
+	{
+		if (method_valid(value))
+			g_ptr_array_add(route->methods,
+					g_strdup(json_string_value(value)));
+		else
+			report(p, "methods", "a list of HTTP methods in capitals");
+	}
+}
+
+static void parse_route(parse_t *p, record_t *r)
+{
+	static const char *const known[] = {"prefix", "methods",    "service",
+					    "open",   "importance", "idempotent",
+					    "retries", "timeout_ms", NULL};
+
+	check_fields(p, known);
+	r->route.prefix = take_string(p, "prefix", "a path that starts with /");
+	if (r->route.prefix && r->route.prefix[0] != '/')
+		report(p, "prefix", "a path that starts with /");
+	r->route.service = take_name(p, "service");
+	r->route.importance =
+		take_integer(p, "importance", 0, IMPORTANCE_LEVELS - 1, -1, "0 to 9");
+	r->route.idempotent = take_bool(p, "idempotent", false);
+	r->route.open = take_bool(p, "open", false);
+	r->route.timeout_ms = take_integer(p, "timeout_ms", TIMEOUT_MIN_MS, TIMEOUT_MAX_MS,
+					   TIMEOUT_DEFAULT_MS, "milliseconds, 1 to 600000");
+	r->route.retries =
+		take_integer(p, "retries", 0, RETRIES_MAX, RETRIES_DEFAULT, "0 to 10");
+	parse_methods(p, &r->route);
+}
+
+static void parse_zone(parse_t *p, record_t *r)
+{
+	static const char *const known[] = {"status", NULL};
+	char *status = take_string(p, "status", "in or out");
+
+	check_fields(p, known);
+	if (status && strcmp(status, "in") != 0 && strcmp(status, "out") != 0)
+		report(p, "status", "in or out");
+	r->zone.in = g_strcmp0(status, "in") == 0;
+	g_free(status);
+}
+
+static void parse_service(parse_t *p, record_t *r)
+{
+	static const char *const known[] = {"cold_slots", "queue_slots", "retry_ratio",
+					    NULL};
+
+	check_fields(p, known);
+	r->service.cold_slots =
+		take_integer(p, "cold_slots", 1, SLOTS_MAX, 1, "slots, 1 to 100000");
+	r->service.queue_slots = take_integer(p, "queue_slots", 0, SLOTS_MAX,
+					      QUEUE_SLOTS_DEFAULT, "slots, 0 to 100000");
+	r->service.retry_ratio =
+		take_number(p, "retry_ratio", 0, 1, RETRY_RATIO_DEFAULT, "0 to 1");
+}
+
+static void (*const parsers[RECORD_KIND_COUNT])(parse_t *, record_t *) = {
+	[RECORD_CLIENT_ACCOUNT] = parse_client_account,
+	[RECORD_KEY] = parse_key,
+	[RECORD_ROUTE] = parse_route,
+	[RECORD_AVAILABILITY_ZONE] = parse_zone,
+	[RECORD_SERVICE] = parse_service,
+};
+
+static bool parse_kind(parse_t *p, record_kind_t *kind)
+{
+	const json_t *value = json_object_get(p->json, "kind");
+
+	if (json_is_string(value) && record_kind_parse(json_string_value(value), kind))
+		return true;
+	report(p, "kind", "client_account, key, route, availability_zone or service");
+	return false;
+}
+
+record_t *record_parse(const json_t *json, record_fault_fn fault, void *ctx)
+{
+	parse_t p = {.json = json, .fault = fault, .ctx = ctx};
+	record_kind_t kind;
+
+	if (!json_is_object(json)) {
+		report(&p, "", "a JSON object");
+		return NULL;
+	}
+	if (!parse_kind(&p, &kind))
+		return NULL;
+	record_t *record = g_new0(record_t, 1);
+	record->kind = kind;
+	if (kind == RECORD_ROUTE)
+		record->route.methods = g_ptr_array_new_with_free_func(g_free);
+	record->name = take_name(&p, "name");
+	record->schema_version = take_integer(&p, "schema_version", 1, G_MAXINT32, -1,
+					      "a whole number from 1");
+	record->understood = record->schema_version <= RECORD_SCHEMA_VERSION;
+	if (record->understood)
+		parsers[kind](&p, record);
+	if (!p.failed)
+		return record;
+	record_destroy(record);
+	return NULL;
+}
+
+void record_destroy(record_t *record)
+{
+	if (!record)
+		return;
+	g_free(record->name);
+	if (record->kind == RECORD_KEY) {
+		g_free(record->key.digest);
+		g_free(record->key.account);
+	} else if (record->kind == RECORD_ROUTE) {
+		g_free(record->route.prefix);
+		g_free(record->route.service);
+		g_ptr_array_free(record->route.methods, TRUE);
+	}
+	g_free(record);
+}
+
+const char *record_kind_name(record_kind_t kind)
+{
+	return kind_names[kind];
+}
+
+bool record_kind_parse(const char *text, record_kind_t *out)
+{
+	for (int i = 0; i < RECORD_KIND_COUNT; i++) {
+		if (strcmp(text, kind_names[i]) == 0) {
+			*out = (record_kind_t)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+bool record_name_valid(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len >= 1 && len <= RECORD_NAME_MAX_BYTES &&
+	       strspn(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+			    "0123456789._-") == len;
+}
+
+char *record_row_key(record_kind_t kind, const char *name, uint32_t schema_version)
+{
+	return g_strdup_printf(ROW_PREFIX "%s/%s@%u", kind_names[kind], name,
+			       schema_version);
+}
+
+bool record_row_key_parse(const char *key, record_kind_t *kind, char **name,
+			  uint32_t *schema_version)
+{
+	if (!g_str_has_prefix(key, ROW_PREFIX))
+		return false;
+	const char *kind_text = key + strlen(ROW_PREFIX);
+	const char *slash = strchr(kind_text, '/');
+	const char *at = strrchr(key, '@');
+	if (!slash || !at || at < slash || at[1] < '1' || at[1] > '9')
+		return false;
+	char *end = NULL;
+	unsigned long version = strtoul(at + 1, &end, 10);
+	if (*end || version > G_MAXINT32)
+		return false;
+	char *kind_copy = g_strndup(kind_text, (gsize)(slash - kind_text));
+	bool ok = record_kind_parse(kind_copy, kind);
+	g_free(kind_copy);
+	if (!ok)
+		return false;
+	*schema_version = (uint32_t)version;
+	*name = g_strndup(slash + 1, (gsize)(at - slash - 1));
+	return true;
+}
--- /dev/null
+++ b/egretctl/apply.c
@@ -0,0 +1,109 @@
+#include "egretctl/ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static bool account_known(const char *account, const GPtrArray *files, GHashTable *rows)
+{
+	GHashTableIter iter;
+	void *value;
+
+	for (guint i = 0; i < files->len; i++) {
+		const record_t *record = ((const record_file_t *)files->pdata[i])->record;
+		if (record->kind == RECORD_CLIENT_ACCOUNT &&
+		    strcmp(record->name, account) == 0)
+			return true;
+	}
+	char *prefix = g_strdup_printf("record/client_account/%s@", account);
+	bool found = false;
+	g_hash_table_iter_init(&iter, rows);
+	while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const config_row_t *row = value;
+		found = row->value && g_str_has_prefix(row->key, prefix);
+	}
+	g_free(prefix);
+	return found;
+}
+
+/* A key without its account would be refused by every node. */
+static bool references_hold(const GPtrArray *files, GHashTable *rows)
+{
+	bool ok = true;
+
+	for (guint i = 0; i < files->len; i++) {
+		const record_file_t *file = files->pdata[i];
+		const record_t *record = file->record;
+		if (record->kind != RECORD_KEY || !record->understood ||
+		    account_known(record->key.account, files, rows))
+			continue;
+		fprintf(stderr, "%s: account: must be: a client_account that exists\n",
+			file->source);
+		ok = false;
+	}
+	return ok;
+}
+
+static int commit(platform_t *platform, const GPtrArray *changes)
+{
+	store_write_t *writes = g_new0(store_write_t, changes->len);
+	GError *error = NULL;
+	int status = CTL_OK;
+
+	for (guint i = 0; i < changes->len; i++) {
+		const change_t *change = changes->pdata[i];
+		writes[i] = (store_write_t){change->key, change->expected_revision,
+					    change->value};
+	}
+	uint64_t revision = platform_commit(platform, writes, changes->len, &error);
+	if (error) {
+		status = ctl_fail("apply", error);
+		g_clear_error(&error);
+	} else {
+		fprintf(stderr, "%u changed, revision %" G_GUINT64_FORMAT "\n", changes->len,
+			revision);
+	}
+	g_free(writes);
+	return status;
+}
+
+static int apply_files(ctl_t *ctl, platform_t *platform, const GPtrArray *files)
+{
+	GError *error = NULL;
+	GHashTable *rows = platform_records(platform, &error);
+
+	if (!rows) {
+		int status = ctl_fail("read the records", error);
+		g_clear_error(&error);
+		return status;
+	}
+	int status = CTL_INVALID;
+	if (references_hold(files, rows)) {
+		GPtrArray *changes = changes_plan(files, rows);
+		changes_print(ctl, changes);
+		if (changes->len == 0)
+			fprintf(stderr, "nothing to change\n");
+		status = changes->len == 0 || ctl->dry_run ? CTL_OK :
+							     commit(platform, changes);
+		g_ptr_array_free(changes, TRUE);
+	}
+	g_hash_table_destroy(rows);
+	return status;
+}
+
+int ctl_apply(ctl_t *ctl)
+{
+	GError *error = NULL;
+
+	if (ctl->files->len == 0 || ctl->argc > 0)
+		return ctl_usage("apply -f FILE|DIR [--dry-run]");
+	GPtrArray *files = record_files_load(ctl->files);
+	if (!files)
+		return CTL_INVALID;
+	platform_t *platform = platform_open(ctl->platform, &error);
+	int status = platform ? apply_files(ctl, platform, files) :
+				ctl_fail("open the platform", error);
+	g_clear_error(&error);
+	platform_close(platform);
+	g_ptr_array_free(files, TRUE);
+	return status;
+}
--- /dev/null
+++ b/egretscaled/call.c
@@ -0,0 +1,98 @@
+#include "egretscaled/call.h"
+
+
+void request_context_copy(request_context_t *out, const request_context_t *from)
+{
+	*out = *from;
+	out->account = g_strdup(from->account);
+}
+
+void request_context_clear(request_context_t *context)
+{
+	g_clear_pointer(&context->account, g_free);
+}
+
+priority_t request_context_priority(const request_context_t *context)
+{
+	return priority_make(context->importance, context->rank);
+}
+
+call_t *call_create(const request_context_t *context, uint64_t attempt,
+		    const char *service, const char *method, const char *path)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	request_context_copy(&call->context, context);
+	call->attempt = attempt;
+	call->service = g_strdup(service);
+	call->method = g_strdup(method);
+	call->path = g_strdup(path);
+	call->headers = headers_create();
+	call->content_length = LENGTH_UNKNOWN;
+	call->request_body = body_create();
+	call->reply_body = body_create();
+	return call;
+}
+
+static void reply_clear(call_reply_t *reply)
+{
+	if (reply->headers)
+		g_ptr_array_unref(reply->headers);
+	reply->headers = NULL;
+}
+
+void call_destroy(call_t *call)
+{
+	if (!call)
+		return;
+	if (call->detach) {
+		call_detach_fn detach = call->detach;
+		call->detach = NULL;
+		detach(call, call->sink);
+	}
+	request_context_clear(&call->context);
+	reply_clear(&call->reply);
+	g_ptr_array_unref(call->headers);
+	body_destroy(call->request_body);
+	body_destroy(call->reply_body);
+	g_free(call->service);
+	g_free(call->method);
+	g_free(call->path);
+	g_free(call);
+}
+
+void call_attach(call_t *call, void *sink, call_detach_fn detach)
+{
+	call->sink = sink;
+	call->detach = detach;
+}
+
+void call_detach_done(call_t *call)
+{
+	call->sink = NULL;
+	call->detach = NULL;
+}
+
+void call_answer(call_t *call, const call_reply_t *reply)
+{
+	if (call->answered) {
+		call_reply_t late = *reply;
+		reply_clear(&late);
+		return;
+	}
+	call->answered = true;
+	call->reply = *reply;
+	call->on_answered(call, call->on_answered_ctx);
+}
+
+void call_refuse(call_t *call, Egret__Outcome outcome, Egret__Reason reason)
+{
+	call_reply_t reply = {.outcome = outcome,
+			      .reason = reason,
+			      .content_length = 0,
+			      .level = PRIORITY_LEVEL_ALL,
+			      .below = PRIORITY_LEVEL_ALL};
+
+	body_end(call->reply_body);
+	call_answer(call, &reply);
+}
--- /dev/null
+++ b/egretscaled/call_codec.c
@@ -0,0 +1,154 @@
+#include "egretscaled/call_codec.h"
+
+#include "config/record.h"
+
+#include <string.h>
+
+#define DEPTH_MAX 64
+#define TIMEOUT_MAX_MS 600000u
+#define RETRIES_MAX 10u
+
+static bool context_valid(const Egret__Context *wire)
+{
+	return wire && wire->request_id.len == REQUEST_ID_BYTES &&
+	       wire->importance < IMPORTANCE_LEVELS && wire->depth <= DEPTH_MAX &&
+	       wire->time_left_ms <= TIMEOUT_MAX_MS && wire->retries_left <= RETRIES_MAX;
+}
+
+static void decode_headers(Egret__Header *const *wire, size_t count, GPtrArray *out)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (*wire[i]->name && !header_is_private(wire[i]->name) &&
+		    !strpbrk(wire[i]->name, "\r\n:") && !strpbrk(wire[i]->value, "\r\n"))
+			headers_add(out, wire[i]->name, wire[i]->value);
+	}
+}
+
+static Egret__Header **encode_headers(const GPtrArray *headers, size_t *count)
+{
+	*count = headers ? headers->len : 0;
+	if (*count == 0)
+		return NULL;
+	Egret__Header **list = g_new(Egret__Header *, *count);
+	Egret__Header *cells = g_new(Egret__Header, *count);
+	for (size_t i = 0; i < *count; i++) {
+		const header_t *header = headers->pdata[i];
+		egret__header__init(&cells[i]);
+		cells[i].name = header->name;
+		cells[i].value = header->value;
+		list[i] = &cells[i];
+	}
+	return list;
+}
+
+static void free_headers(Egret__Header **list)
+{
+	if (!list)
+		return;
+	g_free(list[0]);
+	g_free(list);
+}
+
+call_t *call_decode(const Egret__Call *wire, usec_t now)
+{
+	const Egret__Context *from = wire->context;
+
+	if (!context_valid(from) || !*wire->service || !*wire->method ||
+	    wire->path[0] != '/' || strpbrk(wire->path, " \r\n") ||
+	    strpbrk(wire->method, " \r\n"))
+		return NULL;
+	request_context_t context = {
+		.account = from->account,
+		.importance = from->importance,
+		.rank = from->rank,
+		.deadline = now + (usec_t)from->time_left_ms * USEC_PER_MSEC,
+		.retries = from->retries_left,
+		.depth = from->depth,
+		.idempotent = from->idempotent,
+		.fingerprint = from->fingerprint,
+	};
+	memcpy(context.request_id, from->request_id.data, REQUEST_ID_BYTES);
+	call_t *call = call_create(&context, wire->attempt, wire->service, wire->method,
+				   wire->path);
+	call->content_length = wire->content_length;
+	decode_headers(wire->headers, wire->n_headers, call->headers);
+	return call;
+}
+
+void call_encode(const call_t *call, usec_t now, Egret__Call *wire, Egret__Context *context)
+{
+	const request_context_t *from = &call->context;
+	usec_t left = MAX(from->deadline - now, 0);
+
+	egret__call__init(wire);
+	egret__context__init(context);
+	context->request_id.data = (uint8_t *)from->request_id;
+	context->request_id.len = REQUEST_ID_BYTES;
+	context->account = from->account;
+	context->importance = from->importance;
+	context->rank = from->rank;
+	context->time_left_ms = (uint32_t)(left / USEC_PER_MSEC);
+	context->retries_left = from->retries;
+	context->depth = from->depth;
+	context->idempotent = from->idempotent;
+	context->fingerprint = from->fingerprint;
+	wire->context = context;
+	wire->attempt = call->attempt;
+	wire->service = call->service;
+	wire->method = call->method;
+	wire->path = call->path;
+	wire->content_length = call->content_length;
+	wire->headers = encode_headers(call->headers, &wire->n_headers);
+}
+
+void call_encode_clear(Egret__Call *wire)
+{
+	free_headers(wire->headers);
+}
+
+void call_reply_decode(const Egret__Reply *wire, call_reply_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->outcome = wire->outcome;
+	out->reason = wire->reason;
+	out->status = wire->status;
+	out->content_length = wire->content_length;
+	out->retries_back = wire->retries_back;
+	out->level = PRIORITY_LEVEL_ALL;
+	out->below = PRIORITY_LEVEL_ALL;
+	if (wire->load) {
+		out->has_load = true;
+		out->level = MIN(wire->load->level, PRIORITY_LEVEL_ALL);
+		out->below = MIN(wire->load->below, PRIORITY_LEVEL_ALL);
+		out->limit = wire->load->limit;
+		out->inflight = wire->load->inflight;
+		out->queued = wire->load->queued;
+	}
+	out->headers = headers_create();
+	decode_headers(wire->headers, wire->n_headers, out->headers);
+}
+
+void call_reply_encode(const call_reply_t *reply, Egret__Reply *wire, Egret__Load *load)
+{
+	egret__reply__init(wire);
+	egret__load__init(load);
+	wire->outcome = reply->outcome;
+	wire->reason = reply->reason;
+	wire->status = reply->status;
+	wire->content_length = reply->content_length;
+	wire->retries_back = reply->retries_back;
+	wire->headers = encode_headers(reply->headers, &wire->n_headers);
+	if (!reply->has_load)
+		return;
+	load->level = reply->level;
+	load->below = reply->below;
+	load->limit = reply->limit;
+	load->inflight = reply->inflight;
+	load->queued = reply->queued;
+	wire->load = load;
+}
+
+void call_reply_encode_clear(Egret__Reply *wire)
+{
+	free_headers(wire->headers);
+}
--- /dev/null
+++ b/egretscaled/entry.c
@@ -0,0 +1,363 @@
+#include "egretscaled/entry.h"
+
+#include "claims/suspects.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/announce.h"
+#include "egretscaled/claims_io.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define BEARER "Bearer "
+#define CALL_PREFIX "/call/"
+#define ONWARD_TIMEOUT_MS 10000
+#define TIMEOUT_MAX_MS 600000
+#define DEPTH_MAX 64
+#define FINGERPRINT_SEED 0x66707274u
+
+static const char *request_header(const http_request_t *request, const char *name)
+{
+	return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND, name);
+}
+
+typedef struct header_count {
+	const char *name;
+	int count;
+} header_count_t;
+
+static enum MHD_Result count_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+				    const char *value)
+{
+	(void)kind;
+	(void)value;
+	header_count_t *counting = ctx;
+
+	counting->count += g_ascii_strcasecmp(name, counting->name) == 0;
+	return MHD_YES;
+}
+
+static bool header_repeated(const http_request_t *request, const char *name)
+{
+	header_count_t counting = {.name = name};
+
+	MHD_get_connection_values(request->connection, MHD_HEADER_KIND, count_header,
+				  &counting);
+	return counting.count > 1;
+}
+
+/* Dot segments, also escaped ones, could lead around a route's prefix. */
+static bool path_is_safe(const char *path)
+{
+	char *lower = g_ascii_strdown(path, -1);
+	char *query = strchr(lower, '?');
+
+	if (query)
+		*query = '\0';
+	bool safe = lower[0] == '/' && !strstr(lower, "/./") && !strstr(lower, "/../") &&
+		    !strstr(lower, "//") && !strstr(lower, "%2e") && !strstr(lower, "%2f") &&
+		    !strstr(lower, "%00") && !strstr(lower, "%5c") && !strchr(lower, '\\') &&
+		    !g_str_has_suffix(lower, "/.") && !g_str_has_suffix(lower, "/..");
+	for (const char *c = lower; *c; c++)
+		safe = safe && *c > ' ' && *c != 0x7f;
+	g_free(lower);
+	return safe;
+}
+
+static bool head_is_valid(const http_request_t *request)
+{
+	if (!path_is_safe(request->path) || header_repeated(request, "Authorization") ||
+	    header_repeated(request, "Content-Length") ||
+	    header_repeated(request, "Idempotency-Key") ||
+	    header_repeated(request, "Egret-Context"))
+		return false;
+	return !(request_header(request, "Content-Length") &&
+		 request_header(request, "Transfer-Encoding"));
+}
+
+/* The request's own timeout: at most `limit_ms`; 0 if the header is malformed. */
+static uint32_t request_timeout(const http_request_t *request, uint32_t limit_ms)
+{
+	const char *text = request_header(request, "Egret-Timeout-Ms");
+	char *end = NULL;
+
+	if (!text)
+		return limit_ms;
+	guint64 value = g_ascii_strtoull(text, &end, 10);
+	if (!g_ascii_isdigit(text[0]) || *end || value == 0 || value > TIMEOUT_MAX_MS)
+		return 0;
+	return MIN((uint32_t)value, limit_ms);
+}
+
+static char *account_of_key(const config_t *config, const char *authorization)
+{
+	uint8_t digest[crypto_hash_sha256_BYTES];
+	char hex[KEY_DIGEST_HEX_BYTES + 1];
+
+	if (!authorization || !g_str_has_prefix(authorization, BEARER))
+		return NULL;
+	const char *key = authorization + strlen(BEARER);
+	crypto_hash_sha256(digest, (const unsigned char *)key, strlen(key));
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	const char *account = config_account_for_digest(config, hex);
+	if (!account || !config_client_account(config, account))
+		return NULL;
+	return g_strdup(account);
+}
+
+static bool refuse(http_request_t *request, Egret__Reason reason)
+{
+	http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN, reason);
+	return false;
+}
+
+static bool fill_from_route(http_request_t *request, const config_t *config)
+{
+	const record_t *record = config_route(config, request->method, request->path);
+
+	if (!record)
+		return refuse(request, EGRET__REASON__REASON_NO_ROUTE);
+	const route_t *route = &record->route;
+	request_context_t *context = &request->context;
+	if (route->open)
+		context->account = g_strdup("");
+	else
+		context->account = account_of_key(
+			config, request_header(request, MHD_HTTP_HEADER_AUTHORIZATION));
+	if (!context->account) {
+		counter_add(COUNTER_REFUSED_KEY, 1);
+		return refuse(request, EGRET__REASON__REASON_KEY);
+	}
+	uint32_t timeout_ms = request_timeout(request, route->timeout_ms);
+	if (timeout_ms == 0)
+		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	randombytes_buf(context->request_id, sizeof(context->request_id));
+	context->importance = route->importance;
+	context->idempotent = route->idempotent;
+	context->deadline = request->arrived + (usec_t)timeout_ms * USEC_PER_MSEC;
+	request->retries.left = route->retries;
+	request->service = g_strdup(route->service);
+	request->target_path = g_strdup(request->path);
+	request->route = g_strdup(record->name);
+	return true;
+}
+
+bool entry_check(http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	counter_add(COUNTER_REQUESTS, 1);
+	if (!head_is_valid(request))
+		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	if (!atomic_load(&node->ready))
+		return refuse(request, EGRET__REASON__REASON_NOT_READY);
+	config_t *config = node_config(node);
+	bool ok = fill_from_route(request, config);
+	config_unref(config);
+	return ok;
+}
+
+static void set_fingerprint(http_request_t *request)
+{
+	XXH64_state_t *state = XXH64_createState();
+
+	XXH64_reset(state, FINGERPRINT_SEED);
+	XXH64_update(state, request->context.account, strlen(request->context.account) + 1);
+	XXH64_update(state, request->service, strlen(request->service) + 1);
+	XXH64_update(state, request->method, strlen(request->method) + 1);
+	XXH64_update(state, request->target_path, strlen(request->target_path) + 1);
+	XXH64_update(state, &request->content_length, sizeof(request->content_length));
+	XXH64_update(state, request->head_body->data, request->head_body->len);
+	request->context.fingerprint = XXH64_digest(state);
+	XXH64_freeState(state);
+}
+
+static bool is_suspect(http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	pthread_mutex_lock(&node->suspect_lock);
+	bool suspect = suspects_refuse(node->suspects, request->context.fingerprint,
+				       clock_boot_usec());
+	pthread_mutex_unlock(&node->suspect_lock);
+	if (suspect)
+		counter_add(COUNTER_SUSPECT_REFUSED, 1);
+	return suspect;
+}
+
+static bool is_shed(http_request_t *request)
+{
+	node_t *node = request->worker->node;
+	priority_t priority = request_context_priority(&request->context);
+
+	pthread_mutex_lock(&node->router_lock);
+	priority_t level =
+		backpressure_level(node->backpressure, request->route, clock_boot_usec());
+	pthread_mutex_unlock(&node->router_lock);
+	if (priority < level)
+		return false;
+	counter_add(COUNTER_REFUSED_SHED, 1);
+	log_rec_t rec;
+	log_begin(&rec, LOG_LEVEL_INFO, "shed");
+	log_hex(&rec, "request", request->context.request_id, REQUEST_ID_BYTES);
+	log_str(&rec, "account", request->context.account);
+	log_str(&rec, "route", request->route);
+	log_int(&rec, "importance", request->context.importance);
+	log_int(&rec, "rank", request->context.rank);
+	log_int(&rec, "level", level);
+	log_end(&rec);
+	return true;
+}
+
+static void continue_with_claim(http_request_t *request)
+{
+	const char *key = request_header(request, "Idempotency-Key");
+
+	if (!key || !*request->context.account) {
+		http_request_dispatch(request);
+		return;
+	}
+	claims_io_claim(request, key);
+}
+
+static void handle_admitted(void *ctx, bool admitted)
+{
+	http_request_t *request = ctx;
+
+	request->waits_for_rate = false;
+	if (admitted) {
+		continue_with_claim(request);
+		return;
+	}
+	counter_add(COUNTER_REFUSED_RATE, 1);
+	refuse(request, EGRET__REASON__REASON_RATE);
+}
+
+void entry_begin(http_request_t *request)
+{
+	const char *account = request->context.account;
+	double pressure = accounts_io_pressure(request->worker, account);
+
+	set_fingerprint(request);
+	request->context.rank = priority_rank(request->context.request_id,
+					      pressure > 0 ? MIN(pressure, 1.0) : 1.0);
+	if (is_suspect(request)) {
+		refuse(request, EGRET__REASON__REASON_SUSPECT);
+		return;
+	}
+	if (is_shed(request)) {
+		refuse(request, EGRET__REASON__REASON_SHED);
+		return;
+	}
+	if (!*account) {
+		continue_with_claim(request);
+		return;
+	}
+	request->waits_for_rate = true;
+	admit_result_t result =
+		accounts_io_admit(request->worker, account, handle_admitted, request);
+	if (result == ADMIT_WAITING)
+		return;
+	handle_admitted(request, result == ADMIT_GRANTED);
+}
+
+static bool method_is_safe(const char *method)
+{
+	return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 ||
+	       strcmp(method, "OPTIONS") == 0;
+}
+
+/* /call/SERVICE/PATH */
+static bool split_call_path(http_request_t *request)
+{
+	if (!g_str_has_prefix(request->path, CALL_PREFIX))
+		return false;
+	const char *service = request->path + strlen(CALL_PREFIX);
+	const char *slash = strchr(service, '/');
+	if (!slash)
+		return false;
+	request->service = g_strndup(service, (gsize)(slash - service));
+	request->target_path = g_strdup(slash);
+	request->route = g_strdup_printf("%s %s", request->service, request->method);
+	return record_name_valid(request->service);
+}
+
+static bool onward_is_idempotent(const http_request_t *request)
+{
+	config_t *config = node_config(request->worker->node);
+	const record_t *record =
+		config_route(config, request->method, request->target_path);
+	bool idempotent = method_is_safe(request->method);
+
+	if (record && strcmp(record->route.service, request->service) == 0)
+		idempotent = record->route.idempotent;
+	config_unref(config);
+	return idempotent;
+}
+
+/* A call without a live request: a new one of the lowest importance. */
+static void fill_orphan(http_request_t *request)
+{
+	request_context_t *context = &request->context;
+
+	randombytes_buf(context->request_id, sizeof(context->request_id));
+	context->account = g_strdup("");
+	context->rank = PRIORITY_RANK_MAX;
+	context->deadline = request->arrived + ONWARD_TIMEOUT_MS * USEC_PER_MSEC;
+}
+
+static bool fill_from_parent(http_request_t *request)
+{
+	node_t *node = request->worker->node;
+	const char *token = request_header(request, "Egret-Context");
+
+	if (!token || strlen(token) + 1 != LIVE_TOKEN_TEXT_BYTES)
+		return false;
+	pthread_mutex_lock(&node->live_lock);
+	bool live = live_child_begin(node->live, token, request->number, request->arrived,
+				     &request->context);
+	pthread_mutex_unlock(&node->live_lock);
+	if (!live)
+		return false;
+	g_strlcpy(request->parent, token, sizeof(request->parent));
+	request->lent_by_parent = request->context.retries;
+	request->retries.left = request->context.retries;
+	return true;
+}
+
+bool egress_check(http_request_t *request)
+{
+	if (g_str_has_prefix(request->path, ANNOUNCE_PREFIX)) {
+		request->announcement = true;
+		return true;
+	}
+	counter_add(COUNTER_ONWARD, 1);
+	if (!head_is_valid(request) || !split_call_path(request))
+		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	if (!atomic_load(&request->worker->node->ready))
+		return refuse(request, EGRET__REASON__REASON_NOT_READY);
+	if (!fill_from_parent(request))
+		fill_orphan(request);
+	if (request->context.depth > DEPTH_MAX)
+		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	uint32_t timeout_ms = request_timeout(request, TIMEOUT_MAX_MS);
+	if (timeout_ms == 0)
+		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	usec_t asked = request->arrived + (usec_t)timeout_ms * USEC_PER_MSEC;
+	request->context.deadline = MIN(request->context.deadline, asked);
+	request->context.idempotent = onward_is_idempotent(request);
+	return true;
+}
+
+void egress_begin(http_request_t *request)
+{
+	set_fingerprint(request);
+	if (is_suspect(request))
+		refuse(request, EGRET__REASON__REASON_SUSPECT);
+	else if (is_shed(request))
+		refuse(request, EGRET__REASON__REASON_SHED);
+	else
+		http_request_dispatch(request);
+}
--- /dev/null
+++ b/egretscaled/ingress.c
@@ -0,0 +1,264 @@
+#include "egretscaled/ingress.h"
+
+#include "common/counters.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/call_codec.h"
+#include "egretscaled/pull.h"
+#include "egretscaled/stream.h"
+#include "egretscaled/target_call.h"
+#include "wire/frame_link.h"
+
+typedef struct ingress_link {
+	worker_t *worker;
+	frame_link_t *link;
+	GHashTable *calls; /* attempt -> ingress_call_t */
+	bool closed;
+} ingress_link_t;
+
+typedef struct ingress_call {
+	ingress_link_t *owner; /* NULL once cancelled */
+	worker_t *worker;
+	call_t *call;
+	uint64_t attempt;
+	stream_in_t in;
+	stream_out_t out;
+	bool reply_scheduled;
+	bool reply_sent;
+	bool over;
+} ingress_call_t;
+
+static void free_ingress_call(worker_t *worker, void *ctx)
+{
+	ingress_call_t *ic = ctx;
+
+	atomic_fetch_sub(&worker->node->requests, 1);
+	call_destroy(ic->call);
+	g_free(ic);
+}
+
+/* Frees a call once no callback of it is on the stack. */
+static void end_call(ingress_call_t *ic)
+{
+	if (ic->over)
+		return;
+	ic->over = true;
+	if (ic->owner)
+		g_hash_table_remove(ic->owner->calls, &ic->attempt);
+	ic->owner = NULL;
+	worker_defer(ic->worker, free_ingress_call, ic);
+}
+
+static void handle_reply_readable(void *ctx)
+{
+	ingress_call_t *ic = ctx;
+
+	if (ic->over || !ic->reply_sent)
+		return;
+	stream_out_pump(&ic->out);
+	if (ic->out.finished)
+		end_call(ic);
+}
+
+static void send_reply(worker_t *worker, void *ctx)
+{
+	(void)worker;
+	ingress_call_t *ic = ctx;
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Reply wire;
+	Egret__Load load;
+	uint8_t first[STREAM_CHUNK_BYTES];
+	bool end;
+
+	if (ic->over)
+		return;
+	call_reply_encode(&ic->call->reply, &wire, &load);
+	wire.attempt = ic->attempt;
+	stream_out_start(&ic->out, ic->owner->link, ic->attempt, false,
+			 ic->call->reply_body);
+	body_on_readable(ic->call->reply_body, handle_reply_readable, ic);
+	wire.body.len = stream_out_first(&ic->out, first, sizeof(first), &end);
+	wire.body.data = first;
+	wire.end = end;
+	frame.kind_case = EGRET__FRAME__KIND_REPLY;
+	frame.reply = &wire;
+	frame_link_send(ic->owner->link, &frame);
+	call_reply_encode_clear(&wire);
+	ic->reply_sent = true;
+	handle_reply_readable(ic);
+}
+
+/* The reply is sent a moment later, so that a short body goes with its head. */
+static void handle_answered(call_t *call, void *ctx)
+{
+	(void)call;
+	ingress_call_t *ic = ctx;
+
+	if (ic->over || ic->reply_scheduled)
+		return;
+	ic->reply_scheduled = true;
+	worker_defer(ic->worker, send_reply, ic);
+}
+
+static void refuse_frame(ingress_link_t *il, uint64_t attempt, Egret__Reason reason)
+{
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Reply wire = EGRET__REPLY__INIT;
+
+	wire.attempt = attempt;
+	wire.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
+	wire.reason = reason;
+	wire.end = true;
+	frame.kind_case = EGRET__FRAME__KIND_REPLY;
+	frame.reply = &wire;
+	frame_link_send(il->link, &frame);
+}
+
+static void take_call(ingress_link_t *il, const Egret__Call *wire)
+{
+	call_t *call = call_decode(wire, clock_boot_usec());
+
+	if (!call || g_hash_table_contains(il->calls, &wire->attempt)) {
+		call_destroy(call);
+		counter_add(COUNTER_PEER_BAD_FRAMES, 1);
+		refuse_frame(il, wire->attempt, EGRET__REASON__REASON_BAD_REQUEST);
+		return;
+	}
+	counter_add(COUNTER_CALLS_IN, 1);
+	atomic_fetch_add(&il->worker->node->requests, 1);
+	ingress_call_t *ic = g_new0(ingress_call_t, 1);
+	ic->owner = il;
+	ic->worker = il->worker;
+	ic->call = call;
+	ic->attempt = wire->attempt;
+	call->on_answered = handle_answered;
+	call->on_answered_ctx = ic;
+	g_hash_table_insert(il->calls, &ic->attempt, ic);
+	stream_in_start(&ic->in, il->link, ic->attempt, true, call->request_body);
+	stream_in_take(&ic->in, wire->body.data, wire->body.len, wire->end, false);
+	target_call_start(il->worker, call);
+}
+
+static void take_data(ingress_link_t *il, const Egret__Data *data)
+{
+	ingress_call_t *ic = g_hash_table_lookup(il->calls, &data->attempt);
+
+	if (!ic || !data->request)
+		return;
+	if (!stream_in_take(&ic->in, data->body.data, data->body.len, data->end,
+			    data->aborted))
+		body_abort(ic->call->request_body);
+}
+
+static void take_fence(ingress_link_t *il, const Egret__Fence *fence)
+{
+	node_t *node = il->worker->node;
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__FenceReply reply = EGRET__FENCE_REPLY__INIT;
+	usec_t age = (usec_t)fence->age_ms * USEC_PER_MSEC;
+
+	reply.attempt = fence->attempt;
+	if (fence->node_id == node->node_id) {
+		pthread_mutex_lock(&node->live_lock);
+		reply.never_started = attempts_fence(node->attempts, fence->attempt, age,
+						     clock_boot_usec());
+		pthread_mutex_unlock(&node->live_lock);
+	}
+	frame.kind_case = EGRET__FRAME__KIND_FENCE_REPLY;
+	frame.fence_reply = &reply;
+	frame_link_send(il->link, &frame);
+}
+
+static void handle_frame(void *ctx, const Egret__Frame *frame)
+{
+	ingress_link_t *il = ctx;
+	ingress_call_t *ic;
+
+	switch (frame->kind_case) {
+	case EGRET__FRAME__KIND_CALL:
+		take_call(il, frame->call);
+		break;
+	case EGRET__FRAME__KIND_DATA:
+		take_data(il, frame->data);
+		break;
+	case EGRET__FRAME__KIND_CREDIT:
+		ic = g_hash_table_lookup(il->calls, &frame->credit->attempt);
+		if (ic && ic->reply_sent && !frame->credit->request) {
+			stream_out_credit(&ic->out, frame->credit->bytes);
+			if (ic->out.finished)
+				end_call(ic);
+		}
+		break;
+	case EGRET__FRAME__KIND_CANCEL:
+		ic = g_hash_table_lookup(il->calls, &frame->cancel->attempt);
+		if (ic)
+			end_call(ic);
+		break;
+	case EGRET__FRAME__KIND_FENCE:
+		take_fence(il, frame->fence);
+		break;
+	case EGRET__FRAME__KIND_LOAN_REQUEST:
+		accounts_io_handle_request(il->worker, il->link, frame->loan_request);
+		break;
+	case EGRET__FRAME__KIND_PULL:
+		pull_answer(il->worker->node, il->link, frame->pull);
+		break;
+	case EGRET__FRAME__KIND_KEEPER_CONFIRM:
+		accounts_io_handle_confirm(il->worker, il->link, frame->keeper_confirm);
+		break;
+	default:
+		counter_add(COUNTER_PEER_BAD_FRAMES, 1);
+		break;
+	}
+}
+
+static void end_all_calls(ingress_link_t *il)
+{
+	GList *calls = g_hash_table_get_values(il->calls);
+
+	for (GList *item = calls; item; item = item->next)
+		end_call(item->data);
+	g_list_free(calls);
+}
+
+static void free_link(worker_t *worker, void *ctx)
+{
+	g_hash_table_remove(worker->ingress, ctx);
+}
+
+static void handle_closed(void *ctx, const GError *error)
+{
+	ingress_link_t *il = ctx;
+
+	if (error->code != EGRET_ERROR_IO)
+		log_failure("take a peer link", error);
+	end_all_calls(il);
+	il->closed = true;
+	worker_defer(il->worker, free_link, il);
+}
+
+static const frame_link_ops_t link_ops = {
+	.on_frame = handle_frame,
+	.on_closed = handle_closed,
+};
+
+void ingress_accept(worker_t *worker, int fd)
+{
+	ingress_link_t *il = g_new0(ingress_link_t, 1);
+
+	il->worker = worker;
+	il->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	il->link = frame_link_accept(NULL, worker->ev, worker->node->auth, fd, &link_ops, il);
+	g_hash_table_add(worker->ingress, il);
+}
+
+void ingress_link_destroy(void *data)
+{
+	ingress_link_t *il = data;
+
+	end_all_calls(il);
+	frame_link_destroy(il->link);
+	g_hash_table_destroy(il->calls);
+	g_free(il);
+}
--- /dev/null
+++ b/egretscaled/leases_io.c
@@ -0,0 +1,607 @@
+#include "egretscaled/leases_io.h"
+
+#include "common/counters.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/confirm.h"
+
+#include <jansson.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TICK (200 * USEC_PER_MSEC)
+#define PORTION_PERIOD (10 * USEC_PER_SEC)
+#define READ_BACKOFF (2 * USEC_PER_SEC)
+/* A lower portion is written only after the loans made before have ended. */
+#define PORTION_LOWER_DELAY LOAN_MARGIN(LOAN_TERM)
+
+typedef enum portion_step {
+	PORTION_IDLE,
+	PORTION_BUSY,
+	PORTION_LOWERING, /* in force here, not yet written */
+} portion_step_t;
+
+typedef struct partition_io {
+	leases_io_t *io;
+	uint32_t index;
+	usec_t next_read;
+	usec_t next_portion;
+	portion_step_t portion_step;
+	uint64_t portion_revision;
+	json_t *portion_zones;
+	uint32_t portion_wanted;
+	usec_t portion_write_at;
+	bool rereading;
+} partition_io_t;
+
+struct leases_io {
+	node_t *node;
+	store_t *store;
+	struct tevent_context *ev;
+	struct tevent_timer *timer;
+	confirm_t *confirm;
+	partition_io_t partitions[KEEPER_PARTITIONS];
+	bool released;
+	bool changed; /* the member entry must tell a lease change */
+};
+
+static char *lease_key(const leases_io_t *io, uint32_t index)
+{
+	return g_strdup_printf("lease/%s/%u", io->node->settings->zone, index);
+}
+
+static char *portion_key(uint32_t index)
+{
+	return g_strdup_printf("portion/%u", index);
+}
+
+static char *lease_value(const leases_io_t *io, uint64_t epoch, bool held)
+{
+	char id[17];
+
+	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", io->node->node_id);
+	json_t *json = json_pack("{s:s, s:s, s:I}", "holder",
+				 held ? io->node->address : "", "node", held ? id : "",
+				 "epoch", (json_int_t)epoch);
+	char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(json);
+	return text;
+}
+
+static void log_lease(const leases_io_t *io, uint32_t index, const char *change,
+		      uint64_t epoch)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "lease");
+	log_str(&rec, "zone", io->node->settings->zone);
+	log_int(&rec, "partition", index);
+	log_str(&rec, "change", change);
+	log_int(&rec, "epoch", (int64_t)epoch);
+	log_end(&rec);
+}
+
+/* --- Where the keepers are ---------------------------------------------- */
+
+static zone_keepers_t *zone_entry(GArray *zones, const char *zone)
+{
+	for (guint i = 0; i < zones->len; i++) {
+		zone_keepers_t *entry = &g_array_index(zones, zone_keepers_t, i);
+		if (strcmp(entry->zone, zone) == 0)
+			return entry;
+	}
+	g_array_set_size(zones, zones->len + 1);
+	zone_keepers_t *entry = &g_array_index(zones, zone_keepers_t, zones->len - 1);
+	g_strlcpy(entry->zone, zone, sizeof(entry->zone));
+	return entry;
+}
+
+static void note_keeper(GArray *zones, const member_t *member)
+{
+	zone_keepers_t *entry = zone_entry(zones, member->zone);
+
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		if (member->keeps[i] <= entry->places[i].epoch)
+			continue;
+		entry->places[i].epoch = member->keeps[i];
+		g_strlcpy(entry->places[i].address, member->address, ADDRESS_TEXT_BYTES);
+	}
+}
+
+static uint64_t candidate_score(const char *address, uint32_t index)
+{
+	return XXH64(address, strlen(address), index);
+}
+
+/* One pass over the directory: keepers of all zones, own zone's candidates. */
+static void scan_directory(leases_io_t *io, bool candidate[KEEPER_PARTITIONS])
+{
+	node_t *node = io->node;
+	GArray *zones = g_array_new(FALSE, TRUE, sizeof(zone_keepers_t));
+	uint64_t best[KEEPER_PARTITIONS] = {0};
+	const member_t *member;
+
+	pthread_mutex_lock(&node->gossip_lock);
+	zone_entry(zones, node->settings->zone);
+	LIST_FOREACH (member, directory_members(gossip_directory(node->gossip)), link) {
+		if (member->state > EGRET__MEMBER_STATE__MEMBER_SUSPECT)
+			continue;
+		note_keeper(zones, member);
+		if (!member->ready || strcmp(member->zone, node->settings->zone) != 0)
+			continue;
+		for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
+			best[i] = MAX(best[i], candidate_score(member->address, i));
+	}
+	pthread_mutex_unlock(&node->gossip_lock);
+	const zone_keepers_t *own = zone_entry(zones, node->settings->zone);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
+		candidate[i] = own->places[i].epoch == 0 &&
+			       best[i] == candidate_score(node->address, i);
+	pthread_mutex_lock(&node->account_lock);
+	GArray *old = node->accounts->zones;
+	node->accounts->zones = zones;
+	pthread_mutex_unlock(&node->account_lock);
+	g_array_free(old, TRUE);
+}
+
+/* --- Reading and taking a lease ------------------------------------------ */
+
+static bool decode_lease(const char *value, uint64_t *epoch, uint64_t *holder)
+{
+	json_t *json = value ? json_loads(value, 0, NULL) : NULL;
+	const char *id = json_string_value(json_object_get(json, "node"));
+
+	*epoch = (uint64_t)json_integer_value(json_object_get(json, "epoch"));
+	*holder = id ? g_ascii_strtoull(id, NULL, 16) : 0;
+	bool ok = id != NULL;
+	json_decref(json);
+	return ok;
+}
+
+static void handle_lease_row(void *ctx, uint64_t revision, const store_row_t *rows,
+			     size_t count, const GError *error)
+{
+	(void)revision;
+	partition_io_t *partition = ctx;
+	leases_io_t *io = partition->io;
+	node_t *node = io->node;
+	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
+	usec_t now = clock_boot_usec();
+	uint64_t epoch = 0;
+	uint64_t holder = 0;
+
+	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
+		partition->next_read = now + READ_BACKOFF;
+		pthread_mutex_lock(&node->account_lock);
+		if (lease->state == LEASE_READING)
+			lease_superseded(lease);
+		pthread_mutex_unlock(&node->account_lock);
+		return;
+	}
+	if (count == 1)
+		decode_lease(rows[0].value, &epoch, &holder);
+	pthread_mutex_lock(&node->account_lock);
+	if (lease->state == LEASE_READING)
+		lease_observed(lease, now, count == 1 ? rows[0].revision : 0, epoch,
+			       holder == 0);
+	pthread_mutex_unlock(&node->account_lock);
+}
+
+static void read_lease(partition_io_t *partition)
+{
+	char *key = lease_key(partition->io, partition->index);
+
+	store_get(partition->io->store, key, handle_lease_row, partition);
+	g_free(key);
+}
+
+static void handle_taken(void *ctx, uint64_t revision, const GError *error)
+{
+	partition_io_t *partition = ctx;
+	leases_io_t *io = partition->io;
+	node_t *node = io->node;
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->account_lock);
+	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
+	if (error)
+		lease_failed(lease, now, error->code == EGRET_ERROR_CONFLICT);
+	else
+		lease_committed(lease, now, revision);
+	bool held = lease->state == LEASE_HELD;
+	uint64_t epoch = lease->epoch;
+	if (held)
+		keeper_drop_lenders(node->accounts->keeper, partition->index);
+	pthread_mutex_unlock(&node->account_lock);
+	partition->next_read = now + READ_BACKOFF;
+	if (!held)
+		return;
+	counter_add(COUNTER_LEASES_WON, 1);
+	log_lease(io, partition->index, "taken", epoch);
+	partition->next_portion = now;
+	io->changed = true;
+}
+
+static void take_lease(partition_io_t *partition, const lease_t *lease)
+{
+	char *key = lease_key(partition->io, partition->index);
+	char *value = lease_value(partition->io, lease->epoch + 1, true);
+	store_write_t write = {
+		.key = key, .expected_revision = lease->revision, .value = value};
+
+	store_commit(partition->io->store, &write, 1, handle_taken, partition);
+	free(value);
+	g_free(key);
+}
+
+/* --- Renewal ------------------------------------------------------------- */
+
+typedef struct renewal {
+	leases_io_t *io;
+	bool partitions[KEEPER_PARTITIONS];
+} renewal_t;
+
+/* A renewal lost: our own row may have moved by a commit whose answer was lost. */
+static void handle_reread(void *ctx, uint64_t revision, const store_row_t *rows,
+			  size_t count, const GError *error)
+{
+	(void)revision;
+	partition_io_t *partition = ctx;
+	leases_io_t *io = partition->io;
+	node_t *node = io->node;
+	uint64_t epoch = 0;
+	uint64_t holder = 0;
+
+	partition->rereading = false;
+	if (error && error->code != EGRET_ERROR_NOT_FOUND)
+		return;
+	if (count == 1)
+		decode_lease(rows[0].value, &epoch, &holder);
+	pthread_mutex_lock(&node->account_lock);
+	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
+	bool ours = holder == node->node_id && epoch == lease->epoch;
+	if (ours)
+		lease->revision = rows[0].revision;
+	else
+		lease_superseded(lease);
+	if (!ours)
+		keeper_drop_lenders(node->accounts->keeper, partition->index);
+	pthread_mutex_unlock(&node->account_lock);
+	if (ours)
+		return;
+	counter_add(COUNTER_LEASES_LOST, 1);
+	log_lease(io, partition->index, "lost", epoch);
+	io->changed = true;
+}
+
+static void reread(partition_io_t *partition)
+{
+	char *key = lease_key(partition->io, partition->index);
+
+	if (!partition->rereading) {
+		partition->rereading = true;
+		store_get(partition->io->store, key, handle_reread, partition);
+	}
+	g_free(key);
+}
+
+static void handle_renewed(void *ctx, uint64_t revision, const GError *error)
+{
+	renewal_t *renewal = ctx;
+	node_t *node = renewal->io->node;
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->account_lock);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		lease_t *lease = keeper_lease(node->accounts->keeper, i);
+		if (!renewal->partitions[i] || lease->state != LEASE_HELD)
+			continue;
+		if (error)
+			lease_failed(lease, now, false);
+		else
+			lease_committed(lease, now, revision);
+	}
+	pthread_mutex_unlock(&node->account_lock);
+	for (uint32_t i = 0; error && i < KEEPER_PARTITIONS; i++) {
+		if (renewal->partitions[i])
+			reread(&renewal->io->partitions[i]);
+	}
+	g_free(renewal);
+}
+
+static void renew(leases_io_t *io, const bool due[KEEPER_PARTITIONS])
+{
+	node_t *node = io->node;
+	store_write_t writes[KEEPER_PARTITIONS];
+	char *keys[KEEPER_PARTITIONS];
+	char *values[KEEPER_PARTITIONS];
+	size_t count = 0;
+	renewal_t *renewal = g_new0(renewal_t, 1);
+	usec_t now = clock_boot_usec();
+
+	renewal->io = io;
+	pthread_mutex_lock(&node->account_lock);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		lease_t *lease = keeper_lease(node->accounts->keeper, i);
+		if (!due[i] || lease->state != LEASE_HELD)
+			continue;
+		renewal->partitions[i] = true;
+		lease_sent(lease, now);
+		keys[count] = lease_key(io, i);
+		values[count] = lease_value(io, lease->epoch, true);
+		writes[count] = (store_write_t){.key = keys[count],
+						.expected_revision = lease->revision,
+						.value = values[count]};
+		count++;
+	}
+	pthread_mutex_unlock(&node->account_lock);
+	if (count > 0)
+		store_commit(io->store, writes, count, handle_renewed, renewal);
+	else
+		g_free(renewal);
+	for (size_t i = 0; i < count; i++) {
+		g_free(keys[i]);
+		free(values[i]);
+	}
+}
+
+/* --- Portions ------------------------------------------------------------ */
+
+static uint32_t held_in_total(const json_t *zones)
+{
+	const char *zone;
+	json_t *value;
+	uint32_t total = 0;
+
+	json_object_foreach((json_t *)zones, zone, value)
+		total += (uint32_t)json_integer_value(value);
+	return total;
+}
+
+static void set_portion(partition_io_t *partition, uint32_t milli)
+{
+	node_t *node = partition->io->node;
+
+	pthread_mutex_lock(&node->account_lock);
+	keeper_set_portion(node->accounts->keeper, partition->index, milli);
+	pthread_mutex_unlock(&node->account_lock);
+}
+
+static void handle_portion_written(void *ctx, uint64_t revision, const GError *error)
+{
+	(void)revision;
+	partition_io_t *partition = ctx;
+
+	partition->portion_step = PORTION_IDLE;
+	partition->next_portion =
+		clock_boot_usec() + (error ? USEC_PER_SEC : PORTION_PERIOD);
+	if (!error)
+		set_portion(partition, partition->portion_wanted);
+}
+
+static void write_portion(partition_io_t *partition)
+{
+	char *key = portion_key(partition->index);
+	json_t *json = json_object();
+
+	partition->portion_step = PORTION_BUSY;
+	json_object_set_new(partition->portion_zones, partition->io->node->settings->zone,
+			    json_integer(partition->portion_wanted));
+	json_object_set(json, "zones", partition->portion_zones);
+	char *value = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
+	store_write_t write = {.key = key,
+			       .expected_revision = partition->portion_revision,
+			       .value = value};
+	store_commit(partition->io->store, &write, 1, handle_portion_written, partition);
+	free(value);
+	json_decref(json);
+	g_free(key);
+}
+
+static uint32_t zone_count(node_t *node)
+{
+	config_t *config = node_config(node);
+	uint32_t count = config_zone_count(config);
+
+	config_unref(config);
+	pthread_mutex_lock(&node->account_lock);
+	count = MAX(count, node->accounts->zones->len);
+	pthread_mutex_unlock(&node->account_lock);
+	return MAX(count, 1);
+}
+
+/* Decides the next portion from the row as it is. */
+static void plan_portion(partition_io_t *partition)
+{
+	node_t *node = partition->io->node;
+	json_t *zones = partition->portion_zones;
+	uint32_t fair = PORTION_WHOLE / zone_count(node);
+	json_t *entry = json_object_get(zones, node->settings->zone);
+	uint32_t own = (uint32_t)json_integer_value(entry);
+	uint32_t total = held_in_total(zones);
+	uint32_t free_part = total < PORTION_WHOLE ? PORTION_WHOLE - total : 0;
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->account_lock);
+	double pressure = keeper_pressure(node->accounts->keeper, partition->index, now);
+	pthread_mutex_unlock(&node->account_lock);
+	uint32_t next = portion_plan(own, free_part, fair, pressure);
+	partition->portion_wanted = next;
+	if (next < own) {
+		set_portion(partition, next);
+		partition->portion_step = PORTION_LOWERING;
+		partition->portion_write_at = now + PORTION_LOWER_DELAY;
+		return;
+	}
+	set_portion(partition, own);
+	if (next > own) {
+		write_portion(partition);
+		return;
+	}
+	partition->portion_step = PORTION_IDLE;
+	partition->next_portion = now + PORTION_PERIOD;
+}
+
+static void handle_portion_row(void *ctx, uint64_t revision, const store_row_t *rows,
+			       size_t count, const GError *error)
+{
+	(void)revision;
+	partition_io_t *partition = ctx;
+
+	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
+		partition->portion_step = PORTION_IDLE;
+		partition->next_portion = clock_boot_usec() + READ_BACKOFF;
+		return;
+	}
+	json_t *json = count == 1 && rows[0].value ? json_loads(rows[0].value, 0, NULL) :
+						     NULL;
+	json_decref(partition->portion_zones);
+	partition->portion_zones = json_copy(json_object_get(json, "zones"));
+	if (!partition->portion_zones)
+		partition->portion_zones = json_object();
+	partition->portion_revision = count == 1 ? rows[0].revision : 0;
+	json_decref(json);
+	plan_portion(partition);
+}
+
+static void step_portion(partition_io_t *partition, usec_t now)
+{
+	if (partition->portion_step == PORTION_LOWERING) {
+		if (now >= partition->portion_write_at)
+			write_portion(partition);
+		return;
+	}
+	if (partition->portion_step != PORTION_IDLE || now < partition->next_portion)
+		return;
+	partition->portion_step = PORTION_BUSY;
+	char *key = portion_key(partition->index);
+	store_get(partition->io->store, key, handle_portion_row, partition);
+	g_free(key);
+}
+
+/* --- The loop ------------------------------------------------------------ */
+
+static void step_partition(partition_io_t *partition, bool candidate, usec_t now, bool *due)
+{
+	node_t *node = partition->io->node;
+
+	pthread_mutex_lock(&node->account_lock);
+	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
+	lease_action_t action = lease_next(lease, now, candidate);
+	if (action == LEASE_DO_READ && now < partition->next_read)
+		action = LEASE_DO_NOTHING;
+	if (action == LEASE_DO_READ)
+		lease_reading(lease);
+	if (action == LEASE_DO_TAKE)
+		lease_sent(lease, now);
+	lease_t copy = *lease;
+	pthread_mutex_unlock(&node->account_lock);
+	*due = action == LEASE_DO_RENEW;
+	if (action == LEASE_DO_READ)
+		read_lease(partition);
+	else if (action == LEASE_DO_TAKE)
+		take_lease(partition, &copy);
+	if (copy.state == LEASE_HELD)
+		step_portion(partition, now);
+}
+
+static void step(leases_io_t *io)
+{
+	bool candidate[KEEPER_PARTITIONS];
+	bool due[KEEPER_PARTITIONS];
+	usec_t now = clock_boot_usec();
+
+	scan_directory(io, candidate);
+	if (io->released || !atomic_load(&io->node->ready))
+		return;
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
+		step_partition(&io->partitions[i], candidate[i], now, &due[i]);
+	renew(io, due);
+	confirm_step(io->confirm, now);
+	if (io->changed) {
+		io->changed = false;
+		node_update_member(io->node);
+	}
+}
+
+static void schedule(leases_io_t *io);
+
+static void handle_time(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	leases_io_t *io = private_data;
+
+	step(io);
+	schedule(io);
+}
+
+static void schedule(leases_io_t *io)
+{
+	io->timer = tevent_add_timer(io->ev, io, tevent_timeval_current_ofs(0, TICK),
+				     handle_time, io);
+}
+
+leases_io_t *leases_io_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node,
+			      store_t *store)
+{
+	leases_io_t *io = talloc_zero(parent, leases_io_t);
+
+	io->node = node;
+	io->store = store;
+	io->ev = ev;
+	io->confirm = confirm_create(io, ev, node);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		io->partitions[i].io = io;
+		io->partitions[i].index = i;
+	}
+	schedule(io);
+	return io;
+}
+
+void leases_io_destroy(leases_io_t *io)
+{
+	if (!io)
+		return;
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
+		json_decref(io->partitions[i].portion_zones);
+	confirm_destroy(io->confirm);
+	talloc_free(io);
+}
+
+static void handle_released(void *ctx, uint64_t revision, const GError *error)
+{
+	(void)ctx;
+	(void)revision;
+	if (error)
+		log_failure("release keeper leases", error);
+}
+
+void leases_io_release(leases_io_t *io)
+{
+	node_t *node = io->node;
+
+	io->released = true;
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		pthread_mutex_lock(&node->account_lock);
+		lease_t *lease = keeper_lease(node->accounts->keeper, i);
+		lease_t copy = *lease;
+		lease_superseded(lease);
+		pthread_mutex_unlock(&node->account_lock);
+		if (copy.state != LEASE_HELD)
+			continue;
+		char *key = lease_key(io, i);
+		char *value = lease_value(io, copy.epoch, false);
+		store_write_t write = {
+			.key = key, .expected_revision = copy.revision, .value = value};
+		store_commit(io->store, &write, 1, handle_released, io);
+		free(value);
+		g_free(key);
+		log_lease(io, i, "released", copy.epoch);
+	}
+}
--- /dev/null
+++ b/egretscaled/main.c
@@ -0,0 +1,325 @@
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "egretscaled/admin.h"
+#include "egretscaled/config_poll.h"
+#include "egretscaled/gossip_io.h"
+#include "egretscaled/leases_io.h"
+#include "egretscaled/pull.h"
+#include "egretscaled/worker.h"
+#include "store/store_http.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define EXIT_FAILED 1
+#define CACHED_CONNECTIONS 8L
+#define CONTROL_TICK (100 * USEC_PER_MSEC)
+/* Peers learn of a drain within this time, before the gate closes. */
+#define DRAIN_NOTICE (1 * USEC_PER_SEC)
+#define FAREWELL (300 * USEC_PER_MSEC)
+/* Shorter than any pause after which loans or leases could matter. */
+#define PAUSE_MIN (3 * USEC_PER_SEC)
+
+typedef enum stop_phase {
+	STOP_NOT,
+	STOP_NOTICE, /* peers are told; requests still come */
+	STOP_FINISH, /* listeners closed; requests end */
+	STOP_LEAVE,  /* the directory is told */
+	STOP_DONE,
+} stop_phase_t;
+
+typedef struct control {
+	node_t *node;
+	struct tevent_context *ev;
+	curl_loop_t *curl;
+	store_t *store;
+	gossip_io_t *gossip;
+	puller_t *puller;
+	config_poll_t *poll;
+	leases_io_t *leases;
+	mhd_loop_t *admin;
+	struct tevent_timer *timer;
+	stop_phase_t phase;
+	usec_t phase_started;
+	usec_t last_tick;
+	bool hurry;
+} control_t;
+
+static void enter_phase(control_t *control, stop_phase_t phase)
+{
+	static const char *const names[] = {"none", "notice", "finish", "leave", "done"};
+	log_rec_t rec;
+
+	control->phase = phase;
+	control->phase_started = clock_boot_usec();
+	log_begin(&rec, LOG_LEVEL_INFO, "stop");
+	log_str(&rec, "phase", names[phase]);
+	log_int(&rec, "requests", atomic_load(&control->node->requests));
+	log_end(&rec);
+}
+
+static void begin_stop(control_t *control)
+{
+	if (control->phase != STOP_NOT) {
+		control->hurry = true;
+		return;
+	}
+	atomic_store(&control->node->draining, true);
+	node_update_member(control->node);
+	leases_io_release(control->leases);
+	enter_phase(control, STOP_NOTICE);
+}
+
+static void leave_directory(control_t *control)
+{
+	node_t *node = control->node;
+
+	pthread_mutex_lock(&node->gossip_lock);
+	member_t fields = *directory_self(gossip_directory(node->gossip));
+	fields.state = EGRET__MEMBER_STATE__MEMBER_LEFT;
+	gossip_update_self(node->gossip, clock_boot_usec(), &fields);
+	gossip_push(node->gossip, clock_boot_usec());
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
+static void close_listeners(control_t *control)
+{
+	for (uint32_t i = 0; i < control->node->worker_count; i++)
+		worker_post(control->node->workers[i], worker_quiesce, NULL);
+}
+
+static void count_cut(control_t *control)
+{
+	unsigned int cut = atomic_load(&control->node->requests);
+	log_rec_t rec;
+
+	if (cut == 0)
+		return;
+	counter_add(COUNTER_CUT_AT_STOP, cut);
+	log_begin(&rec, LOG_LEVEL_WARN, "cut");
+	log_int(&rec, "requests", cut);
+	log_end(&rec);
+}
+
+static void step_stop(control_t *control, usec_t now)
+{
+	node_t *node = control->node;
+	usec_t elapsed = now - control->phase_started;
+	usec_t limit = (usec_t)node->settings->drain_timeout_sec * USEC_PER_SEC;
+
+	switch (control->phase) {
+	case STOP_NOTICE:
+		if (elapsed < DRAIN_NOTICE && !control->hurry)
+			return;
+		close_listeners(control);
+		enter_phase(control, STOP_FINISH);
+		break;
+	case STOP_FINISH:
+		if (atomic_load(&node->requests) > 0 && elapsed < limit && !control->hurry)
+			return;
+		count_cut(control);
+		leave_directory(control);
+		enter_phase(control, STOP_LEAVE);
+		break;
+	case STOP_LEAVE:
+		if (elapsed >= FAREWELL || control->hurry)
+			enter_phase(control, STOP_DONE);
+		break;
+	default:
+		break;
+	}
+}
+
+/* A process that was stopped for long must not act on what it knew before. */
+static void check_pause(control_t *control, usec_t now)
+{
+	usec_t gap = now - control->last_tick;
+	log_rec_t rec;
+
+	control->last_tick = now;
+	if (gap < PAUSE_MIN)
+		return;
+	log_begin(&rec, LOG_LEVEL_WARN, "pause");
+	log_int(&rec, "usec", gap);
+	log_end(&rec);
+	atomic_store(&control->node->ready, false);
+	config_poll_hurry(control->poll);
+}
+
+static void schedule(control_t *control);
+
+static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	control_t *control = private_data;
+	usec_t now = clock_boot_usec();
+
+	check_pause(control, now);
+	node_check_target(control->node);
+	step_stop(control, now);
+	schedule(control);
+}
+
+static void schedule(control_t *control)
+{
+	control->timer = tevent_add_timer(control->ev, control->ev,
+					  tevent_timeval_current_ofs(0, CONTROL_TICK),
+					  handle_tick, control);
+}
+
+static void handle_term(struct tevent_context *ev, struct tevent_signal *se, int number,
+			int count, void *info, void *private_data)
+{
+	(void)ev;
+	(void)se;
+	(void)number;
+	(void)count;
+	(void)info;
+	begin_stop(private_data);
+}
+
+static void handle_hup(struct tevent_context *ev, struct tevent_signal *se, int number,
+		       int count, void *info, void *private_data)
+{
+	(void)ev;
+	(void)se;
+	(void)number;
+	(void)count;
+	(void)info;
+	control_t *control = private_data;
+	GError *error = NULL;
+
+	if (peer_auth_reload(control->node->auth, &error))
+		return;
+	log_failure("reload the peer secrets", error);
+	g_clear_error(&error);
+}
+
+static bool start_workers(node_t *node, GError **error)
+{
+	uint32_t wanted = node->settings->workers;
+
+	node->workers = g_new0(worker_t *, wanted);
+	for (uint32_t i = 0; i < wanted; i++) {
+		node->workers[i] = worker_create(node, error);
+		if (!node->workers[i])
+			return false;
+		node->worker_count++;
+	}
+	for (uint32_t i = 0; i < wanted; i++) {
+		if (!worker_start(node->workers[i], error))
+			return false;
+	}
+	return true;
+}
+
+static bool load_certificate(node_t *node, GError **error)
+{
+	const settings_t *settings = node->settings;
+
+	if (!settings->caller_cert)
+		return true;
+	return g_file_get_contents(settings->caller_cert, &node->tls_cert, NULL, error) &&
+	       g_file_get_contents(settings->caller_key, &node->tls_key, NULL, error);
+}
+
+static bool start_control(control_t *control, GError **error)
+{
+	node_t *node = control->node;
+
+	control->curl = curl_loop_create(control->ev, control->ev, CACHED_CONNECTIONS);
+	control->store = store_http_create(control->curl, node->settings->platform);
+	control->gossip = gossip_io_create(control->ev, control->ev, node, error);
+	if (!control->gossip)
+		return false;
+	control->puller = puller_create(control->ev, control->ev, node);
+	control->leases = leases_io_create(control->ev, control->ev, node, control->store);
+	control->poll =
+		config_poll_create(control->ev, control->ev, node, control->store);
+	control->admin = admin_create(control->ev, control->ev, node, error);
+	if (!control->admin)
+		return false;
+	control->last_tick = clock_boot_usec();
+	schedule(control);
+	tevent_add_signal(control->ev, control->ev, SIGTERM, 0, handle_term, control);
+	tevent_add_signal(control->ev, control->ev, SIGINT, 0, handle_term, control);
+	tevent_add_signal(control->ev, control->ev, SIGHUP, 0, handle_hup, control);
+	return true;
+}
+
+static void stop_control(control_t *control)
+{
+	mhd_loop_destroy(control->admin);
+	config_poll_destroy(control->poll);
+	store_destroy(control->store);
+	leases_io_destroy(control->leases);
+	puller_destroy(control->puller);
+	gossip_io_destroy(control->gossip);
+	curl_loop_destroy(control->curl);
+}
+
+/* Signals go to the control thread: workers inherit a mask that blocks them. */
+static void block_signals(sigset_t *old)
+{
+	sigset_t set;
+
+	sigfillset(&set);
+	pthread_sigmask(SIG_BLOCK, &set, old);
+}
+
+static int run(settings_t *settings, GError **error)
+{
+	control_t control = {.node = node_create(settings, error)};
+	sigset_t old;
+
+	if (!control.node)
+		return EXIT_FAILED;
+	if (!load_certificate(control.node, error))
+		return EXIT_FAILED;
+	control.ev = tevent_context_init(NULL);
+	block_signals(&old);
+	bool started = start_workers(control.node, error);
+	pthread_sigmask(SIG_SETMASK, &old, NULL);
+	if (!started || !start_control(&control, error))
+		return EXIT_FAILED;
+	while (control.phase != STOP_DONE) {
+		if (tevent_loop_once(control.ev) != 0)
+			break;
+	}
+	for (uint32_t i = 0; i < control.node->worker_count; i++)
+		worker_stop(control.node->workers[i]);
+	for (uint32_t i = 0; i < control.node->worker_count; i++)
+		worker_destroy(control.node->workers[i]);
+	stop_control(&control);
+	talloc_free(control.ev);
+	node_destroy(control.node);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	settings_t *settings = settings_parse(argc, argv);
+	GError *error = NULL;
+
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (!log_open(settings->log_level, settings->log_format, &error)) {
+		fprintf(stderr, "egretscaled: %s\n", error->message);
+		return EXIT_FAILED;
+	}
+	int status = run(settings, &error);
+	if (error) {
+		log_failure("start", error);
+		g_clear_error(&error);
+	}
+	log_close();
+	settings_destroy(settings);
+	return status;
+}
--- /dev/null
+++ b/egretscaled/node.c
@@ -0,0 +1,346 @@
+#include "egretscaled/node.h"
+
+#include "claims/suspects.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/gossip_io.h"
+#include "egretscaled/target_call.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define TARGET_HEARTBEAT_TIMEOUT (5 * USEC_PER_SEC)
+#define RETRY_RATIO_DEFAULT 0.1
+#define RETRY_TOKENS_START 10.0
+
+uint64_t node_random_id(void)
+{
+	uint64_t id;
+
+	do
+		randombytes_buf(&id, sizeof(id));
+	while (id == 0);
+	return id;
+}
+
+static void init_locks(node_t *node)
+{
+	pthread_mutex_init(&node->gossip_lock, NULL);
+	pthread_mutex_init(&node->config_lock, NULL);
+	pthread_mutex_init(&node->account_lock, NULL);
+	pthread_mutex_init(&node->gate_lock, NULL);
+	pthread_mutex_init(&node->live_lock, NULL);
+	pthread_mutex_init(&node->router_lock, NULL);
+	pthread_mutex_init(&node->suspect_lock, NULL);
+}
+
+static void fill_self(node_t *node, member_t *self)
+{
+	memset(self, 0, sizeof(*self));
+	g_strlcpy(self->address, node->address, sizeof(self->address));
+	g_strlcpy(self->zone, node->settings->zone, sizeof(self->zone));
+	self->node_id = node->node_id;
+	self->generation = (uint64_t)(clock_wall_usec() / USEC_PER_MSEC);
+	self->state = EGRET__MEMBER_STATE__MEMBER_ALIVE;
+}
+
+node_t *node_create(settings_t *settings, GError **error)
+{
+	peer_auth_t *auth = peer_auth_create(settings->peer_secret_file, error);
+	member_t self;
+
+	if (!auth)
+		return NULL;
+	node_t *node = g_new0(node_t, 1);
+	node->settings = settings;
+	node->auth = auth;
+	node->gossip_fd = -1;
+	node->node_id = node_random_id();
+	address_format(&settings->peer_listen, node->address);
+	init_locks(node);
+	fill_self(node, &self);
+	node->gossip = gossip_create(&self, (const char *const *)settings->seeds,
+				     gossip_io_ops(), node, node_random_id());
+	node->config_log = config_log_create();
+	node->config = config_build(node->config_log);
+	node->accounts = accounts_create();
+	node->gate = gate_create(LIMIT_GRADIENT);
+	node->live = live_table_create();
+	node->attempts = attempts_create();
+	node->router = router_create(settings->zone, node_random_id());
+	node->backpressure = backpressure_create();
+	node->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->suspects = suspects_create();
+	return node;
+}
+
+void node_destroy(node_t *node)
+{
+	if (!node)
+		return;
+	gossip_destroy(node->gossip);
+	config_unref(node->config);
+	config_log_destroy(node->config_log);
+	accounts_destroy(node->accounts);
+	gate_destroy(node->gate);
+	live_table_destroy(node->live);
+	attempts_destroy(node->attempts);
+	router_destroy(node->router);
+	backpressure_destroy(node->backpressure);
+	g_hash_table_destroy(node->ratios);
+	suspects_destroy(node->suspects);
+	peer_auth_destroy(node->auth);
+	g_free(node->workers);
+	g_free(node);
+}
+
+config_t *node_config(node_t *node)
+{
+	pthread_mutex_lock(&node->config_lock);
+	config_t *config = config_ref(node->config);
+	pthread_mutex_unlock(&node->config_lock);
+	return config;
+}
+
+static void log_config(uint64_t revision, size_t changed, const char *source)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "config");
+	log_int(&rec, "revision", (int64_t)revision);
+	log_int(&rec, "changed", (int64_t)changed);
+	log_str(&rec, "source", source);
+	log_end(&rec);
+}
+
+static void apply_zone(void *ctx, const record_t *record)
+{
+	node_t *node = ctx;
+
+	router_set_zone(node->router, record->name, record->zone.in, clock_boot_usec());
+}
+
+
+/* Zones whose record was retired count as in. */
+static void restore_zone(void *ctx, const router_instance_info_t *info)
+{
+	GPtrArray *zones = ctx;
+
+	if (!info->zone_in)
+		g_ptr_array_add(zones, g_strdup(info->zone));
+}
+
+static void apply_zones(node_t *node, const config_t *config)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->router_lock);
+	config_foreach(config, RECORD_AVAILABILITY_ZONE, apply_zone, node);
+	router_foreach(node->router, now, restore_zone, out);
+	for (guint i = 0; i < out->len; i++) {
+		if (config_zone_in(config, out->pdata[i]))
+			router_set_zone(node->router, out->pdata[i], true, now);
+	}
+	pthread_mutex_unlock(&node->router_lock);
+	g_ptr_array_free(out, TRUE);
+}
+
+static void apply_service(node_t *node, const config_t *config)
+{
+	pthread_mutex_lock(&node->gate_lock);
+	const service_record_t *service = config_service(config, node->target.service);
+	if (node->target.present && !node->target.draining && service)
+		gate_open(node->gate, clock_boot_usec(), node->target.slots,
+			  service->cold_slots, service->queue_slots, false);
+	pthread_mutex_unlock(&node->gate_lock);
+}
+
+void node_take_config(node_t *node, const node_row_t *rows, size_t count,
+		      uint64_t revision, const char *source)
+{
+	size_t changed = 0;
+
+	pthread_mutex_lock(&node->config_lock);
+	for (size_t i = 0; i < count; i++)
+		changed += config_log_merge(node->config_log, rows[i].key,
+					    rows[i].revision, rows[i].value);
+	bool advanced = revision > config_log_revision(node->config_log);
+	config_log_advance(node->config_log, revision);
+	config_t *old = NULL;
+	config_t *fresh = NULL;
+	if (changed > 0 || advanced) {
+		old = node->config;
+		node->config = config_build(node->config_log);
+		fresh = config_ref(node->config);
+	}
+	pthread_mutex_unlock(&node->config_lock);
+	if (!fresh)
+		return;
+	config_unref(old);
+	counter_add(COUNTER_CONFIG_CHANGES, changed);
+	apply_zones(node, fresh);
+	apply_service(node, fresh);
+	config_unref(fresh);
+	log_config(revision, changed, source);
+	pthread_mutex_lock(&node->gossip_lock);
+	gossip_push(node->gossip, clock_boot_usec());
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
+void node_update_member(node_t *node)
+{
+	usec_t now = clock_boot_usec();
+	own_target_t target;
+
+	pthread_mutex_lock(&node->gossip_lock);
+	member_t fields = *directory_self(gossip_directory(node->gossip));
+	pthread_mutex_lock(&node->account_lock);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		const lease_t *lease = keeper_lease(node->accounts->keeper, i);
+		fields.keeps[i] = lease->state == LEASE_HELD ? lease->epoch : 0;
+	}
+	pthread_mutex_unlock(&node->account_lock);
+	pthread_mutex_lock(&node->gate_lock);
+	target = node->target;
+	pthread_mutex_unlock(&node->gate_lock);
+	fields.ready = atomic_load(&node->ready);
+	fields.target = EGRET__TARGET_STATE__TARGET_NONE;
+	if (target.present) {
+		bool draining = target.draining || atomic_load(&node->draining);
+		g_strlcpy(fields.service, target.service, sizeof(fields.service));
+		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING :
+					   EGRET__TARGET_STATE__TARGET_UP;
+		fields.slots = target.slots;
+		fields.cold_slots = target.cold_slots;
+	}
+	gossip_update_self(node->gossip, now, &fields);
+	const member_t *self = directory_self(gossip_directory(node->gossip));
+	pthread_mutex_lock(&node->router_lock);
+	router_update(node->router, self, now);
+	pthread_mutex_unlock(&node->router_lock);
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
+static void log_target(const own_target_t *target, const char *change)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "target");
+	log_str(&rec, "change", change);
+	log_str(&rec, "service", target->service);
+	log_str(&rec, "address", target->address);
+	log_int(&rec, "slots", target->slots);
+	log_int(&rec, "cold_slots", target->cold_slots);
+	log_end(&rec);
+}
+
+static bool same_announcement(const own_target_t *a, const own_target_t *b)
+{
+	return strcmp(a->service, b->service) == 0 && strcmp(a->address, b->address) == 0 &&
+	       a->slots == b->slots && a->cold_slots == b->cold_slots;
+}
+
+void node_announce_target(node_t *node, const own_target_t *announced)
+{
+	config_t *config = node_config(node);
+	const service_record_t *service = config_service(config, announced->service);
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->gate_lock);
+	bool fresh = !node->target.present || node->target.draining ||
+		     strcmp(node->target.service, announced->service) != 0 ||
+		     strcmp(node->target.address, announced->address) != 0;
+	bool changed = fresh || !same_announcement(&node->target, announced);
+	node->target = *announced;
+	node->target.present = true;
+	node->target.heard = now;
+	if (changed)
+		gate_open(node->gate, now, announced->slots,
+			  service ? service->cold_slots : announced->cold_slots,
+			  service ? service->queue_slots : 0, fresh);
+	pthread_mutex_unlock(&node->gate_lock);
+	config_unref(config);
+	if (!changed)
+		return;
+	log_target(announced, fresh ? "start" : "change");
+	node_update_member(node);
+}
+
+/* The gate takes nothing new; what runs goes on. */
+static void close_target(node_t *node, bool present, const char *change)
+{
+	own_target_t target;
+
+	pthread_mutex_lock(&node->gate_lock);
+	node->target.draining = true;
+	node->target.present = present;
+	target = node->target;
+	if (!present)
+		gate_close(node->gate);
+	pthread_mutex_unlock(&node->gate_lock);
+	log_target(&target, change);
+	node_update_member(node);
+	node_run_gate(node);
+}
+
+void node_target_leaves(node_t *node)
+{
+	close_target(node, true, "leave");
+}
+
+void node_check_target(node_t *node)
+{
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->gate_lock);
+	bool lapsed = node->target.present &&
+		      now - node->target.heard > TARGET_HEARTBEAT_TIMEOUT;
+	pthread_mutex_unlock(&node->gate_lock);
+	if (lapsed)
+		close_target(node, false, "lost");
+}
+
+void node_run_gate(node_t *node)
+{
+	gate_ticket_t *ticket;
+	gate_verdict_t verdict;
+
+	pthread_mutex_lock(&node->gate_lock);
+	while ((ticket = gate_next(node->gate, clock_boot_usec(), &verdict)))
+		target_call_decided(ticket->ctx, verdict);
+	pthread_mutex_unlock(&node->gate_lock);
+}
+
+static retry_ratio_t *ratio_for(node_t *node, const char *service)
+{
+	retry_ratio_t *ratio = g_hash_table_lookup(node->ratios, service);
+
+	if (!ratio) {
+		ratio = g_new0(retry_ratio_t, 1);
+		ratio->tokens = RETRY_TOKENS_START;
+		g_hash_table_insert(node->ratios, g_strdup(service), ratio);
+	}
+	return ratio;
+}
+
+void node_ratio_call(node_t *node, const char *service)
+{
+	config_t *config = node_config(node);
+	const service_record_t *record = config_service(config, service);
+	double ratio = record ? record->retry_ratio : RETRY_RATIO_DEFAULT;
+
+	config_unref(config);
+	pthread_mutex_lock(&node->router_lock);
+	retry_ratio_call(ratio_for(node, service), ratio);
+	pthread_mutex_unlock(&node->router_lock);
+}
+
+bool node_ratio_take(node_t *node, const char *service)
+{
+	pthread_mutex_lock(&node->router_lock);
+	bool taken = retry_ratio_take(ratio_for(node, service));
+	pthread_mutex_unlock(&node->router_lock);
+	return taken;
+}
--- /dev/null
+++ b/egretscaled/peer_client.c
@@ -0,0 +1,356 @@
+#include "egretscaled/peer_client.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/call_codec.h"
+#include "egretscaled/stream.h"
+
+#include <string.h>
+
+#define FENCE_TIMEOUT (1 * USEC_PER_SEC)
+#define FENCE_RETRY (50 * USEC_PER_MSEC)
+
+typedef struct peer_call {
+	peer_client_t *client;
+	call_t *call;
+	uint64_t attempt;
+	uint64_t node_id;
+	uint64_t position; /* of its frame in the link's stream */
+	usec_t sent;
+	stream_out_t out;
+	stream_in_t in;
+	struct tevent_timer *fence_timer;
+	usec_t fence_until;
+} peer_call_t;
+
+struct peer_client {
+	worker_t *worker;
+	char address[ADDRESS_TEXT_BYTES];
+	frame_link_t *link;
+	GHashTable *calls;  /* attempt -> peer_call_t on the present link */
+	GHashTable *fences; /* attempt -> peer_call_t waiting for a fence reply */
+};
+
+static const frame_link_ops_t link_ops;
+
+static void peer_call_free(peer_call_t *pc)
+{
+	TALLOC_FREE(pc->fence_timer);
+	g_free(pc);
+}
+
+/* Ends a call's use of this client; the call goes on without a sink. */
+static void detach_call(peer_call_t *pc)
+{
+	call_detach_done(pc->call);
+	body_on_readable(pc->call->request_body, NULL, NULL);
+	body_on_writable(pc->call->reply_body, NULL, NULL);
+	peer_call_free(pc);
+}
+
+static void send_cancel(peer_call_t *pc)
+{
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Cancel cancel = EGRET__CANCEL__INIT;
+
+	cancel.attempt = pc->attempt;
+	frame.kind_case = EGRET__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	if (pc->client->link)
+		frame_link_send(pc->client->link, &frame);
+}
+
+/* The source gave the call up. */
+static void handle_detach(call_t *call, void *sink)
+{
+	(void)call;
+	peer_call_t *pc = sink;
+
+	if (g_hash_table_remove(pc->client->calls, &pc->attempt))
+		send_cancel(pc);
+	else
+		g_hash_table_remove(pc->client->fences, &pc->attempt);
+	peer_call_free(pc);
+}
+
+static frame_link_t *client_link(peer_client_t *client)
+{
+	struct sockaddr_in address;
+	GError *error = NULL;
+
+	if (client->link)
+		return client->link;
+	if (!address_parse(client->address, &address, NULL))
+		return NULL;
+	client->link = frame_link_connect(NULL, client->worker->ev,
+					  client->worker->node->auth, &address, &link_ops,
+					  client, &error);
+	if (!client->link) {
+		log_failure("connect to a peer", error);
+		g_clear_error(&error);
+	}
+	return client->link;
+}
+
+static void send_fence(peer_call_t *pc)
+{
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Fence fence = EGRET__FENCE__INIT;
+	frame_link_t *link = client_link(pc->client);
+
+	fence.attempt = pc->attempt;
+	fence.node_id = pc->node_id;
+	fence.age_ms = (uint32_t)((clock_boot_usec() - pc->sent) / USEC_PER_MSEC);
+	frame.kind_case = EGRET__FRAME__KIND_FENCE;
+	frame.fence = &fence;
+	if (link)
+		frame_link_send(link, &frame);
+}
+
+static void finish_fence(peer_call_t *pc, bool never_started)
+{
+	call_t *call = pc->call;
+
+	if (never_started)
+		counter_add(COUNTER_FENCES_NOT_RUN, 1);
+	g_hash_table_remove(pc->client->fences, &pc->attempt);
+	detach_call(pc);
+	call_refuse(call,
+		    never_started ? EGRET__OUTCOME__OUTCOME_NOT_RUN :
+				    EGRET__OUTCOME__OUTCOME_UNKNOWN,
+		    EGRET__REASON__REASON_PEER_LOST);
+}
+
+static void handle_fence_timer(struct tevent_context *ev, struct tevent_timer *te,
+			       struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	peer_call_t *pc = private_data;
+	usec_t now = clock_boot_usec();
+
+	pc->fence_timer = NULL;
+	if (now >= pc->fence_until) {
+		finish_fence(pc, false);
+		return;
+	}
+	send_fence(pc);
+	pc->fence_timer = worker_timer(pc->client->worker,
+				       MIN(FENCE_RETRY * 4, pc->fence_until - now),
+				       handle_fence_timer, pc);
+}
+
+static void start_fence(peer_call_t *pc, usec_t now)
+{
+	counter_add(COUNTER_FENCES_SENT, 1);
+	pc->fence_until = now + FENCE_TIMEOUT;
+	g_hash_table_insert(pc->client->fences, &pc->attempt, pc);
+	pc->fence_timer = worker_timer(pc->client->worker, FENCE_RETRY, handle_fence_timer,
+				       pc);
+}
+
+/* Decides one call of a lost link. */
+static void lose_call(peer_call_t *pc, bool left_process, usec_t now)
+{
+	call_t *call = pc->call;
+
+	if (call->answered) {
+		detach_call(pc);
+		body_abort(call->reply_body);
+	} else if (!left_process) {
+		detach_call(pc);
+		call_refuse(call, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    EGRET__REASON__REASON_PEER_LOST);
+	} else {
+		body_on_readable(call->request_body, NULL, NULL);
+		start_fence(pc, now);
+	}
+}
+
+static void handle_closed(void *ctx, const GError *error)
+{
+	peer_client_t *client = ctx;
+	uint64_t sent = frame_link_sent(client->link);
+	usec_t now = clock_boot_usec();
+	GList *lost = g_hash_table_get_values(client->calls);
+
+	if (lost)
+		log_failure("keep a peer link", error);
+	g_hash_table_remove_all(client->calls);
+	frame_link_destroy(client->link);
+	client->link = NULL;
+	for (GList *item = lost; item; item = item->next) {
+		peer_call_t *pc = item->data;
+		lose_call(pc, sent > pc->position, now);
+	}
+	g_list_free(lost);
+}
+
+static void take_reply(peer_client_t *client, const Egret__Reply *wire)
+{
+	peer_call_t *pc = g_hash_table_lookup(client->calls, &wire->attempt);
+	call_reply_t reply;
+
+	if (!pc || pc->call->answered) {
+		counter_add(COUNTER_LATE_REPLIES, 1);
+		return;
+	}
+	call_t *call = pc->call;
+	call_reply_decode(wire, &reply);
+	stream_in_take(&pc->in, wire->body.data, wire->body.len, wire->end, false);
+	if (wire->end) {
+		g_hash_table_remove(client->calls, &pc->attempt);
+		detach_call(pc);
+	}
+	call_answer(call, &reply);
+}
+
+static void take_data(peer_client_t *client, const Egret__Data *data)
+{
+	peer_call_t *pc = g_hash_table_lookup(client->calls, &data->attempt);
+
+	if (!pc || data->request) {
+		counter_add(COUNTER_LATE_REPLIES, 1);
+		return;
+	}
+	call_t *call = pc->call;
+	bool fits = stream_in_take(&pc->in, data->body.data, data->body.len, data->end,
+				   data->aborted);
+	if (fits && !data->end && !data->aborted)
+		return;
+	g_hash_table_remove(client->calls, &pc->attempt);
+	if (!fits)
+		send_cancel(pc);
+	detach_call(pc);
+	if (!fits)
+		body_abort(call->reply_body);
+}
+
+static void take_credit(peer_client_t *client, const Egret__Credit *credit)
+{
+	peer_call_t *pc = g_hash_table_lookup(client->calls, &credit->attempt);
+
+	if (pc && credit->request)
+		stream_out_credit(&pc->out, credit->bytes);
+}
+
+static void handle_frame(void *ctx, const Egret__Frame *frame)
+{
+	peer_client_t *client = ctx;
+	peer_call_t *pc;
+
+	switch (frame->kind_case) {
+	case EGRET__FRAME__KIND_REPLY:
+		take_reply(client, frame->reply);
+		break;
+	case EGRET__FRAME__KIND_DATA:
+		take_data(client, frame->data);
+		break;
+	case EGRET__FRAME__KIND_CREDIT:
+		take_credit(client, frame->credit);
+		break;
+	case EGRET__FRAME__KIND_FENCE_REPLY:
+		pc = g_hash_table_lookup(client->fences, &frame->fence_reply->attempt);
+		if (pc)
+			finish_fence(pc, frame->fence_reply->never_started);
+		break;
+	case EGRET__FRAME__KIND_LOAN_REPLY:
+		accounts_io_handle_reply(client->worker, frame->loan_reply);
+		break;
+	default:
+		break;
+	}
+}
+
+static const frame_link_ops_t link_ops = {
+	.on_frame = handle_frame,
+	.on_closed = handle_closed,
+};
+
+void peer_client_destroy(void *data)
+{
+	peer_client_t *client = data;
+
+	frame_link_destroy(client->link);
+	g_hash_table_destroy(client->calls);
+	g_hash_table_destroy(client->fences);
+	g_free(client);
+}
+
+peer_client_t *peer_client_get(worker_t *worker, const char *address)
+{
+	peer_client_t *client = g_hash_table_lookup(worker->peers, address);
+
+	if (client)
+		return client;
+	client = g_new0(peer_client_t, 1);
+	client->worker = worker;
+	g_strlcpy(client->address, address, sizeof(client->address));
+	client->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	client->fences = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_hash_table_insert(worker->peers, client->address, client);
+	return client;
+}
+
+void peer_client_call(peer_client_t *client, call_t *call, uint64_t node_id)
+{
+	frame_link_t *link = client_link(client);
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Call wire;
+	Egret__Context context;
+	uint8_t first[STREAM_CHUNK_BYTES];
+	usec_t now = clock_boot_usec();
+
+	if (!link) {
+		call_refuse(call, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    EGRET__REASON__REASON_PEER_LOST);
+		return;
+	}
+	peer_call_t *pc = g_new0(peer_call_t, 1);
+	pc->client = client;
+	pc->call = call;
+	pc->attempt = call->attempt;
+	pc->node_id = node_id;
+	pc->sent = now;
+	call_attach(call, pc, handle_detach);
+	g_hash_table_insert(client->calls, &pc->attempt, pc);
+	stream_out_start(&pc->out, link, call->attempt, true, call->request_body);
+	stream_in_start(&pc->in, link, call->attempt, false, call->reply_body);
+	call_encode(call, now, &wire, &context);
+	bool end;
+	wire.body.len = stream_out_first(&pc->out, first, sizeof(first), &end);
+	wire.body.data = first;
+	wire.end = end;
+	frame.kind_case = EGRET__FRAME__KIND_CALL;
+	frame.call = &wire;
+	pc->position = frame_link_send(link, &frame);
+	call_encode_clear(&wire);
+	counter_add(COUNTER_CALLS_OUT, 1);
+	stream_out_pump(&pc->out);
+}
+
+void peer_client_send(peer_client_t *client, const Egret__Frame *frame)
+{
+	frame_link_t *link = client_link(client);
+
+	if (link)
+		frame_link_send(link, frame);
+}
+
+static gboolean is_idle(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	const peer_client_t *client = value;
+	usec_t now = *(const usec_t *)data;
+
+	if (g_hash_table_size(client->calls) > 0 || g_hash_table_size(client->fences) > 0)
+		return FALSE;
+	return !client->link || now - frame_link_last_used(client->link) > PEER_IDLE;
+}
+
+void peer_clients_sweep(worker_t *worker, usec_t now)
+{
+	g_hash_table_foreach_remove(worker->peers, is_idle, &now);
+}
--- /dev/null
+++ b/egretscaled/pull.c
@@ -0,0 +1,333 @@
+#include "egretscaled/pull.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define ANSWER_BYTES (256u << 10)
+#define MEMBERS_PER_ANSWER 2000
+#define PULL_TIMEOUT (3 * USEC_PER_SEC)
+#define TICK (100 * USEC_PER_MSEC)
+
+struct puller {
+	node_t *node;
+	struct tevent_context *ev;
+	struct tevent_timer *timer;
+	struct tevent_fd *wake_fde;
+	int wake_fd;
+	pthread_mutex_t lock;
+	char requested[ADDRESS_TEXT_BYTES];
+	/* Control thread only. */
+	frame_link_t *link;
+	char peer[ADDRESS_TEXT_BYTES];
+	usec_t started;
+	usec_t next_full;
+	GHashTable *complete_peers; /* set of addresses */
+	bool finished;
+};
+
+static void send_pull(puller_t *puller)
+{
+	node_t *node = puller->node;
+	uint64_t digests[DIRECTORY_BUCKETS];
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Pull pull = EGRET__PULL__INIT;
+
+	pthread_mutex_lock(&node->gossip_lock);
+	directory_digests(gossip_directory(node->gossip), digests);
+	pthread_mutex_unlock(&node->gossip_lock);
+	pthread_mutex_lock(&node->config_lock);
+	pull.config_after = config_log_revision(node->config_log);
+	pthread_mutex_unlock(&node->config_lock);
+	pull.bucket_digests = digests;
+	pull.n_bucket_digests = DIRECTORY_BUCKETS;
+	frame.kind_case = EGRET__FRAME__KIND_PULL;
+	frame.pull = &pull;
+	counter_add(COUNTER_CONFIG_PULLS, 1);
+	frame_link_send(puller->link, &frame);
+}
+
+static void note_complete(puller_t *puller)
+{
+	node_t *node = puller->node;
+
+	if (atomic_load(&node->ready))
+		return;
+	g_hash_table_add(puller->complete_peers, g_strdup(puller->peer));
+	if (g_hash_table_size(puller->complete_peers) < PULL_PEERS_FOR_START)
+		return;
+	atomic_store(&node->ready, true);
+	node_update_member(node);
+}
+
+static void take_members(puller_t *puller, const Egret__PullReply *reply)
+{
+	node_t *node = puller->node;
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->gossip_lock);
+	for (size_t i = 0; i < reply->n_members; i++) {
+		member_t member;
+		if (member_decode(reply->members[i], &member))
+			gossip_merge(node->gossip, now, &member);
+	}
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
+static void take_rows(puller_t *puller, const Egret__PullReply *reply)
+{
+	node_row_t *rows = g_new0(node_row_t, reply->n_rows + 1);
+	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+
+	for (size_t i = 0; i < reply->n_rows; i++) {
+		const Egret__Row *row = reply->rows[i];
+		rows[i].key = row->key;
+		rows[i].revision = row->revision;
+		if (row->value.len == 0)
+			continue;
+		char *text = g_strndup((const char *)row->value.data, row->value.len);
+		g_ptr_array_add(texts, text);
+		rows[i].value = text;
+	}
+	node_take_config(puller->node, rows, reply->n_rows, reply->config_revision,
+			 puller->peer);
+	g_ptr_array_free(texts, TRUE);
+	g_free(rows);
+}
+
+static void handle_frame(void *ctx, const Egret__Frame *frame)
+{
+	puller_t *puller = ctx;
+
+	if (frame->kind_case != EGRET__FRAME__KIND_PULL_REPLY)
+		return;
+	take_members(puller, frame->pull_reply);
+	take_rows(puller, frame->pull_reply);
+	if (!frame->pull_reply->complete) {
+		send_pull(puller);
+		return;
+	}
+	/* A peer at revision 0 knows nothing that a start could rest on. */
+	if (frame->pull_reply->config_revision > 0)
+		note_complete(puller);
+	puller->finished = true;
+}
+
+static void handle_closed(void *ctx, const GError *error)
+{
+	puller_t *puller = ctx;
+
+	(void)error;
+	puller->finished = true;
+}
+
+static const frame_link_ops_t link_ops = {
+	.on_frame = handle_frame,
+	.on_closed = handle_closed,
+};
+
+static void start_pull(puller_t *puller, const char *address, usec_t now)
+{
+	struct sockaddr_in to;
+
+	if (!address_parse(address, &to, NULL))
+		return;
+	g_strlcpy(puller->peer, address, sizeof(puller->peer));
+	puller->finished = false;
+	puller->started = now;
+	puller->link = frame_link_connect(NULL, puller->ev, puller->node->auth, &to,
+					  &link_ops, puller, NULL);
+	if (puller->link)
+		send_pull(puller);
+}
+
+/* The requested peer, or a random one when a full pull is due. */
+static bool choose_peer(puller_t *puller, usec_t now, char out[ADDRESS_TEXT_BYTES])
+{
+	node_t *node = puller->node;
+
+	pthread_mutex_lock(&puller->lock);
+	g_strlcpy(out, puller->requested, ADDRESS_TEXT_BYTES);
+	puller->requested[0] = '\0';
+	pthread_mutex_unlock(&puller->lock);
+	if (*out)
+		return true;
+	bool starting = !atomic_load(&node->ready);
+	if (now < puller->next_full && !starting)
+		return false;
+	puller->next_full = now + PULL_PERIOD;
+	pthread_mutex_lock(&node->gossip_lock);
+	const member_t *member = gossip_random_member(node->gossip);
+	if (member)
+		g_strlcpy(out, member->address, ADDRESS_TEXT_BYTES);
+	pthread_mutex_unlock(&node->gossip_lock);
+	return *out != '\0';
+}
+
+static void step(puller_t *puller)
+{
+	usec_t now = clock_boot_usec();
+	char address[ADDRESS_TEXT_BYTES];
+
+	if (puller->link && (puller->finished || now - puller->started > PULL_TIMEOUT)) {
+		frame_link_destroy(puller->link);
+		puller->link = NULL;
+	}
+	if (!puller->link && choose_peer(puller, now, address))
+		start_pull(puller, address, now);
+}
+
+static void schedule_tick(puller_t *puller);
+
+static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	puller_t *puller = private_data;
+
+	step(puller);
+	schedule_tick(puller);
+}
+
+static void schedule_tick(puller_t *puller)
+{
+	puller->timer = tevent_add_timer(
+		puller->ev, puller, tevent_timeval_current_ofs(0, TICK), handle_tick, puller);
+}
+
+static void handle_wake(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			void *private_data)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	puller_t *puller = private_data;
+	uint64_t count;
+
+	if (read(puller->wake_fd, &count, sizeof(count)) == sizeof(count))
+		step(puller);
+}
+
+puller_t *puller_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node)
+{
+	puller_t *puller = talloc_zero(parent, puller_t);
+
+	puller->node = node;
+	puller->ev = ev;
+	pthread_mutex_init(&puller->lock, NULL);
+	puller->complete_peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	puller->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	puller->wake_fde = tevent_add_fd(ev, puller, puller->wake_fd, TEVENT_FD_READ,
+					 handle_wake, puller);
+	schedule_tick(puller);
+	node->puller = puller;
+	return puller;
+}
+
+void puller_destroy(puller_t *puller)
+{
+	if (!puller)
+		return;
+	puller->node->puller = NULL;
+	frame_link_destroy(puller->link);
+	TALLOC_FREE(puller->wake_fde);
+	close(puller->wake_fd);
+	pthread_mutex_destroy(&puller->lock);
+	g_hash_table_destroy(puller->complete_peers);
+	talloc_free(puller);
+}
+
+void pull_request(node_t *node, const char *address)
+{
+	puller_t *puller = node->puller;
+	uint64_t one = 1;
+
+	if (!puller)
+		return;
+	pthread_mutex_lock(&puller->lock);
+	g_strlcpy(puller->requested, address, sizeof(puller->requested));
+	pthread_mutex_unlock(&puller->lock);
+	if (write(puller->wake_fd, &one, sizeof(one)) != sizeof(one))
+		return;
+}
+
+/* --- Answering ---------------------------------------------------------- */
+
+typedef struct member_cell {
+	Egret__Member member;
+	Egret__KeeperClaim claims[KEEPER_PARTITIONS];
+	Egret__KeeperClaim *claim_list[KEEPER_PARTITIONS];
+	member_t copy;
+} member_cell_t;
+
+static void add_members(node_t *node, const Egret__Pull *pull, GPtrArray *cells)
+{
+	uint64_t digests[DIRECTORY_BUCKETS];
+	const member_t *member;
+
+	if (pull->n_bucket_digests != DIRECTORY_BUCKETS)
+		return;
+	pthread_mutex_lock(&node->gossip_lock);
+	directory_t *directory = gossip_directory(node->gossip);
+	directory_digests(directory, digests);
+	LIST_FOREACH (member, directory_members(directory), link) {
+		uint32_t bucket = directory_bucket(member->address);
+		if (digests[bucket] == pull->bucket_digests[bucket] ||
+		    cells->len >= MEMBERS_PER_ANSWER)
+			continue;
+		member_cell_t *cell = g_new0(member_cell_t, 1);
+		cell->copy = *member;
+		member_encode(&cell->copy, &cell->member, cell->claims, cell->claim_list);
+		g_ptr_array_add(cells, cell);
+	}
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
+static Egret__Row *encode_row(const config_row_t *row)
+{
+	Egret__Row *wire = g_new0(Egret__Row, 1);
+
+	egret__row__init(wire);
+	wire->key = row->key;
+	wire->revision = row->revision;
+	if (row->value) {
+		wire->value.data = (uint8_t *)row->value;
+		wire->value.len = strlen(row->value);
+	}
+	return wire;
+}
+
+void pull_answer(node_t *node, frame_link_t *link, const Egret__Pull *pull)
+{
+	GPtrArray *cells = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *rows = g_ptr_array_new();
+	GPtrArray *wire_rows = g_ptr_array_new_with_free_func(g_free);
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__PullReply reply = EGRET__PULL_REPLY__INIT;
+
+	add_members(node, pull, cells);
+	pthread_mutex_lock(&node->config_lock);
+	reply.config_revision = config_log_changes(node->config_log, pull->config_after,
+						   ANSWER_BYTES, rows);
+	reply.complete = reply.config_revision == config_log_revision(node->config_log);
+	for (guint i = 0; i < rows->len; i++)
+		g_ptr_array_add(wire_rows, encode_row(rows->pdata[i]));
+	reply.rows = (Egret__Row **)wire_rows->pdata;
+	reply.n_rows = wire_rows->len;
+	reply.members = (Egret__Member **)cells->pdata;
+	reply.n_members = cells->len;
+	frame.kind_case = EGRET__FRAME__KIND_PULL_REPLY;
+	frame.pull_reply = &reply;
+	/* Packed under the lock: the rows belong to the log. */
+	frame_link_send(link, &frame);
+	pthread_mutex_unlock(&node->config_lock);
+	g_ptr_array_free(cells, TRUE);
+	g_ptr_array_free(rows, TRUE);
+	g_ptr_array_free(wire_rows, TRUE);
+}
--- /dev/null
+++ b/egretscaled/settings.c
@@ -0,0 +1,265 @@
+#include "egretscaled/settings.h"
+
+#include "common/address.h"
+#include "config/record.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+#define WORKERS_MAX 64
+#define DRAIN_TIMEOUT_MAX_SEC 3600
+#define ENVIRONMENT_PREFIX "EGRETSCALE_"
+
+enum {
+	KEY_ZONE = 256,
+	KEY_PEER_LISTEN,
+	KEY_CALLER_LISTEN,
+	KEY_TARGET_LISTEN,
+	KEY_ADMIN_LISTEN,
+	KEY_PLATFORM,
+	KEY_SEED,
+	KEY_PEER_SECRET_FILE,
+	KEY_CALLER_CERT,
+	KEY_CALLER_KEY,
+	KEY_DRAIN_TIMEOUT,
+	KEY_WORKERS,
+	KEY_LOG_LEVEL,
+	KEY_LOG_FORMAT,
+	KEY_END,
+};
+
+static const struct argp_option options[] = {
+	{"zone", KEY_ZONE, "NAME", 0, "availability zone of this vm", 0},
+	{"peer-listen", KEY_PEER_LISTEN, "IP:PORT", 0, "address for other nodes", 0},
+	{"caller-listen", KEY_CALLER_LISTEN, "IP:PORT", 0, "address for callers", 0},
+	{"target-listen", KEY_TARGET_LISTEN, "IP:PORT", 0,
+	 "loopback address for the own target", 0},
+	{"admin-listen", KEY_ADMIN_LISTEN, "IP:PORT", 0,
+	 "loopback address for /metrics, /status and /healthz", 0},
+	{"platform", KEY_PLATFORM, "URL", 0, "the platform's service", 0},
+	{"seed", KEY_SEED, "IP:PORT", 0, "peer address of another node (repeatable)", 0},
+	{"peer-secret-file", KEY_PEER_SECRET_FILE, "FILE", 0,
+	 "one or two lines of 64 hex digits", 0},
+	{"caller-cert", KEY_CALLER_CERT, "FILE", 0, "PEM certificate for callers", 0},
+	{"caller-key", KEY_CALLER_KEY, "FILE", 0, "PEM key of the certificate", 0},
+	{"drain-timeout", KEY_DRAIN_TIMEOUT, "SECONDS", 0,
+	 "longest wait for running requests at a stop (default 30)", 0},
+	{"workers", KEY_WORKERS, "N", 0, "worker threads (default 1)", 0},
+	{"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
+	{"log-format", KEY_LOG_FORMAT, "FORMAT", 0, "text or json", 0},
+	{NULL, 0, NULL, 0, NULL, 0},
+};
+
+static const char *flag_name(int key)
+{
+	for (const struct argp_option *option = options; option->name; option++) {
+		if (option->key == key)
+			return option->name;
+	}
+	return "";
+}
+
+G_GNUC_NORETURN
+static void refuse(int key, const char *value, const char *allowed)
+{
+	fprintf(stderr, "egretscaled: --%s: '%s' is not allowed: must be %s\n",
+		flag_name(key), value ? value : "", allowed);
+	exit(EXIT_USAGE);
+}
+
+static void set_address(int key, const char *value, struct sockaddr_in *out,
+			bool loopback)
+{
+	if (!address_parse(value, out, NULL))
+		refuse(key, value, "IP:PORT with an IPv4 address and a port from 1 to 65535");
+	if (loopback && !address_is_loopback(out))
+		refuse(key, value, "a loopback address (127.0.0.0/8)");
+}
+
+static uint32_t parse_number(int key, const char *value, long low, long high)
+{
+	char allowed[64];
+	char *end = NULL;
+	long number = strtol(value, &end, 10);
+
+	if (*value && !*end && number >= low && number <= high)
+		return (uint32_t)number;
+	g_snprintf(allowed, sizeof(allowed), "a whole number from %ld to %ld", low, high);
+	refuse(key, value, allowed);
+}
+
+static void add_seed(settings_t *settings, const char *value)
+{
+	struct sockaddr_in address;
+	guint count = settings->seeds ? g_strv_length(settings->seeds) : 0;
+
+	set_address(KEY_SEED, value, &address, false);
+	settings->seeds = g_renew(char *, settings->seeds, count + 2);
+	settings->seeds[count] = g_strdup(value);
+	settings->seeds[count + 1] = NULL;
+}
+
+static void set_text(char **out, const char *value)
+{
+	g_free(*out);
+	*out = g_strdup(value);
+}
+
+static void set_value(settings_t *settings, int key, const char *value)
+{
+	switch (key) {
+	case KEY_ZONE:
+		if (!record_name_valid(value))
+			refuse(key, value, "1 to 64 characters a-z A-Z 0-9 . _ -");
+		set_text(&settings->zone, value);
+		break;
+	case KEY_PEER_LISTEN:
+		set_address(key, value, &settings->peer_listen, false);
+		break;
+	case KEY_CALLER_LISTEN:
+		set_address(key, value, &settings->caller_listen, false);
+		break;
+	case KEY_TARGET_LISTEN:
+		set_address(key, value, &settings->target_listen, true);
+		break;
+	case KEY_ADMIN_LISTEN:
+		set_address(key, value, &settings->admin_listen, true);
+		break;
+	case KEY_PLATFORM:
+		if (!g_str_has_prefix(value, "http://") && !g_str_has_prefix(value, "https://"))
+			refuse(key, value, "an http:// or https:// URL");
+		set_text(&settings->platform, value);
+		break;
+	case KEY_SEED:
+		add_seed(settings, value);
+		break;
+	case KEY_PEER_SECRET_FILE:
+		set_text(&settings->peer_secret_file, value);
+		break;
+	case KEY_CALLER_CERT:
+		set_text(&settings->caller_cert, value);
+		break;
+	case KEY_CALLER_KEY:
+		set_text(&settings->caller_key, value);
+		break;
+	case KEY_DRAIN_TIMEOUT:
+		settings->drain_timeout_sec =
+			parse_number(key, value, 0, DRAIN_TIMEOUT_MAX_SEC);
+		break;
+	case KEY_WORKERS:
+		settings->workers = parse_number(key, value, 1, WORKERS_MAX);
+		break;
+	case KEY_LOG_LEVEL:
+		if (!log_level_parse(value, &settings->log_level))
+			refuse(key, value, "error, warn, info or debug");
+		break;
+	case KEY_LOG_FORMAT:
+		if (strcmp(value, "text") != 0 && strcmp(value, "json") != 0)
+			refuse(key, value, "text or json");
+		settings->log_format =
+			value[0] == 'j' ? LOG_FORMAT_JSON : LOG_FORMAT_TEXT;
+		break;
+	}
+}
+
+typedef struct parse_state {
+	settings_t *settings;
+	bool given[KEY_END - KEY_ZONE];
+} parse_state_t;
+
+static error_t handle_option(int key, char *arg, struct argp_state *state)
+{
+	parse_state_t *parse = state->input;
+
+	if (key == ARGP_KEY_ARG) {
+		fprintf(stderr, "egretscaled: '%s' is not allowed: there are only flags\n",
+			arg);
+		exit(EXIT_USAGE);
+	}
+	if (key < KEY_ZONE || key >= KEY_END)
+		return ARGP_ERR_UNKNOWN;
+	parse->given[key - KEY_ZONE] = true;
+	set_value(parse->settings, key, arg);
+	return 0;
+}
+
+static char *environment_name(const char *flag)
+{
+	char *upper = g_ascii_strup(flag, -1);
+	char *name = g_strconcat(ENVIRONMENT_PREFIX, g_strdelimit(upper, "-", '_'), NULL);
+
+	g_free(upper);
+	return name;
+}
+
+static void read_environment(parse_state_t *parse)
+{
+	for (const struct argp_option *option = options; option->name; option++) {
+		char *name = environment_name(option->name);
+		const char *value = getenv(name);
+
+		g_free(name);
+		if (!value || parse->given[option->key - KEY_ZONE])
+			continue;
+		parse->given[option->key - KEY_ZONE] = true;
+		if (option->key != KEY_SEED) {
+			set_value(parse->settings, option->key, value);
+			continue;
+		}
+		char **seeds = g_strsplit(value, ",", -1);
+		for (char **seed = seeds; *seed; seed++)
+			set_value(parse->settings, KEY_SEED, *seed);
+		g_strfreev(seeds);
+	}
+}
+
+static void require(const parse_state_t *parse)
+{
+	static const int required[] = {KEY_ZONE,	  KEY_PEER_LISTEN,
+				       KEY_CALLER_LISTEN, KEY_TARGET_LISTEN,
+				       KEY_ADMIN_LISTEN,  KEY_PLATFORM,
+				       KEY_PEER_SECRET_FILE};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
+		if (!parse->given[required[i] - KEY_ZONE])
+			refuse(required[i], "", "given");
+	}
+	if (!parse->settings->caller_cert != !parse->settings->caller_key)
+		refuse(KEY_CALLER_CERT, parse->settings->caller_cert,
+		       "given together with --caller-key");
+}
+
+settings_t *settings_parse(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.options = options,
+		.parser = handle_option,
+		.doc = "egretscaled - overload control between callers and back ends",
+	};
+	parse_state_t parse = {.settings = g_new0(settings_t, 1)};
+
+	argp_err_exit_status = EXIT_USAGE;
+	parse.settings->drain_timeout_sec = 30;
+	parse.settings->workers = 1;
+	parse.settings->log_level = LOG_LEVEL_INFO;
+	argp_parse(&argp, argc, argv, 0, NULL, &parse);
+	read_environment(&parse);
+	require(&parse);
+	return parse.settings;
+}
+
+void settings_destroy(settings_t *settings)
+{
+	if (!settings)
+		return;
+	g_free(settings->zone);
+	g_free(settings->platform);
+	g_strfreev(settings->seeds);
+	g_free(settings->peer_secret_file);
+	g_free(settings->caller_cert);
+	g_free(settings->caller_key);
+	g_free(settings);
+}
--- /dev/null
+++ b/egretscaled/worker.c
@@ -0,0 +1,270 @@
+#include "egretscaled/worker.h"
+
+#include "common/address.h"
+#include "common/error.h"
+#include "common/log.h"
+#include "egretscaled/accounts_io.h"
+#include "egretscaled/claims_io.h"
+#include "egretscaled/http_request.h"
+#include "egretscaled/ingress.h"
+#include "egretscaled/peer_client.h"
+#include "store/store_http.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CALLER_IDLE_TIMEOUT_SEC 120
+#define CACHED_CONNECTIONS 2000L
+#define ACCEPT_BATCH 32
+#define TICK (50 * USEC_PER_MSEC)
+#define SWEEP_PERIOD USEC_PER_SEC
+
+typedef struct posted_task {
+	worker_task_fn fn;
+	void *ctx;
+} posted_task_t;
+
+typedef struct deferred_task {
+	worker_t *worker;
+	worker_task_fn fn;
+	void *ctx;
+} deferred_task_t;
+
+static void handle_inbox(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			 void *private_data)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	worker_t *worker = private_data;
+	uint64_t count;
+
+	if (read(worker->inbox_fd, &count, sizeof(count)) != sizeof(count))
+		return;
+	for (;;) {
+		pthread_mutex_lock(&worker->inbox_lock);
+		posted_task_t *task = g_queue_pop_head(&worker->inbox);
+		pthread_mutex_unlock(&worker->inbox_lock);
+		if (!task)
+			return;
+		task->fn(worker, task->ctx);
+		g_free(task);
+	}
+}
+
+void worker_post(worker_t *worker, worker_task_fn fn, void *ctx)
+{
+	posted_task_t *task = g_new0(posted_task_t, 1);
+	uint64_t one = 1;
+
+	task->fn = fn;
+	task->ctx = ctx;
+	pthread_mutex_lock(&worker->inbox_lock);
+	bool was_empty = g_queue_is_empty(&worker->inbox);
+	g_queue_push_tail(&worker->inbox, task);
+	pthread_mutex_unlock(&worker->inbox_lock);
+	if (was_empty && write(worker->inbox_fd, &one, sizeof(one)) != sizeof(one))
+		return;
+}
+
+static void handle_deferred(struct tevent_context *ev, struct tevent_immediate *im,
+			    void *private_data)
+{
+	(void)ev;
+	deferred_task_t *task = private_data;
+	deferred_task_t copy = *task;
+
+	talloc_free(im);
+	copy.fn(copy.worker, copy.ctx);
+}
+
+void worker_defer(worker_t *worker, worker_task_fn fn, void *ctx)
+{
+	struct tevent_immediate *im = tevent_create_immediate(worker->ev);
+	deferred_task_t *task = talloc_zero(im, deferred_task_t);
+
+	task->worker = worker;
+	task->fn = fn;
+	task->ctx = ctx;
+	tevent_schedule_immediate(im, worker->ev, handle_deferred, task);
+}
+
+struct tevent_timer *worker_timer(worker_t *worker, usec_t delay, tevent_timer_handler_t fn,
+				  void *ctx)
+{
+	delay = MAX(delay, 0);
+	return tevent_add_timer(worker->ev, worker->ev,
+				tevent_timeval_current_ofs(
+					(uint32_t)(delay / USEC_PER_SEC),
+					(uint32_t)(delay % USEC_PER_SEC)),
+				fn, ctx);
+}
+
+static void handle_peer_accept(struct tevent_context *ev, struct tevent_fd *fde,
+			       uint16_t flags, void *private_data)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	worker_t *worker = private_data;
+
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		int fd = accept4(worker->peer_listener_fd, NULL, NULL,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		ingress_accept(worker, fd);
+	}
+}
+
+static bool listen_for_peers(worker_t *worker, GError **error)
+{
+	worker->peer_listener_fd =
+		address_listen(&worker->node->settings->peer_listen, error);
+	if (worker->peer_listener_fd < 0)
+		return false;
+	worker->peer_listener =
+		tevent_add_fd(worker->ev, worker->ev, worker->peer_listener_fd,
+			      TEVENT_FD_READ, handle_peer_accept, worker);
+	return true;
+}
+
+static bool listen_for_http(worker_t *worker, GError **error)
+{
+	const settings_t *settings = worker->node->settings;
+	mhd_loop_options_t callers = {
+		.address = settings->caller_listen,
+		.tls_cert = worker->node->tls_cert,
+		.tls_key = worker->node->tls_key,
+		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
+	};
+	mhd_loop_options_t target = {
+		.address = settings->target_listen,
+		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
+	};
+
+	worker->callers = mhd_loop_create(worker->ev, worker->ev, &callers,
+					  http_request_handle_caller,
+					  http_request_completed, worker, error);
+	if (!worker->callers)
+		return false;
+	worker->target = mhd_loop_create(worker->ev, worker->ev, &target,
+					 http_request_handle_target,
+					 http_request_completed, worker, error);
+	return worker->target != NULL;
+}
+
+static void schedule_tick(worker_t *worker);
+
+static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	worker_t *worker = private_data;
+	usec_t now = clock_boot_usec();
+
+	accounts_io_tick(worker, now);
+	node_run_gate(worker->node);
+	if (now >= worker->next_sweep) {
+		worker->next_sweep = now + SWEEP_PERIOD;
+		peer_clients_sweep(worker, now);
+	}
+	schedule_tick(worker);
+}
+
+static void schedule_tick(worker_t *worker)
+{
+	worker->tick = worker_timer(worker, TICK, handle_tick, worker);
+}
+
+worker_t *worker_create(node_t *node, GError **error)
+{
+	worker_t *worker = g_new0(worker_t, 1);
+
+	worker->node = node;
+	worker->index = node->worker_count;
+	worker->ev = tevent_context_init(NULL);
+	worker->curl = curl_loop_create(worker->ev, worker->ev, CACHED_CONNECTIONS);
+	worker->store = store_http_create(worker->curl, node->settings->platform);
+	worker->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      peer_client_destroy);
+	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
+	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	worker->borrowers = accounts_io_borrowers_create();
+	worker->claims = claim_batch_create(worker);
+	pthread_mutex_init(&worker->inbox_lock, NULL);
+	g_queue_init(&worker->inbox);
+	worker->inbox_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	worker->inbox_fde = tevent_add_fd(worker->ev, worker->ev, worker->inbox_fd,
+					  TEVENT_FD_READ, handle_inbox, worker);
+	schedule_tick(worker);
+	if (!listen_for_peers(worker, error) || !listen_for_http(worker, error)) {
+		worker_destroy(worker);
+		return NULL;
+	}
+	return worker;
+}
+
+static void *worker_main(void *arg)
+{
+	worker_t *worker = arg;
+
+	while (!worker->stopping) {
+		if (tevent_loop_once(worker->ev) != 0)
+			break;
+	}
+	return NULL;
+}
+
+bool worker_start(worker_t *worker, GError **error)
+{
+	if (pthread_create(&worker->thread, NULL, worker_main, worker) == 0)
+		return true;
+	g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY, "cannot start a worker thread");
+	return false;
+}
+
+static void set_stopping(worker_t *worker, void *unused)
+{
+	(void)unused;
+	worker->stopping = true;
+}
+
+void worker_stop(worker_t *worker)
+{
+	worker_post(worker, set_stopping, NULL);
+	pthread_join(worker->thread, NULL);
+}
+
+void worker_quiesce(worker_t *worker, void *unused)
+{
+	(void)unused;
+	mhd_loop_quiesce(worker->callers);
+}
+
+void worker_destroy(worker_t *worker)
+{
+	if (!worker)
+		return;
+	mhd_loop_destroy(worker->callers);
+	mhd_loop_destroy(worker->target);
+	g_hash_table_destroy(worker->ingress);
+	g_hash_table_destroy(worker->peers);
+	g_hash_table_destroy(worker->requests);
+	g_hash_table_destroy(worker->borrowers);
+	claim_batch_destroy(worker->claims);
+	store_destroy(worker->store);
+	curl_loop_destroy(worker->curl);
+	if (worker->peer_listener_fd >= 0)
+		close(worker->peer_listener_fd);
+	close(worker->inbox_fd);
+	g_queue_clear_full(&worker->inbox, g_free);
+	pthread_mutex_destroy(&worker->inbox_lock);
+	talloc_free(worker->ev);
+	g_free(worker);
+}
--- /dev/null
+++ b/http/mhd_loop.c
@@ -0,0 +1,251 @@
+#include "http/mhd_loop.h"
+
+#include "common/address.h"
+#include "common/error.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define HANGUP_EVENTS_MAX 64
+#define CONNECTIONS_MAX 20000
+#define CONNECTION_MEMORY_BYTES (32u << 10)
+
+struct mhd_loop {
+	struct tevent_context *ev;
+	struct MHD_Daemon *daemon;
+	struct tevent_fd *fde;
+	struct tevent_fd *hangup_fde;
+	struct tevent_timer *timer;
+	struct tevent_immediate *run;
+	bool run_scheduled;
+	int hangup_fd;
+	int quiesced_fd;
+	GHashTable *watches; /* fd -> watch_t */
+};
+
+typedef struct watch {
+	mhd_hangup_fn fn;
+	void *ctx;
+} watch_t;
+
+static void schedule_run(mhd_loop_t *loop);
+
+static void handle_timer(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	mhd_loop_t *loop = private_data;
+
+	loop->timer = NULL;
+	schedule_run(loop);
+}
+
+static void run_daemon(mhd_loop_t *loop)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	MHD_run(loop->daemon);
+	if (MHD_get_timeout(loop->daemon, &timeout_ms) != MHD_YES) {
+		TALLOC_FREE(loop->timer);
+		return;
+	}
+	if (timeout_ms == 0) {
+		schedule_run(loop);
+		return;
+	}
+	TALLOC_FREE(loop->timer);
+	loop->timer = tevent_add_timer(
+		loop->ev, loop,
+		tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+					   (uint32_t)(timeout_ms % 1000) * 1000),
+		handle_timer, loop);
+}
+
+static void handle_run(struct tevent_context *ev, struct tevent_immediate *im,
+		       void *private_data)
+{
+	(void)ev;
+	(void)im;
+	mhd_loop_t *loop = private_data;
+
+	loop->run_scheduled = false;
+	run_daemon(loop);
+}
+
+static void schedule_run(mhd_loop_t *loop)
+{
+	if (loop->run_scheduled)
+		return;
+	loop->run_scheduled = true;
+	tevent_schedule_immediate(loop->run, loop->ev, handle_run, loop);
+}
+
+static void handle_readable(struct tevent_context *ev, struct tevent_fd *fde,
+			    uint16_t flags, void *private_data)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	run_daemon(private_data);
+}
+
+static void handle_hangup(struct tevent_context *ev, struct tevent_fd *fde,
+			  uint16_t flags, void *private_data)
+{
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	mhd_loop_t *loop = private_data;
+	struct epoll_event events[HANGUP_EVENTS_MAX];
+	int n = epoll_wait(loop->hangup_fd, events, HANGUP_EVENTS_MAX, 0);
+
+	for (int i = 0; i < n; i++) {
+		void *key = GINT_TO_POINTER(events[i].data.fd);
+		watch_t *watch = g_hash_table_lookup(loop->watches, key);
+
+		epoll_ctl(loop->hangup_fd, EPOLL_CTL_DEL, events[i].data.fd, NULL);
+		if (!watch)
+			continue;
+		watch_t copy = *watch;
+		g_hash_table_remove(loop->watches, key);
+		copy.fn(copy.ctx);
+	}
+}
+
+/* Keeps paths and queries as the client wrote them. */
+static size_t keep_escaped(void *cls, struct MHD_Connection *connection, char *text)
+{
+	(void)cls;
+	(void)connection;
+	return strlen(text);
+}
+
+static struct MHD_Daemon *start_daemon(const mhd_loop_options_t *options, int fd,
+				       MHD_AccessHandlerCallback handler,
+				       MHD_RequestCompletedCallback completed, void *ctx)
+{
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+	struct MHD_OptionItem tls[] = {
+		{MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)options->tls_cert},
+		{MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)options->tls_key},
+		{MHD_OPTION_END, 0, NULL},
+	};
+	struct MHD_OptionItem none[] = {{MHD_OPTION_END, 0, NULL}};
+
+	if (options->tls_cert)
+		flags |= MHD_USE_TLS;
+	return MHD_start_daemon(flags, 0, NULL, NULL, handler, ctx, MHD_OPTION_LISTEN_SOCKET,
+				fd, MHD_OPTION_NOTIFY_COMPLETED, completed, ctx,
+				MHD_OPTION_UNESCAPE_CALLBACK, keep_escaped, NULL,
+				MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_sec,
+				MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+				MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+				(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_ARRAY,
+				options->tls_cert ? tls : none, MHD_OPTION_END);
+}
+
+mhd_loop_t *mhd_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
+			    const mhd_loop_options_t *options,
+			    MHD_AccessHandlerCallback handler,
+			    MHD_RequestCompletedCallback completed, void *ctx,
+			    GError **error)
+{
+	int fd = address_listen(&options->address, error);
+
+	if (fd < 0)
+		return NULL;
+	struct MHD_Daemon *daemon = start_daemon(options, fd, handler, completed, ctx);
+	if (!daemon) {
+		close(fd);
+		g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY,
+			    "libmicrohttpd failed to start (check certificate and key)");
+		return NULL;
+	}
+	mhd_loop_t *loop = talloc_zero(parent, mhd_loop_t);
+	loop->ev = ev;
+	loop->daemon = daemon;
+	loop->quiesced_fd = -1;
+	loop->run = tevent_create_immediate(loop);
+	int epoll_fd = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+	loop->fde = tevent_add_fd(ev, loop, epoll_fd, TEVENT_FD_READ, handle_readable, loop);
+	loop->hangup_fd = epoll_create1(EPOLL_CLOEXEC);
+	loop->hangup_fde = tevent_add_fd(ev, loop, loop->hangup_fd, TEVENT_FD_READ,
+					 handle_hangup, loop);
+	loop->watches = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	return loop;
+}
+
+void mhd_loop_destroy(mhd_loop_t *loop)
+{
+	if (!loop)
+		return;
+	TALLOC_FREE(loop->fde);
+	TALLOC_FREE(loop->hangup_fde);
+	MHD_stop_daemon(loop->daemon);
+	if (loop->quiesced_fd >= 0)
+		close(loop->quiesced_fd);
+	close(loop->hangup_fd);
+	g_hash_table_destroy(loop->watches);
+	talloc_free(loop);
+}
+
+void mhd_loop_quiesce(mhd_loop_t *loop)
+{
+	if (loop->quiesced_fd < 0)
+		loop->quiesced_fd = MHD_quiesce_daemon(loop->daemon);
+	if (loop->quiesced_fd >= 0) {
+		close(loop->quiesced_fd);
+		loop->quiesced_fd = -1;
+	}
+}
+
+void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection)
+{
+	MHD_resume_connection(connection);
+	schedule_run(loop);
+}
+
+static int connection_fd(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
+void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection,
+		    mhd_hangup_fn fn, void *ctx)
+{
+	int fd = connection_fd(connection);
+	struct epoll_event event = {.events = EPOLLRDHUP | EPOLLHUP | EPOLLERR,
+				    .data.fd = fd};
+	watch_t *watch = g_new0(watch_t, 1);
+
+	watch->fn = fn;
+	watch->ctx = ctx;
+	g_hash_table_replace(loop->watches, GINT_TO_POINTER(fd), watch);
+	epoll_ctl(loop->hangup_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+void mhd_loop_unwatch(mhd_loop_t *loop, struct MHD_Connection *connection)
+{
+	int fd = connection_fd(connection);
+
+	if (g_hash_table_remove(loop->watches, GINT_TO_POINTER(fd)))
+		epoll_ctl(loop->hangup_fd, EPOLL_CTL_DEL, fd, NULL);
+}
+
+enum MHD_Result mhd_answer_text(struct MHD_Connection *connection, unsigned int status,
+				const char *content_type, const char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+
+	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+	enum MHD_Result result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
--- /dev/null
+++ b/include/accounts/lease.h
@@ -0,0 +1,88 @@
+#ifndef EGRET_ACCOUNTS_LEASE_H
+#define EGRET_ACCOUNTS_LEASE_H
+
+#include "accounts/loan.h"
+
+/*
+ * NAME
+ *	lease - a node's view of one partition's keeper lease
+ *
+ * DESCRIPTION
+ *	A state machine without I/O over a row of the platform's table service.
+ *	A lease runs for LEASE_TERM from when its renewal was sent. A candidate
+ *	takes a row over only after it saw it unchanged for longer than that, and
+ *	lends only after the loans of the one before have ended.
+ *
+ *	While the platform cannot be reached the keeper goes on by confirmation:
+ *	more than half of its zone's nodes answer that they know no newer epoch.
+ *	A successor first tells its epoch to so many nodes that the keeper before
+ *	it cannot find such a majority any more, and then waits out what was
+ *	confirmed before.
+ *
+ * SEE ALSO
+ *	docs/design/account-rates.md; tests/model checks the rules
+ */
+
+#define LEASE_TERM (6 * USEC_PER_SEC)
+#define LEASE_RENEW_PERIOD (2 * USEC_PER_SEC)
+#define CONFIRM_TERM (2 * USEC_PER_SEC)
+#define CONFIRM_PERIOD (500 * USEC_PER_MSEC)
+
+typedef enum lease_state {
+	LEASE_NONE,
+	LEASE_READING,	 /* the row is being read */
+	LEASE_OBSERVING, /* another holder's row: wait for it to lapse */
+	LEASE_TAKING,	 /* a commit to take the row is under way */
+	LEASE_HELD,
+} lease_state_t;
+
+typedef enum lease_action {
+	LEASE_DO_NOTHING,
+	LEASE_DO_READ,
+	LEASE_DO_TAKE,
+	LEASE_DO_RENEW,
+} lease_action_t;
+
+typedef struct lease {
+	lease_state_t state;
+	uint64_t revision; /* of the row as last seen */
+	uint64_t epoch;
+	usec_t observed; /* when the row was first seen at this revision */
+	usec_t sent;	 /* when the commit under way was sent */
+	usec_t renewed;	 /* when the last successful commit was sent */
+	usec_t lend_from;
+	usec_t confirmed_until;
+	bool successor;	   /* another process held the epoch before */
+	bool released;	   /* that process gave the lease up itself */
+	bool acknowledged; /* enough nodes know this epoch */
+	bool committing;
+} lease_t;
+
+/* What to do now; `candidate` says that this node should hold the lease. */
+lease_action_t lease_next(const lease_t *lease, usec_t now, bool candidate);
+
+void lease_reading(lease_t *lease);
+
+/* The row was read: revision 0 if absent; released if nobody holds it. */
+void lease_observed(lease_t *lease, usec_t now, uint64_t revision, uint64_t epoch,
+		    bool released);
+
+/* A commit to take or renew was sent, and its result. */
+void lease_sent(lease_t *lease, usec_t now);
+void lease_committed(lease_t *lease, usec_t now, uint64_t revision);
+
+/* The commit lost to another or its result stays unknown. */
+void lease_failed(lease_t *lease, usec_t now, bool conflict);
+
+/* More than half of the zone answered a question sent at `asked`. */
+void lease_confirmed(lease_t *lease, usec_t asked);
+
+/* So many nodes know this epoch that no older one can be confirmed. */
+void lease_acknowledged(lease_t *lease, usec_t now);
+
+/* A newer epoch exists: stop at once. */
+void lease_superseded(lease_t *lease);
+
+bool lease_may_lend(const lease_t *lease, usec_t now);
+
+#endif
--- /dev/null
+++ b/include/accounts/lender.h
@@ -0,0 +1,42 @@
+#ifndef EGRET_ACCOUNTS_LENDER_H
+#define EGRET_ACCOUNTS_LENDER_H
+
+#include "accounts/loan.h"
+
+/*
+ * NAME
+ *	lender - a keeper's part of one account's bucket, and its loans
+ *
+ * DESCRIPTION
+ *	A state machine without I/O. The sum of the pool's and all loans' rates
+ *	never exceeds the rate given to lender_resize(), and the same holds for
+ *	capacities, spends included. Loans are sized by the borrowers' demand;
+ *	a part of the pool stays for requests that wait and for newcomers.
+ *	Borrowers of other zones get only what the own zone does not need.
+ *
+ * THREADS
+ *	None of its own; the owner holds one lock around every call.
+ */
+
+typedef struct lender lender_t;
+
+/* A new lender starts without tokens. */
+lender_t *lender_create(usec_t now, double rate, double capacity);
+void lender_destroy(lender_t *lender);
+
+/* The account's record or the zone's portion changed. */
+void lender_resize(lender_t *lender, usec_t now, double rate, double capacity);
+
+void lender_request(lender_t *lender, usec_t now, const loan_request_t *request,
+		    loan_reply_t *reply);
+
+/* Demand of the zone's own borrowers over the rate; 0 when idle. */
+double lender_pressure(lender_t *lender, usec_t now);
+
+/* Nothing is lent and nobody has asked for a while. */
+bool lender_is_idle(lender_t *lender, usec_t now);
+
+/* For invariant checks: everything given out and kept. */
+void lender_totals(lender_t *lender, usec_t now, double *rate, double *capacity);
+
+#endif
--- /dev/null
+++ b/include/accounts/loan.h
@@ -0,0 +1,52 @@
+#ifndef EGRET_ACCOUNTS_LOAN_H
+#define EGRET_ACCOUNTS_LOAN_H
+
+#include "common/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	loan - what lenders and borrowers of account rates exchange
+ *
+ * DESCRIPTION
+ *	A loan is a part (rate, capacity, tokens) of an account's bucket, held by
+ *	an entry for LOAN_TERM. The borrower counts the term from when it asked,
+ *	the lender from when it granted plus a margin, so the lender never takes
+ *	back what the borrower may still use. A lapsed loan returns its rate and
+ *	capacity but no tokens.
+ *
+ *	A reply may also grant spends: tokens for requests that wait now. They
+ *	are usable for SPEND_TERM from when the borrower asked; the lender keeps
+ *	its capacity lowered by them for that long.
+ */
+
+#define LOAN_TERM (2 * USEC_PER_SEC)
+#define SPEND_TERM (100 * USEC_PER_MSEC)
+/* Lenders wait this much longer, for clocks that run at different speeds. */
+#define LOAN_MARGIN(term) ((term) + (term) / 20)
+
+typedef struct loan_request {
+	uint64_t loan;
+	uint64_t sequence;
+	double holds_rate;
+	double holds_capacity;
+	double holds_tokens;
+	double demand; /* requests a second that the borrower sees */
+	uint32_t want; /* requests that wait for a token now */
+	bool foreign;  /* from another zone */
+} loan_request_t;
+
+typedef struct loan_reply {
+	uint64_t loan;
+	uint64_t sequence;
+	bool granted; /* false: the lender may not lend now */
+	double rate;	 /* what the borrower holds from now on */
+	double capacity;
+	double tokens;	/* added to what it has */
+	uint32_t spends;
+	double pressure; /* demand over rate */
+} loan_reply_t;
+
+#endif
--- /dev/null
+++ b/include/admission/priority.h
@@ -0,0 +1,31 @@
+#ifndef EGRET_ADMISSION_PRIORITY_H
+#define EGRET_ADMISSION_PRIORITY_H
+
+#include <stdint.h>
+
+/*
+ * NAME
+ *	priority - the order in which requests are shed
+ *
+ * DESCRIPTION
+ *	A priority is (9 - importance) in the upper bits and the shed rank in the
+ *	lower 16: smaller values are shed later. A shed level L admits priorities
+ *	below L; PRIORITY_LEVEL_ALL admits every request.
+ *
+ *	The shed rank is u * h, where u is the account's demand over its rate and
+ *	h in [0,1) is a hash of the request id, in units of 1/RANK_PER_UNIT.
+ */
+
+typedef uint32_t priority_t;
+
+#define PRIORITY_RANK_BITS 16
+#define PRIORITY_RANK_MAX ((1u << PRIORITY_RANK_BITS) - 1)
+#define PRIORITY_LEVEL_ALL (10u << PRIORITY_RANK_BITS)
+#define RANK_PER_UNIT 16384
+
+priority_t priority_make(uint32_t importance, uint32_t rank);
+
+/* Derives the shed rank from the request id and the account's demand ratio. */
+uint32_t priority_rank(const uint8_t request_id[16], double demand_ratio);
+
+#endif
--- /dev/null
+++ b/include/common/counters.h
@@ -0,0 +1,73 @@
+#ifndef EGRET_COMMON_COUNTERS_H
+#define EGRET_COMMON_COUNTERS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	counters - the process's monotonic counters
+ *
+ * DESCRIPTION
+ *	One atomic 64-bit cell for each counter_id_t, safe from any thread.
+ *	counters_render() writes Prometheus text.
+ */
+
+#define COUNTER_LIST(X)                                                                  \
+	X(LOG_DROPPED, "log_lines_dropped", "log lines dropped at the queue's bound")    \
+	X(REQUESTS, "caller_requests", "requests taken from callers")                    \
+	X(ANSWERED, "caller_answered", "answers of targets given to callers")            \
+	X(NOT_RUN, "caller_not_run", "refusals that state not-run")                      \
+	X(UNKNOWN, "caller_unknown", "answers that state unknown")                       \
+	X(REFUSED_KEY, "refused_key", "requests with an unknown or withdrawn key")       \
+	X(REFUSED_RATE, "refused_rate", "requests over the client account's rate")       \
+	X(REFUSED_SHED, "refused_shed", "requests shed at the entry")                    \
+	X(ONWARD, "onward_calls", "onward calls taken from the own target")              \
+	X(CALLS_OUT, "calls_out", "calls sent to instances")                             \
+	X(CALLS_IN, "calls_in", "calls taken from other nodes")                          \
+	X(GATE_ADMITTED, "gate_admitted", "calls admitted to the own target")            \
+	X(GATE_SHED, "gate_shed", "calls refused by the gate")                           \
+	X(GATE_EXPIRED, "gate_expired", "queued calls dropped at their deadline")        \
+	X(GATE_CANCELLED, "gate_cancelled", "queued or running calls cancelled")         \
+	X(GATE_RESETS, "gate_resets", "times the limit went to the cold floor")          \
+	X(RETRIES, "retries", "calls repeated after not-run or failure")                 \
+	X(RETRIES_CAPPED, "retries_capped", "retries not made because of a cap")         \
+	X(LATE_REPLIES, "late_replies", "replies dropped because their call was over")   \
+	X(FENCES_SENT, "fences_sent", "fence exchanges started")                         \
+	X(FENCES_NOT_RUN, "fences_not_run", "fence exchanges that proved not-run")       \
+	X(SUSPECT_CRASHES, "suspect_crashes", "in-flight calls marked at a crash")       \
+	X(SUSPECT_REFUSED, "suspect_refused", "requests refused as crash suspects")      \
+	X(CLAIMS, "claims", "idempotency keys claimed")                                  \
+	X(CLAIM_REPLAYS, "claim_replays", "answers replayed for an idempotency key")     \
+	X(CLAIM_CONFLICTS, "claim_conflicts", "requests refused with 409")               \
+	X(BORROWS, "borrows", "loan requests sent to keepers")                           \
+	X(LOANS, "loans", "loans granted as keeper")                                     \
+	X(LEASES_WON, "leases_won", "keeper leases acquired")                            \
+	X(LEASES_LOST, "leases_lost", "keeper leases lost or expired")                   \
+	X(CONFIG_CHANGES, "config_changes", "record changes taken into force")           \
+	X(CONFIG_PULLS, "config_pulls", "configuration pulls from peers")                \
+	X(STORE_OPS, "store_operations", "operations sent to the platform")              \
+	X(STORE_FAILURES, "store_failures", "platform operations that failed")           \
+	X(GOSSIP_SENT, "gossip_sent_datagrams", "gossip datagrams sent")                 \
+	X(GOSSIP_SENT_BYTES, "gossip_sent_bytes", "gossip bytes sent")                   \
+	X(GOSSIP_RECEIVED, "gossip_received_datagrams", "gossip datagrams accepted")     \
+	X(GOSSIP_RECEIVED_BYTES, "gossip_received_bytes", "gossip bytes received")       \
+	X(GOSSIP_REJECTED, "gossip_rejected", "datagrams that failed authentication")    \
+	X(PEER_REJECTED, "peer_rejected", "peer connections that failed authentication") \
+	X(PEER_BAD_FRAMES, "peer_bad_frames", "peer connections closed for bad frames")  \
+	X(CUT_AT_STOP, "cut_at_stop", "requests cut by the end of the drain timeout")
+
+typedef enum counter_id {
+#define COUNTER_ENUM(id, name, help) COUNTER_##id,
+	COUNTER_LIST(COUNTER_ENUM)
+#undef COUNTER_ENUM
+		COUNTER_COUNT,
+} counter_id_t;
+
+void counter_add(counter_id_t id, uint64_t n);
+uint64_t counter_get(counter_id_t id);
+
+/* Appends all counters in the Prometheus text format to out. */
+void counters_render(GString *out);
+
+#endif
--- /dev/null
+++ b/include/config/record.h
@@ -0,0 +1,104 @@
+#ifndef EGRET_CONFIG_RECORD_H
+#define EGRET_CONFIG_RECORD_H
+
+#include "common/clock.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	record - the operators' configuration records
+ *
+ * DESCRIPTION
+ *	A record is a JSON object with `kind`, `name`, `schema_version` and the
+ *	fields of its kind. record_parse() checks every field and reports each
+ *	fault with its field. A record of a newer schema version than this
+ *	program understands parses with `understood` false and only the common
+ *	fields set.
+ *
+ * OWNERSHIP
+ *	record_parse() returns a new record that record_destroy() frees.
+ */
+
+typedef enum record_kind {
+	RECORD_CLIENT_ACCOUNT,
+	RECORD_KEY,
+	RECORD_ROUTE,
+	RECORD_AVAILABILITY_ZONE,
+	RECORD_SERVICE,
+	RECORD_KIND_COUNT,
+} record_kind_t;
+
+#define RECORD_SCHEMA_VERSION 1
+#define RECORD_NAME_MAX_BYTES 64
+#define RECORD_MAX_BYTES (16u << 10)
+#define IMPORTANCE_LEVELS 10
+#define KEY_DIGEST_HEX_BYTES 64
+
+typedef struct client_account {
+	double rate;  /* requests a second, over all VMs together */
+	double burst; /* requests */
+} client_account_t;
+
+typedef struct key_record {
+	char *digest; /* SHA-256 of the key in lower-case hex */
+	char *account;
+} key_record_t;
+
+typedef struct route {
+	char *prefix;
+	GPtrArray *methods; /* of char *; empty means all */
+	char *service;
+	uint32_t importance; /* 0 lowest to 9 highest */
+	bool idempotent;
+	bool open;
+	uint32_t timeout_ms;
+	uint32_t retries;
+} route_t;
+
+typedef struct zone_record {
+	bool in;
+} zone_record_t;
+
+typedef struct service_record {
+	uint32_t cold_slots;
+	uint32_t queue_slots;
+	double retry_ratio; /* retries for each call, 0 to 1 */
+} service_record_t;
+
+typedef struct record {
+	record_kind_t kind;
+	char *name;
+	uint32_t schema_version;
+	bool understood;
+	union {
+		client_account_t client_account;
+		key_record_t key;
+		route_t route;
+		zone_record_t zone;
+		service_record_t service;
+	};
+} record_t;
+
+/* Receives one fault of a record: the field and what is allowed. */
+typedef void (*record_fault_fn)(void *ctx, const char *field, const char *allowed);
+
+/* Returns NULL after reporting every fault through `fault`. */
+record_t *record_parse(const json_t *json, record_fault_fn fault, void *ctx);
+void record_destroy(record_t *record);
+
+const char *record_kind_name(record_kind_t kind);
+bool record_kind_parse(const char *text, record_kind_t *out);
+bool record_name_valid(const char *name);
+
+/* Returns the platform's row key, record/KIND/NAME@VERSION; free with g_free(). */
+char *record_row_key(record_kind_t kind, const char *name, uint32_t schema_version);
+
+/* Splits a row key; name is newly allocated. */
+bool record_row_key_parse(const char *key, record_kind_t *kind, char **name,
+			  uint32_t *schema_version);
+
+#endif
--- /dev/null
+++ b/include/egretscaled/admin.h
@@ -0,0 +1,20 @@
+#ifndef EGRET_EGRETSCALED_ADMIN_H
+#define EGRET_EGRETSCALED_ADMIN_H
+
+#include "egretscaled/node.h"
+#include "http/mhd_loop.h"
+
+/*
+ * NAME
+ *	admin - GET /metrics, /status and /healthz; POST /drain
+ *
+ * DESCRIPTION
+ *	On the control thread, on a loopback address. /metrics is Prometheus
+ *	text, /status JSON, /healthz 200 once the node is ready and not draining
+ *	and 503 otherwise. POST /drain begins a planned stop, as SIGTERM does.
+ */
+
+mhd_loop_t *admin_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node,
+			 GError **error);
+
+#endif
--- /dev/null
+++ b/include/egretscaled/entry.h
@@ -0,0 +1,24 @@
+#ifndef EGRET_EGRETSCALED_ENTRY_H
+#define EGRET_EGRETSCALED_ENTRY_H
+
+#include "egretscaled/http_request.h"
+
+/*
+ * NAME
+ *	entry - preparation of callers' requests and of the target's onward calls
+ *
+ * DESCRIPTION
+ *	entry_check() looks at the head only: key, account, route. It refuses the
+ *	request or fills in its context. entry_begin() runs once the kept part of
+ *	the body is there: fingerprint, shed level, rate, idempotency key, then
+ *	http_request_dispatch(). egress_check() and egress_begin() do the same for
+ *	onward calls, with the context of the live request.
+ */
+
+bool entry_check(http_request_t *request);
+void entry_begin(http_request_t *request);
+
+bool egress_check(http_request_t *request);
+void egress_begin(http_request_t *request);
+
+#endif
--- /dev/null
+++ b/include/egretscaled/node.h
@@ -0,0 +1,121 @@
+#ifndef EGRET_EGRETSCALED_NODE_H
+#define EGRET_EGRETSCALED_NODE_H
+
+#include "admission/gate.h"
+#include "claims/attempts.h"
+#include "config/config.h"
+#include "egretscaled/live.h"
+#include "egretscaled/settings.h"
+#include "membership/gossip.h"
+#include "retry/retry.h"
+#include "routing/backpressure.h"
+#include "routing/router.h"
+#include "wire/peer_auth.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+/*
+ * NAME
+ *	node - the state that the threads of one daemon share
+ *
+ * DESCRIPTION
+ *	Decision modules and the locks around them (order in locks.h). Workers
+ *	serve requests; the control thread runs gossip, the configuration, keeper
+ *	leases and the admin interface.
+ */
+
+typedef struct worker worker_t;
+
+/* The own target's announcement; guarded by gate_lock. */
+typedef struct own_target {
+	bool present;
+	bool draining;
+	char service[MEMBER_TEXT_BYTES];
+	char address[ADDRESS_TEXT_BYTES];
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t cold_slots;
+	usec_t heard;
+} own_target_t;
+
+typedef struct node {
+	settings_t *settings;
+	peer_auth_t *auth;
+	char *tls_cert; /* PEM text, or NULL */
+	char *tls_key;
+	char address[ADDRESS_TEXT_BYTES];
+	uint64_t node_id;
+
+	pthread_mutex_t gossip_lock;
+	gossip_t *gossip;
+	int gossip_fd; /* -1 while closed */
+	struct puller *puller;
+
+	pthread_mutex_t config_lock;
+	config_log_t *config_log;
+	config_t *config;
+
+	pthread_mutex_t account_lock;
+	struct accounts *accounts;
+
+	pthread_mutex_t gate_lock;
+	gate_t *gate;
+	own_target_t target;
+
+	pthread_mutex_t live_lock;
+	live_table_t *live;
+	attempts_t *attempts;
+
+	pthread_mutex_t router_lock;
+	router_t *router;
+	backpressure_t *backpressure;
+	GHashTable *ratios; /* service -> retry_ratio_t */
+
+	pthread_mutex_t suspect_lock;
+	struct suspects *suspects;
+
+	worker_t **workers;
+	uint32_t worker_count;
+
+	atomic_bool ready;    /* a whole configuration is in force */
+	atomic_bool draining; /* a planned stop has begun */
+	atomic_uint requests; /* HTTP requests and peer calls not yet answered */
+} node_t;
+
+node_t *node_create(settings_t *settings, GError **error);
+void node_destroy(node_t *node);
+
+/* Takes a reference on the configuration in force. Any thread. */
+config_t *node_config(node_t *node);
+
+/* Merges rows that make the node complete up to revision. Control thread. */
+typedef struct node_row {
+	const char *key;
+	uint64_t revision;
+	const char *value;
+} node_row_t;
+void node_take_config(node_t *node, const node_row_t *rows, size_t count,
+		      uint64_t revision, const char *source);
+
+/* Renews this node's directory entry from target, readiness and drain state. */
+void node_update_member(node_t *node);
+
+/* Target announcements (gate_lock is taken inside). */
+void node_announce_target(node_t *node, const own_target_t *announced);
+void node_target_leaves(node_t *node);
+
+/* Marks the target as gone when its heartbeat has lapsed. */
+void node_check_target(node_t *node);
+
+/* Runs gate_next() until it is empty and wakes the owners. */
+void node_run_gate(node_t *node);
+
+/* Retry ratio cap of a service: counts a call, or takes a retry. */
+void node_ratio_call(node_t *node, const char *service);
+bool node_ratio_take(node_t *node, const char *service);
+
+/* A random 64-bit id. */
+uint64_t node_random_id(void);
+
+#endif
--- /dev/null
+++ b/include/egretscaled/pull.h
@@ -0,0 +1,35 @@
+#ifndef EGRET_EGRETSCALED_PULL_H
+#define EGRET_EGRETSCALED_PULL_H
+
+#include "egretscaled/node.h"
+#include "wire/frame_link.h"
+
+/*
+ * NAME
+ *	pull - configuration and directory from another node over TCP
+ *
+ * DESCRIPTION
+ *	A pull asks for all record changes after the own revision, and for the
+ *	directory entries of the buckets whose digests differ. One pull runs at a
+ *	time; a full one follows every PULL_PERIOD, so that partitions heal. A
+ *	node without the platform is ready after complete pulls from two peers.
+ *
+ * THREADS
+ *	The puller runs on the control thread; pull_request() may be called on
+ *	any thread, also under gossip_lock. pull_answer() runs on a worker.
+ */
+
+typedef struct puller puller_t;
+
+#define PULL_PERIOD (30 * USEC_PER_SEC)
+#define PULL_PEERS_FOR_START 2
+
+puller_t *puller_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node);
+void puller_destroy(puller_t *puller);
+
+/* Asks for a pull from this peer soon. */
+void pull_request(node_t *node, const char *address);
+
+void pull_answer(node_t *node, frame_link_t *link, const Egret__Pull *pull);
+
+#endif
--- /dev/null
+++ b/include/retry/retry.h
@@ -0,0 +1,46 @@
+#ifndef EGRET_RETRY_RETRY_H
+#define EGRET_RETRY_RETRY_H
+
+#include "common/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	retry - bounds on repeated calls
+ *
+ * DESCRIPTION
+ *	retry_count_t is the request's one count of retries. A hop lends a part
+ *	with each call and takes back what the answer returns; a lost answer
+ *	returns nothing. So the retries of one request never exceed the count
+ *	minted at the entry, whatever the depth and fan-out.
+ *
+ *	retry_ratio_t caps the retries towards one service to a ratio of its
+ *	calls. retry_backoff() is the jittered wait before a retry.
+ */
+
+typedef struct retry_count {
+	uint32_t left;
+} retry_count_t;
+
+/* Takes the half (rounded up) to go with a call. */
+uint32_t retry_lend(retry_count_t *count);
+
+/* Gives back what an answer returned; at most what was lent. */
+void retry_return(retry_count_t *count, uint32_t lent, uint32_t returned);
+
+/* Takes one retry; returns false if none is left. */
+bool retry_take(retry_count_t *count);
+
+typedef struct retry_ratio {
+	double tokens;
+} retry_ratio_t;
+
+void retry_ratio_call(retry_ratio_t *ratio, double retries_per_call);
+bool retry_ratio_take(retry_ratio_t *ratio);
+
+/* Full jitter: a wait in [0, base * 2^attempt), from a uniform random value. */
+usec_t retry_backoff(uint32_t attempt, double uniform);
+
+#endif
--- /dev/null
+++ b/include/routing/backpressure.h
@@ -0,0 +1,33 @@
+#ifndef EGRET_ROUTING_BACKPRESSURE_H
+#define EGRET_ROUTING_BACKPRESSURE_H
+
+#include "admission/priority.h"
+#include "common/clock.h"
+
+/*
+ * NAME
+ *	backpressure - the shed level below a route, as answers tell it
+ *
+ * DESCRIPTION
+ *	A state machine without I/O. Each answer carries the lowest shed level of
+ *	the services below the one that answered. The levels are smoothed for
+ *	each key (a route or a service with a path) and rise to PRIORITY_LEVEL_ALL
+ *	within BACKPRESSURE_LIFE when no new answer confirms them.
+ *
+ * THREADS
+ *	None of its own; the owner holds one lock around every call.
+ */
+
+#define BACKPRESSURE_LIFE USEC_PER_SEC
+
+typedef struct backpressure backpressure_t;
+
+backpressure_t *backpressure_create(void);
+void backpressure_destroy(backpressure_t *backpressure);
+
+void backpressure_note(backpressure_t *backpressure, const char *key, priority_t below,
+		       usec_t now);
+priority_t backpressure_level(const backpressure_t *backpressure, const char *key,
+			      usec_t now);
+
+#endif
--- /dev/null
+++ b/routing/router.c
@@ -0,0 +1,365 @@
+#include "routing/router.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define EJECT_AFTER_FAILURES 5
+#define EJECT_BASE USEC_PER_SEC
+#define EJECT_DOUBLINGS_MAX 5
+#define SATURATED_SCORE 1.0
+#define SPILL_SCORE_MAX 0.8
+#define RAMP_MIN 0.05
+#define CHOICES 2
+
+typedef struct instance {
+	member_t member;
+	uint32_t inflight;
+	router_report_t report;
+	usec_t reported;
+	uint32_t failures;
+	uint32_t ejections;
+	usec_t ejected_until;
+} instance_t;
+
+typedef struct zone_status {
+	bool in;
+	usec_t since;
+} zone_status_t;
+
+struct router {
+	char *own_zone;
+	GRand *rand;
+	GHashTable *instances; /* address -> instance_t */
+	GHashTable *services;  /* service -> GPtrArray of instance_t */
+	GHashTable *zones;     /* zone -> zone_status_t */
+};
+
+static const char *const why_names[] = {
+	[ROUTER_OWN_ZONE] = "own-zone",		[ROUTER_SPILL] = "spill",
+	[ROUTER_LAST_RESORT] = "last-resort",	[ROUTER_NO_INSTANCE] = "no-instance",
+	[ROUTER_SHED] = "shed",
+};
+
+const char *router_why_name(router_why_t why)
+{
+	return why_names[why];
+}
+
+static void free_list(void *list)
+{
+	g_ptr_array_free(list, TRUE);
+}
+
+router_t *router_create(const char *own_zone, uint64_t random_seed)
+{
+	router_t *router = g_new0(router_t, 1);
+	guint32 words[2] = {(guint32)random_seed, (guint32)(random_seed >> 32)};
+
+	router->own_zone = g_strdup(own_zone);
+	router->rand = g_rand_new_with_seed_array(words, 2);
+	router->instances = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	router->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+	router->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return router;
+}
+
+void router_destroy(router_t *router)
+{
+	if (!router)
+		return;
+	g_hash_table_destroy(router->services);
+	g_hash_table_destroy(router->instances);
+	g_hash_table_destroy(router->zones);
+	g_rand_free(router->rand);
+	g_free(router->own_zone);
+	g_free(router);
+}
+
+static bool accepts(const member_t *member)
+{
+	return member->state <= EGRET__MEMBER_STATE__MEMBER_SUSPECT && member->ready &&
+	       member->target == EGRET__TARGET_STATE__TARGET_UP && member->service[0];
+}
+
+static GPtrArray *service_list(router_t *router, const char *service)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(router->services, g_strdup(service), list);
+	}
+	return list;
+}
+
+static void forget(router_t *router, instance_t *instance)
+{
+	g_ptr_array_remove_fast(service_list(router, instance->member.service), instance);
+	g_hash_table_remove(router->instances, instance->member.address);
+}
+
+void router_update(router_t *router, const member_t *member, usec_t now)
+{
+	instance_t *instance = g_hash_table_lookup(router->instances, member->address);
+	bool usable = accepts(member);
+
+	(void)now;
+	if (instance && (!usable || instance->member.node_id != member->node_id ||
+			 strcmp(instance->member.service, member->service) != 0)) {
+		forget(router, instance);
+		instance = NULL;
+	}
+	if (!usable)
+		return;
+	if (instance) {
+		instance->member = *member;
+		return;
+	}
+	instance = g_new0(instance_t, 1);
+	instance->member = *member;
+	instance->report.level = PRIORITY_LEVEL_ALL;
+	instance->report.limit = MAX(member->cold_slots, 1);
+	g_hash_table_insert(router->instances, instance->member.address, instance);
+	g_ptr_array_add(service_list(router, member->service), instance);
+}
+
+void router_set_zone(router_t *router, const char *zone, bool in, usec_t now)
+{
+	zone_status_t *status = g_hash_table_lookup(router->zones, zone);
+
+	if (status && status->in == in)
+		return;
+	bool returns = status && in;
+	if (!status) {
+		status = g_new0(zone_status_t, 1);
+		g_hash_table_insert(router->zones, g_strdup(zone), status);
+	}
+	status->in = in;
+	/* A zone first heard of as `in` has not just returned. */
+	status->since = returns ? now : now - ROUTER_ZONE_RAMP;
+}
+
+static const zone_status_t *zone_status(const router_t *router, const instance_t *instance)
+{
+	return g_hash_table_lookup(router->zones, instance->member.zone);
+}
+
+static bool zone_in(const router_t *router, const instance_t *instance)
+{
+	const zone_status_t *status = zone_status(router, instance);
+
+	return !status || status->in;
+}
+
+/* Share of its capacity that a returned zone takes now. */
+static double zone_ramp(const router_t *router, const instance_t *instance, usec_t now)
+{
+	const zone_status_t *status = zone_status(router, instance);
+
+	if (!status)
+		return 1.0;
+	double share = (double)(now - status->since) / (double)ROUTER_ZONE_RAMP;
+	return CLAMP(share, RAMP_MIN, 1.0);
+}
+
+static double report_weight(const instance_t *instance, usec_t now)
+{
+	double age = (double)(now - instance->reported) / (double)ROUTER_REPORT_LIFE;
+
+	return CLAMP(1.0 - age, 0.0, 1.0);
+}
+
+static priority_t effective_level(const instance_t *instance, usec_t now)
+{
+	double weight = report_weight(instance, now);
+	double gap = (double)(PRIORITY_LEVEL_ALL - instance->report.level);
+
+	return PRIORITY_LEVEL_ALL - (priority_t)(gap * weight);
+}
+
+/* Load over capacity; 1 is saturated. */
+static double score(const router_t *router, const instance_t *instance, usec_t now)
+{
+	double weight = report_weight(instance, now);
+	double reported = weight * (instance->report.inflight + instance->report.queued);
+	double own = instance->inflight;
+	double limit = MAX(instance->report.limit, 1);
+
+	return (MAX(reported, own) + 0.01 * own) / limit / zone_ramp(router, instance, now);
+}
+
+static bool is_excluded(const router_request_t *request, const instance_t *instance)
+{
+	for (uint32_t i = 0; i < request->excluded_count; i++) {
+		if (strcmp(request->excluded[i], instance->member.address) == 0)
+			return true;
+	}
+	return false;
+}
+
+static instance_t *best_of_two(router_t *router, const GPtrArray *list, usec_t now)
+{
+	instance_t *best = NULL;
+
+	for (int i = 0; i < CHOICES && list->len > 0; i++) {
+		gint32 at = g_rand_int_range(router->rand, 0, (gint32)list->len);
+		instance_t *instance = list->pdata[at];
+		if (!best || score(router, instance, now) < score(router, best, now))
+			best = instance;
+	}
+	return best;
+}
+
+static void drop_swamped(const router_t *router, GPtrArray *list, usec_t now)
+{
+	for (guint i = list->len; i > 0; i--) {
+		if (score(router, list->pdata[i - 1], now) >= SPILL_SCORE_MAX)
+			g_ptr_array_remove_index_fast(list, i - 1);
+	}
+}
+
+typedef struct candidates {
+	GPtrArray *own;
+	GPtrArray *other;
+	GPtrArray *ejected;
+} candidates_t;
+
+static void sort_candidates(router_t *router, const router_request_t *request, usec_t now,
+			    candidates_t *found, router_choice_t *out)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, request->service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		instance_t *instance = list->pdata[i];
+
+		out->candidates++;
+		if (!zone_in(router, instance))
+			out->passed_zone_out++;
+		else if (is_excluded(request, instance))
+			out->passed_excluded++;
+		else if (effective_level(instance, now) <= request->priority)
+			out->passed_level++;
+		else if (instance->ejected_until > now)
+			g_ptr_array_add(found->ejected, instance);
+		else if (strcmp(instance->member.zone, router->own_zone) == 0)
+			g_ptr_array_add(found->own, instance);
+		else
+			g_ptr_array_add(found->other, instance);
+	}
+	out->passed_ejected = found->ejected->len;
+}
+
+static instance_t *choose(router_t *router, candidates_t *found, usec_t now,
+			  router_choice_t *out)
+{
+	instance_t *own = best_of_two(router, found->own, now);
+
+	out->why = ROUTER_OWN_ZONE;
+	if (own && score(router, own, now) < SATURATED_SCORE)
+		return own;
+	if (own)
+		drop_swamped(router, found->other, now);
+	instance_t *other = best_of_two(router, found->other, now);
+	if (other && (!own || score(router, other, now) < score(router, own, now))) {
+		out->why = ROUTER_SPILL;
+		return other;
+	}
+	if (own)
+		return own;
+	out->why = ROUTER_LAST_RESORT;
+	return best_of_two(router, found->ejected, now);
+}
+
+void router_pick(router_t *router, const router_request_t *request, usec_t now,
+		 router_choice_t *out)
+{
+	candidates_t found = {g_ptr_array_new(), g_ptr_array_new(), g_ptr_array_new()};
+
+	memset(out, 0, sizeof(*out));
+	sort_candidates(router, request, now, &found, out);
+	instance_t *instance = choose(router, &found, now, out);
+	if (instance) {
+		instance->inflight++;
+		g_strlcpy(out->address, instance->member.address, sizeof(out->address));
+		g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
+		out->node_id = instance->member.node_id;
+	} else {
+		out->why = out->passed_level > 0 ? ROUTER_SHED : ROUTER_NO_INSTANCE;
+	}
+	g_ptr_array_free(found.own, TRUE);
+	g_ptr_array_free(found.other, TRUE);
+	g_ptr_array_free(found.ejected, TRUE);
+}
+
+/* Ejects while at least half of the service's instances stay in use. */
+static void eject(router_t *router, instance_t *instance, usec_t now)
+{
+	GPtrArray *list = service_list(router, instance->member.service);
+	uint32_t ejected = 1;
+
+	for (guint i = 0; i < list->len; i++)
+		ejected += ((const instance_t *)list->pdata[i])->ejected_until > now;
+	if (ejected * 2 > list->len)
+		return;
+	usec_t span = EJECT_BASE << MIN(instance->ejections, EJECT_DOUBLINGS_MAX);
+	instance->ejections++;
+	instance->ejected_until = now + span;
+	instance->failures = 0;
+}
+
+void router_done(router_t *router, const char *address, router_outcome_t outcome,
+		 const router_report_t *report, usec_t now)
+{
+	instance_t *instance = g_hash_table_lookup(router->instances, address);
+
+	if (!instance)
+		return;
+	if (instance->inflight > 0)
+		instance->inflight--;
+	if (report) {
+		instance->report = *report;
+		instance->reported = now;
+	}
+	if (outcome == ROUTER_FAILED) {
+		if (++instance->failures >= EJECT_AFTER_FAILURES)
+			eject(router, instance, now);
+	} else {
+		instance->failures = 0;
+		if (outcome == ROUTER_ANSWERED)
+			instance->ejections = 0;
+	}
+}
+
+priority_t router_service_level(router_t *router, const char *service, usec_t now)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+	priority_t best = 0;
+
+	if (!list || list->len == 0)
+		return PRIORITY_LEVEL_ALL;
+	for (guint i = 0; i < list->len; i++)
+		best = MAX(best, effective_level(list->pdata[i], now));
+	return best;
+}
+
+void router_foreach(router_t *router, usec_t now, router_instance_fn fn, void *ctx)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, router->instances);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const instance_t *instance = value;
+		router_instance_info_t info = {
+			.address = instance->member.address,
+			.service = instance->member.service,
+			.zone = instance->member.zone,
+			.ejected = instance->ejected_until > now,
+			.zone_in = zone_in(router, instance),
+			.inflight = instance->inflight,
+			.report = instance->report,
+		};
+		fn(ctx, &info);
+	}
+}
--- /dev/null
+++ b/tests/harness/demo.py
@@ -0,0 +1,32 @@
+"""The Consorcio's deployment under mixed load, then a table."""
+
+import sys
+
+from deployment import Deployment
+from layouts import CONSORCIO, streams
+from report import print_summary
+
+SECONDS = 20
+SHARE = 0.7
+
+
+def main():
+    with Deployment(CONSORCIO, log_level="info") as d:
+        print(f"starting {len(d.nodes)} nodes and targets in {len(CONSORCIO['zones'])} zones; "
+              f"logs in {d.folder}", flush=True)
+        d.apply(CONSORCIO["records"])
+        d.start_nodes()
+        d.wait(d.keepers_lend, "the keepers")
+        print(f"driving load for {SECONDS} s", flush=True)
+        summary = d.load({"seconds": SECONDS, "streams": streams(CONSORCIO, SHARE)})
+        print_summary(summary, CONSORCIO["accounts"])
+        for node in d.nodes:
+            node.process.terminate()
+        codes = {node.process.wait(timeout=40) for node in d.nodes}
+    wrong = sum(s["wrong"] for s in summary["streams"])
+    answered = sum(s["answered"] for s in summary["streams"])
+    return 0 if codes == {0} and wrong == 0 and answered > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/harness/deployment.py
@@ -0,0 +1,246 @@
+"""Starts the platform, nodes and targets of a deployment as plain processes on loopback."""
+
+import hashlib
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.environ.get("EGRET_BUILD", os.path.join(ROOT, "build"))
+HOST = "127.0.0.1"
+PORTS_PER_NODE = 6
+START_TIMEOUT_SEC = 20
+
+
+def binary(name):
+    folder = {"egretscaled": "egretscaled", "egretctl": "egretctl"}.get(name, "tests/standins")
+    return os.path.join(BUILD, folder, name)
+
+
+def free_base_port(count):
+    """A base of `count` neighbouring ports below the ephemeral range that are free now."""
+    for base in range(20000 + os.getpid() % 400 * 20, 32000, 200):
+        try:
+            for port in range(base, base + count):
+                with socket.socket() as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        return base
+    raise RuntimeError("no free ports")
+
+
+def http(method, address, path, body=None, headers=None, timeout=5):
+    """One HTTP request; returns status, headers and body, also for error statuses."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", data=body, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read()
+
+
+class Node:
+    """One vm: a node and its target."""
+
+    def __init__(self, deployment, zone, service, port):
+        self.deployment = deployment
+        self.zone = zone
+        self.service = service
+        names = ("peer", "caller", "onward", "admin", "target", "spare")
+        self.address = {name: f"{HOST}:{port + i}" for i, name in enumerate(names)}
+        self.name = f"{zone}-{service['name'] if service else 'entry'}-{port}"
+        self.process = None
+        self.target = None
+
+    def start(self, extra=()):
+        d = self.deployment
+        seeds = [f"--seed={n.address['peer']}" for n in d.nodes[:2] if n is not self]
+        self.process = d.spawn(self.name, [
+            binary("egretscaled"), f"--zone={self.zone}",
+            f"--peer-listen={self.address['peer']}",
+            f"--caller-listen={self.address['caller']}",
+            f"--target-listen={self.address['onward']}",
+            f"--admin-listen={self.address['admin']}",
+            f"--platform=http://{d.platform_for_nodes}",
+            f"--peer-secret-file={d.secret_file}", f"--workers={d.workers}",
+            f"--log-level={d.log_level}", "--log-format=json", *seeds, *extra])
+
+    def start_target(self):
+        if not self.service:
+            return
+        s = self.service
+        command = [
+            binary("target"), f"--listen={self.address['target']}",
+            f"--node={self.address['onward']}", f"--service={s['name']}",
+            f"--slots={s['slots']}", f"--cold-slots={s.get('cold_slots', s['slots'])}",
+            f"--service-ms={s['service_ms']}", f"--calls={','.join(s.get('calls', []))}",
+            f"--seed={self.deployment.seed}"]
+        if self.deployment.history:
+            command.append(f"--history={self.deployment.path(self.name + '.history')}")
+        self.target = self.deployment.spawn(self.name + "-target", command)
+
+    def control(self, what):
+        return json.loads(http("PUT", self.address["target"], f"/control/{what}")[2])
+
+    def status(self):
+        return json.loads(http("GET", self.address["admin"], "/status")[2])
+
+    def metrics(self):
+        text = http("GET", self.address["admin"], "/metrics")[2].decode()
+        lines = (line.split() for line in text.splitlines() if not line.startswith("#"))
+        return {name: float(value) for name, value in lines}
+
+    def ready(self):
+        try:
+            return http("GET", self.address["admin"], "/healthz", timeout=1)[0] == 200
+        except OSError:
+            return False
+
+
+class Deployment:
+    """A platform, nodes in zones, targets; a context manager that leaves nothing behind."""
+
+    def __init__(self, layout, seed=1, workers=1, log_level="info", history=False,
+                 platform_relay=False):
+        self.layout = layout
+        self.seed = seed
+        self.workers = workers
+        self.log_level = log_level
+        self.history = history
+        self.folder = tempfile.mkdtemp(prefix="egret-")
+        self.processes = []
+        self.logs = {}
+        count = sum(s["instances"] for s in layout["services"])
+        base = free_base_port(10 + count * PORTS_PER_NODE)
+        self.platform_address = f"{HOST}:{base}"
+        self.relay_address = f"{HOST}:{base + 1}"
+        self.platform_relay = platform_relay
+        self.platform_for_nodes = self.relay_address if platform_relay else self.platform_address
+        self.nodes = []
+        port = base + 10
+        for service in layout["services"]:
+            for i in range(service["instances"]):
+                zone = layout["zones"][i % len(layout["zones"])]
+                self.nodes.append(Node(self, zone, service, port))
+                port += PORTS_PER_NODE
+        self.secret_file = self.path("secret")
+        with open(self.secret_file, "w", encoding="ascii") as file:
+            file.write(secrets.token_hex(32) + "\n")
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def spawn(self, name, command, **options):
+        log = self.path(name + ".log")
+        self.logs[name] = log
+        with open(log, "ab") as output:
+            process = subprocess.Popen(command, stdout=options.pop("stdout", output),
+                                       stderr=output, **options)
+        self.processes.append(process)
+        return process
+
+    def __enter__(self):
+        self.platform = self.spawn("platform", [binary("platform"), self.platform_address])
+        self.wait(lambda: self.platform_answers(), "the platform")
+        if self.platform_relay:
+            self.relay = self.spawn(
+                "relay", [binary("relay"), self.relay_address, self.platform_address],
+                stdin=subprocess.PIPE)
+        return self
+
+    def __exit__(self, *unused):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def platform_answers(self):
+        try:
+            return http("GET", self.platform_address, "/stats", timeout=1)[0] == 200
+        except OSError:
+            return False
+
+    def cut_platform(self, cut):
+        self.relay.stdin.write(b"cut\n" if cut else b"heal\n")
+        self.relay.stdin.flush()
+
+    def platform_fault(self, **fault):
+        http("PUT", self.platform_address, "/fault", json.dumps(fault).encode())
+
+    def platform_stats(self):
+        return json.loads(http("GET", self.platform_address, "/stats")[2])
+
+    def wait(self, condition, what, timeout=START_TIMEOUT_SEC):
+        end = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > end:
+                raise RuntimeError(f"timed out waiting for {what}")
+            time.sleep(0.05)
+
+    def ctl(self, *arguments, check=True):
+        return subprocess.run(
+            [binary("egretctl"), f"--platform=http://{self.platform_address}", *arguments],
+            check=check, capture_output=True, text=True)
+
+    def apply(self, records):
+        """Writes records (a list of objects, or a path) with egretctl."""
+        path = records
+        if not isinstance(records, str):
+            path = self.path(f"records-{time.monotonic_ns()}.json")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(records, file)
+        return self.ctl("apply", "-f", path)
+
+    def start_nodes(self):
+        for node in self.nodes:
+            node.start()
+        self.wait(lambda: all(n.ready() for n in self.nodes), "the nodes")
+        for node in self.nodes:
+            node.start_target()
+        self.wait(self.converged, "the directory")
+
+    def converged(self):
+        wanted = len([n for n in self.nodes if n.service])
+        return all(len(n.status()["instances"]) == wanted for n in self.nodes)
+
+    def keepers_lend(self):
+        """Every zone has a lending keeper for each partition."""
+        lending = {}
+        for node in self.nodes:
+            for keeps in node.status()["keeps"]:
+                if keeps["lends"] and keeps["portion_milli"] > 0:
+                    lending.setdefault(node.zone, set()).add(keeps["partition"])
+        return all(len(lending.get(z, ())) == 16 for z in self.layout["zones"])
+
+    def load(self, plan):
+        """Runs the load generator to its end; returns its summary."""
+        return self.load_finish(self.load_start(plan))
+
+    def load_start(self, plan):
+        plan = {"seed": self.seed, "entries": [n.address["caller"] for n in self.nodes], **plan}
+        path = self.path(f"plan-{time.monotonic_ns()}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(plan, file)
+        return self.spawn("loadgen", [binary("loadgen"), path], stdout=subprocess.PIPE)
+
+    @staticmethod
+    def load_finish(process):
+        output, _ = process.communicate()
+        return json.loads(output)
+
+
+def key_record(name, account, key):
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return {"kind": "key", "name": name, "schema_version": 1, "digest": digest,
+            "account": account}
--- /dev/null
+++ b/tests/harness/report.py
@@ -0,0 +1,47 @@
+"""Tables out of the load generator's summaries."""
+
+from collections import Counter, defaultdict
+
+
+def totals(streams, field):
+    """Sums sent and answered over the streams, grouped by a field."""
+    groups = defaultdict(lambda: [0, 0])
+    for stream in streams:
+        groups[stream[field]][0] += stream["sent"]
+        groups[stream[field]][1] += stream["answered"]
+    return dict(groups)
+
+
+def refusals(streams):
+    counts = Counter()
+    for stream in streams:
+        counts.update(stream["refused"])
+    return counts
+
+
+def worst_account(streams, rates, seconds):
+    """The account with the lowest answered part of min(demand, rate)."""
+    worst = (None, 2.0)
+    for account, (sent, answered) in totals(streams, "account").items():
+        due = min(sent, rates[account] * seconds)
+        if due and answered / due < worst[1]:
+            worst = (account, answered / due)
+    return worst
+
+
+def print_summary(summary, rates):
+    streams, seconds = summary["streams"], summary["seconds"]
+    print(f"\n{'importance':<12}{'sent':>8}{'whole':>8}{'goodput/s':>11}{'share':>8}")
+    for importance, (sent, good) in sorted(totals(streams, "importance").items(), reverse=True):
+        print(f"{importance:<12}{sent:>8}{good:>8}{good / seconds:>11.1f}{good / max(sent, 1):>8.1%}")
+    print(f"\n{'route':<20}{'p50 ms':>9}{'p90 ms':>9}{'p99 ms':>9}   (worst account's stream)")
+    by_name = defaultdict(list)
+    for stream in streams:
+        by_name[stream["name"]].append(stream)
+    for name, group in by_name.items():
+        cells = [max(s[f"{p}_usec"] for s in group) / 1000 for p in ("p50", "p90", "p99")]
+        print(f"{name:<20}{cells[0]:>9.2f}{cells[1]:>9.2f}{cells[2]:>9.2f}")
+    print("\nrefusals by reason:", dict(refusals(streams)) or "none")
+    account, share = worst_account(streams, rates, seconds)
+    print(f"worst-served account: {account}, {share:.1%} of min(demand, rate)")
+    print(f"answers that were not the request's own: {sum(s['wrong'] for s in streams)}")
