accounts: lend no loans too small to hold a whole token

Cause: 13 entries each got a loan whose capacity was below one token; its rate filled nothing and 80% of the rate was lost. Such borrowers now get spends.

--- a/accounts/lender.c
+++ b/accounts/lender.c
@@ -7,6 +7,8 @@
 #include <sys/queue.h>
 
 #define LENT_SHARE 0.8
+/* A bucket below this capacity seldom holds a whole token: its rate is lost. */
+#define LOAN_CAPACITY_MIN 3.0
 #define IDLE_TIME (10 * USEC_PER_SEC)
 /* A raise below this part of the loan is not worth a change. */
 #define LOWER_MARGIN 0.8
@@ -157,8 +159,8 @@
 	return demand;
 }
 
-/* The part of the whole that this borrower should hold, 0 to 1. */
-static double target_share(const lender_t *lender, const loan_t *loan)
+/* The borrower's part by demand, 0 to 1. */
+static double demand_share(const lender_t *lender, const loan_t *loan)
 {
 	double own = own_demand(lender);
 
@@ -170,6 +172,14 @@
 	return LENT_SHARE * spare * loan->demand / MAX(foreign_demand(lender), 1e-9);
 }
 
+/* The part of the whole that this borrower should hold; small ones get spends. */
+static double target_share(const lender_t *lender, const loan_t *loan)
+{
+	double share = demand_share(lender, loan);
+
+	return lender->capacity * share < LOAN_CAPACITY_MIN ? 0 : share;
+}
+
 /* Raises the loan towards its target out of the pool, tokens with capacity. */
 static void raise_loan(lender_t *lender, loan_t *loan, const loan_request_t *request,
 		       loan_reply_t *reply)
