--- a/accounts/borrower.c
+++ b/accounts/borrower.c
@@ -1,20 +1,23 @@
 #include "accounts/borrower.h"
 
-#include "accounts/bucket.h"
-
 #include <glib.h>
 #include <math.h>
 #include <string.h>
 
 #define DEMAND_TIME_CONSTANT ((double)USEC_PER_SEC)
 #define RENEW_BEFORE_END (LOAN_TERM / 2)
+/* Asked for more once less than this part of the last holding is left. */
+#define LOW_SHARE 0.5
+/* Holdings beyond the demand of this span are handed back. */
+#define KEEP_SPAN ((double)USEC_PER_SEC)
 #define DEMAND_IDLE 0.05
 
 typedef struct held_loan {
 	char zone[MEMBER_TEXT_BYTES];
 	uint64_t id;
 	uint64_t sequence;
-	bucket_t bucket;
+	double tokens;
+	double filled; /* tokens after the last reply */
 	usec_t expires;
 	bool outstanding;
 	usec_t asked;
@@ -57,9 +60,8 @@
 
 static void end_lapsed(held_loan_t *loan, usec_t now)
 {
-	if (now < loan->expires)
-		return;
-	loan->bucket = (bucket_t){.updated = now};
+	if (now >= loan->expires)
+		loan->tokens = 0;
 }
 
 bool borrower_take(borrower_t *borrower, usec_t now)
@@ -68,8 +70,10 @@
 		held_loan_t *loan = &borrower->loans[i];
 
 		end_lapsed(loan, now);
-		if (loan->id && bucket_take(&loan->bucket, now, 1.0))
+		if (loan->tokens >= 1.0) {
+			loan->tokens -= 1.0;
 			return true;
+		}
 	}
 	return false;
 }
@@ -98,6 +102,16 @@
 	return place;
 }
 
+/* Lowers a holding that the demand does not need; returns by how much. */
+static double take_surplus(const borrower_t *borrower, held_loan_t *loan, usec_t now)
+{
+	double keep = borrower_demand(borrower, now) * KEEP_SPAN / USEC_PER_SEC;
+	double surplus = MAX(loan->tokens - keep, 0);
+
+	loan->tokens -= surplus;
+	return surplus;
+}
+
 bool borrower_ask(borrower_t *borrower, const char *zone, uint32_t want,
 		  uint64_t fresh_loan, usec_t now, loan_request_t *out)
 {
@@ -108,19 +122,18 @@
 	if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
 		return false;
 	if (!loan->id || strcmp(loan->zone, zone) != 0) {
-		*loan = (held_loan_t){.id = fresh_loan, .bucket.updated = now};
+		*loan = (held_loan_t){.id = fresh_loan};
 		g_strlcpy(loan->zone, zone, sizeof(loan->zone));
 	}
 	end_lapsed(loan, now);
-	bucket_refill(&loan->bucket, now);
+	double returns = take_surplus(borrower, loan, now);
 	loan->outstanding = true;
 	loan->asked = now;
 	*out = (loan_request_t){
 		.loan = loan->id,
 		.sequence = ++loan->sequence,
-		.holds_rate = loan->bucket.rate,
-		.holds_capacity = loan->bucket.capacity,
-		.holds_tokens = loan->bucket.tokens,
+		.holds = loan->tokens,
+		.returns = returns,
 		.demand = borrower_demand(borrower, now),
 		.want = want,
 		.foreign = strcmp(zone, borrower->own_zone) != 0,
@@ -146,12 +159,10 @@
 	loan->outstanding = false;
 	if (!reply->granted)
 		return 0;
-	usec_t expires = loan->asked + LOAN_TERM;
 	end_lapsed(loan, now);
-	bucket_resize(&loan->bucket, now, reply->rate, reply->capacity);
-	loan->bucket.tokens =
-		MIN(loan->bucket.tokens + reply->tokens, loan->bucket.capacity);
-	loan->expires = expires;
+	loan->tokens += MAX(reply->tokens, 0);
+	loan->filled = loan->tokens;
+	loan->expires = loan->asked + LOAN_TERM;
 	end_lapsed(loan, now);
 	if (strcmp(loan->zone, borrower->own_zone) == 0)
 		borrower->pressure = reply->pressure;
@@ -165,11 +176,12 @@
 	for (int i = 0; i < BORROWER_LOANS; i++) {
 		const held_loan_t *loan = &borrower->loans[i];
 
-		if (!loan->id || loan->bucket.rate <= 0 || now >= loan->expires)
+		if (!loan->id || loan->filled <= 0 || now >= loan->expires)
 			continue;
 		if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
 			continue;
-		if (loan->expires - now < RENEW_BEFORE_END)
+		if (loan->expires - now < RENEW_BEFORE_END ||
+		    loan->tokens < loan->filled * LOW_SHARE)
 			return loan->zone;
 	}
 	return NULL;
--- a/accounts/lender.c
+++ b/accounts/lender.c
@@ -6,19 +6,20 @@
 #include <math.h>
 #include <sys/queue.h>
 
-#define LENT_SHARE 0.8
-/* A bucket below this capacity seldom holds a whole token: its rate is lost. */
-#define LOAN_CAPACITY_MIN 3.0
+/* A loan covers the borrower's demand for so long. */
+#define LOAN_HORIZON (USEC_PER_SEC / 2)
+#define LENT_SHARE 0.7
+/* Smaller loans are not worth the capacity that they take up; see loan.h. */
+#define LOAN_TOKENS_MIN 4.0
+/* Kept for the own zone when another zone asks. */
+#define OWN_RESERVE (USEC_PER_SEC / 4)
 #define IDLE_TIME (10 * USEC_PER_SEC)
-/* A raise below this part of the loan is not worth a change. */
-#define LOWER_MARGIN 0.8
 
 typedef struct loan {
 	LIST_ENTRY(loan) link;
 	uint64_t id;
 	uint64_t sequence;
-	double rate;
-	double capacity;
+	double tokens; /* lent and not known to be spent */
 	double demand;
 	bool foreign;
 	usec_t expires;
@@ -33,10 +34,8 @@
 
 struct lender {
 	bucket_t pool;
-	double rate;
 	double capacity;
-	double lent_rate;
-	double lent_capacity;
+	double lent;
 	LIST_HEAD(, loan) loans;
 	TAILQ_HEAD(, spend) spends;
 	usec_t last_request;
@@ -56,15 +55,14 @@
 
 static void drop_loan(lender_t *lender, loan_t *loan)
 {
-	lender->lent_rate -= loan->rate;
-	lender->lent_capacity -= loan->capacity;
+	lender->lent -= loan->tokens;
 	LIST_REMOVE(loan, link);
 	g_free(loan);
 }
 
 static void drop_spend(lender_t *lender, spend_t *spend)
 {
-	lender->lent_capacity -= spend->tokens;
+	lender->lent -= spend->tokens;
 	TAILQ_REMOVE(&lender->spends, spend, link);
 	g_free(spend);
 }
@@ -80,16 +78,17 @@
 	g_free(lender);
 }
 
-/* The pool has what is not lent; while more is lent than owned, nothing. */
+/* The pool has the capacity that is not lent; while more is lent, none. */
 static void settle_pool(lender_t *lender, usec_t now)
 {
-	bucket_resize(&lender->pool, now, lender->rate - lender->lent_rate,
-		      lender->capacity - lender->lent_capacity);
+	bucket_resize(&lender->pool, now, lender->pool.rate,
+		      lender->capacity - lender->lent);
 }
 
 void lender_resize(lender_t *lender, usec_t now, double rate, double capacity)
 {
-	lender->rate = rate;
+	bucket_refill(&lender->pool, now);
+	lender->pool.rate = rate;
 	lender->capacity = capacity;
 	settle_pool(lender, now);
 }
@@ -126,116 +125,89 @@
 	return loan;
 }
 
-/* Takes back what the borrower says it no longer holds. */
-static void take_statement(lender_t *lender, loan_t *loan, const loan_request_t *request)
+/* Takes back what the borrower spent or hands back. */
+static void take_statement(lender_t *lender, loan_t *loan, const loan_request_t *request,
+			   usec_t now)
 {
-	double rate = CLAMP(request->holds_rate, 0, loan->rate);
-	double capacity = CLAMP(request->holds_capacity, 0, loan->capacity);
+	double holds = CLAMP(request->holds, 0, loan->tokens);
+	double returned = CLAMP(request->returns, 0, loan->tokens - holds);
 
-	lender->lent_rate -= loan->rate - rate;
-	lender->lent_capacity -= loan->capacity - capacity;
-	loan->rate = rate;
-	loan->capacity = capacity;
+	lender->lent -= loan->tokens - holds;
+	loan->tokens = holds;
 	loan->demand = MAX(request->demand, 0);
+	settle_pool(lender, now);
+	lender->pool.tokens =
+		MIN(lender->pool.tokens + returned, lender->pool.capacity);
 }
 
-static double own_demand(const lender_t *lender)
-{
-	const loan_t *loan;
-	double demand = 0;
-
-	LIST_FOREACH (loan, &lender->loans, link)
-		demand += loan->foreign ? 0 : loan->demand;
-	return demand;
-}
-
-static double foreign_demand(const lender_t *lender)
+static double demand_of(const lender_t *lender, bool foreign)
 {
 	const loan_t *loan;
 	double demand = 0;
 
 	LIST_FOREACH (loan, &lender->loans, link)
-		demand += loan->foreign ? loan->demand : 0;
+		demand += loan->foreign == foreign ? loan->demand : 0;
 	return demand;
 }
 
-/* The borrower's part by demand, 0 to 1. */
-static double demand_share(const lender_t *lender, const loan_t *loan)
+/* Tokens that this borrower may take out of the pool now. */
+static double available(const lender_t *lender, const loan_t *loan)
 {
-	double own = own_demand(lender);
+	double tokens = MAX(MIN(lender->pool.tokens, lender->pool.capacity), 0);
 
-	if (loan->demand <= 0)
-		return 0;
 	if (!loan->foreign)
-		return LENT_SHARE * loan->demand / MAX(own, 1e-9);
-	double spare = MAX(1.0 - own / MAX(lender->rate, 1e-9), 0.0);
-	return LENT_SHARE * spare * loan->demand / MAX(foreign_demand(lender), 1e-9);
+		return tokens;
+	double reserve = demand_of(lender, false) * OWN_RESERVE / USEC_PER_SEC;
+	return MAX(tokens - reserve, 0);
 }
 
-/* The part of the whole that this borrower should hold; small ones get spends. */
-static double target_share(const lender_t *lender, const loan_t *loan)
+static void take_from_pool(lender_t *lender, double tokens)
 {
-	double share = demand_share(lender, loan);
-
-	return lender->capacity * share < LOAN_CAPACITY_MIN ? 0 : share;
+	lender->lent += tokens;
+	lender->pool.tokens -= tokens;
+	lender->pool.capacity -= tokens;
 }
 
-/* Raises the loan towards its target out of the pool, tokens with capacity. */
-static void raise_loan(lender_t *lender, loan_t *loan, const loan_request_t *request,
-		       loan_reply_t *reply)
+/* What the loan should hold: its demand for a while, within its fair part. */
+static double target_tokens(const lender_t *lender, const loan_t *loan)
 {
-	bucket_t *pool = &lender->pool;
-	double share = target_share(lender, loan);
-	double rate = CLAMP(lender->rate * share - loan->rate, 0, pool->rate);
-	double capacity =
-		CLAMP(lender->capacity * share - loan->capacity, 0, pool->capacity);
-	double part = pool->capacity > 0 ? capacity / pool->capacity : 0;
-	double tokens = pool->tokens * part;
-	double room = loan->capacity - MIN(request->holds_tokens, loan->capacity);
-
-	/* Fills up what the loan had before as well, as far as it goes evenly. */
-	tokens += MIN(room, (pool->tokens - tokens) * share);
-	pool->tokens -= tokens;
-	pool->rate -= rate;
-	pool->capacity -= capacity;
-	loan->rate += rate;
-	loan->capacity += capacity;
-	lender->lent_rate += rate;
-	lender->lent_capacity += capacity;
-	reply->tokens = tokens;
+	double demand = demand_of(lender, false) + demand_of(lender, true);
+	double fair = lender->capacity * LENT_SHARE * loan->demand / MAX(demand, 1e-9);
+	double wanted = loan->demand * LOAN_HORIZON / USEC_PER_SEC;
+	double target = MIN(fair, wanted);
+
+	return target < LOAN_TOKENS_MIN ? 0 : target;
 }
 
-/* What the borrower is told to hold: lower than recorded if others need it. */
-static void set_holding(const lender_t *lender, const loan_t *loan, loan_reply_t *reply)
+static double raise_loan(lender_t *lender, loan_t *loan)
 {
-	double share = target_share(lender, loan);
-	double rate = lender->rate * share;
-	double capacity = lender->capacity * share;
+	double tokens = target_tokens(lender, loan) - loan->tokens;
 
-	reply->rate = rate < loan->rate * LOWER_MARGIN ? rate : loan->rate;
-	reply->capacity = capacity < loan->capacity * LOWER_MARGIN ? capacity :
-								     loan->capacity;
+	tokens = CLAMP(tokens, 0, available(lender, loan));
+	take_from_pool(lender, tokens);
+	loan->tokens += tokens;
+	return tokens;
 }
 
-static uint32_t grant_spends(lender_t *lender, const loan_request_t *request, usec_t now)
+static uint32_t grant_spends(lender_t *lender, const loan_t *loan, uint32_t want, usec_t now)
 {
-	double available = floor(MIN(lender->pool.tokens, lender->pool.capacity));
+	uint32_t spends = (uint32_t)MIN((double)want, floor(available(lender, loan)));
 
-	if (request->foreign && own_demand(lender) > lender->rate)
-		return 0;
-	uint32_t spends = (uint32_t)MIN((double)request->want, MAX(available, 0));
 	if (spends == 0)
 		return 0;
 	spend_t *spend = g_new0(spend_t, 1);
 	spend->tokens = spends;
 	spend->expires = now + LOAN_MARGIN(SPEND_TERM);
 	TAILQ_INSERT_TAIL(&lender->spends, spend, link);
-	lender->lent_capacity += spends;
-	lender->pool.tokens -= spends;
-	lender->pool.capacity -= spends;
+	take_from_pool(lender, spends);
 	return spends;
 }
 
+static double pressure(const lender_t *lender)
+{
+	return demand_of(lender, false) / MAX(lender->pool.rate, 1e-9);
+}
+
 void lender_request(lender_t *lender, usec_t now, const loan_request_t *request,
 		    loan_reply_t *reply)
 {
@@ -246,20 +218,18 @@
 	if (request->sequence <= loan->sequence)
 		return;
 	loan->sequence = request->sequence;
-	take_statement(lender, loan, request);
-	settle_pool(lender, now);
+	take_statement(lender, loan, request, now);
 	reply->granted = true;
-	reply->spends = grant_spends(lender, request, now);
-	raise_loan(lender, loan, request, reply);
+	reply->spends = grant_spends(lender, loan, request->want, now);
+	reply->tokens = raise_loan(lender, loan);
 	loan->expires = now + LOAN_MARGIN(LOAN_TERM);
-	set_holding(lender, loan, reply);
-	reply->pressure = own_demand(lender) / MAX(lender->rate, 1e-9);
+	reply->pressure = pressure(lender);
 }
 
 double lender_pressure(lender_t *lender, usec_t now)
 {
 	expire(lender, now);
-	return own_demand(lender) / MAX(lender->rate, 1e-9);
+	return pressure(lender);
 }
 
 bool lender_is_idle(lender_t *lender, usec_t now)
@@ -269,9 +239,8 @@
 	       now - lender->last_request > IDLE_TIME;
 }
 
-void lender_totals(lender_t *lender, usec_t now, double *rate, double *capacity)
+double lender_total_capacity(lender_t *lender, usec_t now)
 {
 	expire(lender, now);
-	*rate = lender->pool.rate + lender->lent_rate;
-	*capacity = lender->pool.capacity + lender->lent_capacity;
+	return lender->pool.capacity + lender->lent;
 }
--- a/egretscaled/accounts_io.c
+++ b/egretscaled/accounts_io.c
@@ -183,11 +183,10 @@
 	wire.loan = request->loan;
 	wire.sequence = request->sequence;
 	wire.account = entry->account;
-	/* What is held is rounded up and what is wanted down, so that the sum
+	/* What is held is rounded up and what is returned down, so that the sum
 	 * over all holders is never understated. */
-	wire.holds_rate_milli = (uint64_t)ceil(request->holds_rate * MILLI);
-	wire.holds_capacity_milli = (uint64_t)ceil(request->holds_capacity * MILLI);
-	wire.holds_tokens_milli = (uint64_t)ceil(request->holds_tokens * MILLI);
+	wire.holds_milli = (uint64_t)ceil(request->holds * MILLI);
+	wire.returns_milli = (uint64_t)(request->returns * MILLI);
 	wire.demand_milli = (uint64_t)(request->demand * MILLI);
 	wire.want = request->want;
 	wire.foreign = request->foreign;
@@ -301,14 +300,37 @@
 	}
 }
 
+static void renew_loans(account_entry_t *entry, usec_t now)
+{
+	const char *zone = borrower_renewal(entry->borrower, now);
+	node_t *node = entry->worker->node;
+	uint32_t partition = account_partition(entry->account);
+	keeper_place_t place = {.epoch = 0};
+
+	if (!zone)
+		return;
+	pthread_mutex_lock(&node->account_lock);
+	for (guint i = 0; i < node->accounts->zones->len; i++) {
+		const zone_keepers_t *keepers =
+			&g_array_index(node->accounts->zones, zone_keepers_t, i);
+		if (strcmp(keepers->zone, zone) == 0)
+			place = keepers->places[partition];
+	}
+	pthread_mutex_unlock(&node->account_lock);
+	if (place.epoch != 0)
+		ask(entry, zone, &place, 0);
+}
+
 admit_result_t accounts_io_admit(worker_t *worker, const char *account, admit_fn fn,
 				 void *ctx)
 {
 	account_entry_t *entry = entry_for(worker, account);
 	usec_t now = clock_boot_usec();
 
-	if (borrower_arrival(entry->borrower, now))
+	if (borrower_arrival(entry->borrower, now)) {
+		renew_loans(entry, now);
 		return ADMIT_GRANTED;
+	}
 	if (now < entry->short_until || entry->waiting_count >= WAITING_MAX)
 		return ADMIT_REFUSED;
 	waiting_t *waiting = g_new0(waiting_t, 1);
@@ -346,27 +368,6 @@
 	return entry ? borrower_pressure(entry->borrower) : 0;
 }
 
-static void renew_loans(account_entry_t *entry, usec_t now)
-{
-	const char *zone = borrower_renewal(entry->borrower, now);
-	node_t *node = entry->worker->node;
-	uint32_t partition = account_partition(entry->account);
-	keeper_place_t place = {.epoch = 0};
-
-	if (!zone)
-		return;
-	pthread_mutex_lock(&node->account_lock);
-	for (guint i = 0; i < node->accounts->zones->len; i++) {
-		const zone_keepers_t *keepers =
-			&g_array_index(node->accounts->zones, zone_keepers_t, i);
-		if (strcmp(keepers->zone, zone) == 0)
-			place = keepers->places[partition];
-	}
-	pthread_mutex_unlock(&node->account_lock);
-	if (place.epoch != 0)
-		ask(entry, zone, &place, 0);
-}
-
 void accounts_io_tick(worker_t *worker, usec_t now)
 {
 	GHashTableIter iter;
@@ -389,9 +390,8 @@
 	loan_request_t request = {
 		.loan = wire->loan,
 		.sequence = wire->sequence,
-		.holds_rate = (double)wire->holds_rate_milli / MILLI,
-		.holds_capacity = (double)wire->holds_capacity_milli / MILLI,
-		.holds_tokens = (double)wire->holds_tokens_milli / MILLI,
+		.holds = (double)wire->holds_milli / MILLI,
+		.returns = (double)wire->returns_milli / MILLI,
 		.demand = (double)wire->demand_milli / MILLI,
 		.want = wire->want,
 		.foreign = wire->foreign,
@@ -405,8 +405,6 @@
 	out.sequence = reply.sequence;
 	out.account = wire->account;
 	out.granted = reply.granted;
-	out.rate_milli = (uint64_t)(reply.rate * MILLI);
-	out.capacity_milli = (uint64_t)(reply.capacity * MILLI);
 	out.tokens_milli = (uint64_t)(reply.tokens * MILLI);
 	out.spends = reply.spends;
 	out.pressure_milli = (uint32_t)CLAMP(reply.pressure * MILLI, 0, G_MAXUINT32);
@@ -422,8 +420,6 @@
 		.loan = wire->loan,
 		.sequence = wire->sequence,
 		.granted = wire->granted,
-		.rate = (double)wire->rate_milli / MILLI,
-		.capacity = (double)wire->capacity_milli / MILLI,
 		.tokens = (double)wire->tokens_milli / MILLI,
 		.spends = wire->spends,
 		.pressure = (double)wire->pressure_milli / MILLI,
--- a/include/accounts/borrower.h
+++ b/include/accounts/borrower.h
@@ -45,7 +45,7 @@
 /* Takes a reply; returns how many waiting requests may go on at once. */
 uint32_t borrower_reply(borrower_t *borrower, const loan_reply_t *reply, usec_t now);
 
-/* The zone of a loan that should be renewed now, or NULL. */
+/* The zone of a loan that runs low or near its end, or NULL. */
 const char *borrower_renewal(const borrower_t *borrower, usec_t now);
 
 /* Nothing held and no demand. */
--- a/include/accounts/lender.h
+++ b/include/accounts/lender.h
@@ -8,11 +8,11 @@
  *	lender - a keeper's part of one account's bucket, and its loans
  *
  * DESCRIPTION
- *	A state machine without I/O. The sum of the pool's and all loans' rates
- *	never exceeds the rate given to lender_resize(), and the same holds for
- *	capacities, spends included. Loans are sized by the borrowers' demand;
- *	a part of the pool stays for requests that wait and for newcomers.
- *	Borrowers of other zones get only what the own zone does not need.
+ *	A state machine without I/O. The pool refills at the whole rate given to
+ *	lender_resize(). The pool's capacity and all that is lent, spends
+ *	included, never exceed the capacity given. Loans are sized by the
+ *	borrower's demand over LOAN_HORIZON. Borrowers of other zones get only
+ *	what the own zone does not need.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
@@ -36,7 +36,7 @@
 /* Nothing is lent and nobody has asked for a while. */
 bool lender_is_idle(lender_t *lender, usec_t now);
 
-/* For invariant checks: everything given out and kept. */
-void lender_totals(lender_t *lender, usec_t now, double *rate, double *capacity);
+/* For invariant checks: capacity of the pool and of all that is lent. */
+double lender_total_capacity(lender_t *lender, usec_t now);
 
 #endif
--- a/include/accounts/loan.h
+++ b/include/accounts/loan.h
@@ -11,15 +11,18 @@
  *	loan - what lenders and borrowers of account rates exchange
  *
  * DESCRIPTION
- *	A loan is a part (rate, capacity, tokens) of an account's bucket, held by
- *	an entry for LOAN_TERM. The borrower counts the term from when it asked,
- *	the lender from when it granted plus a margin, so the lender never takes
- *	back what the borrower may still use. A lapsed loan returns its rate and
- *	capacity but no tokens.
+ *	The rate of an account stays with the zones' keepers; what they lend to
+ *	entries are tokens, with the capacity that those tokens take up. A loan
+ *	lasts LOAN_TERM. The borrower counts the term from when it asked, the
+ *	lender from when it granted plus a margin, so the lender never takes back
+ *	what the borrower may still use. A lapsed loan returns its capacity but no
+ *	tokens; a borrower that has too much hands tokens back in its next
+ *	request, after it lowered its own holding.
  *
  *	A reply may also grant spends: tokens for requests that wait now. They
  *	are usable for SPEND_TERM from when the borrower asked; the lender keeps
- *	its capacity lowered by them for that long.
+ *	its capacity lowered by them for that long. Entries with little demand get
+ *	only spends.
  */
 
 #define LOAN_TERM (2 * USEC_PER_SEC)
@@ -30,21 +33,18 @@
 typedef struct loan_request {
 	uint64_t loan;
 	uint64_t sequence;
-	double holds_rate;
-	double holds_capacity;
-	double holds_tokens;
-	double demand; /* requests a second that the borrower sees */
-	uint32_t want; /* requests that wait for a token now */
-	bool foreign;  /* from another zone */
+	double holds;	/* tokens of the loan that are left */
+	double returns; /* tokens handed back with this request */
+	double demand;	/* requests a second that the borrower sees */
+	uint32_t want;	/* requests that wait for a token now */
+	bool foreign;	/* from another zone */
 } loan_request_t;
 
 typedef struct loan_reply {
 	uint64_t loan;
 	uint64_t sequence;
-	bool granted; /* false: the lender may not lend now */
-	double rate;	 /* what the borrower holds from now on */
-	double capacity;
-	double tokens;	/* added to what it has */
+	bool granted;  /* false: the lender may not lend now */
+	double tokens; /* added to the loan */
 	uint32_t spends;
 	double pressure; /* demand over rate */
 } loan_reply_t;
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -243,8 +243,7 @@
 
 
 /*
- * Amounts are in thousandths of a token (and of a token a second). The receiver
- * of a loan states what it holds; the reply gives what it holds from then on.
+ * Amounts are in thousandths of a token; see accounts/loan.h.
  */
 struct  Egret__LoanRequest
 {
@@ -252,16 +251,15 @@
   uint64_t loan;
   uint64_t sequence;
   char *account;
-  uint64_t holds_rate_milli;
-  uint64_t holds_capacity_milli;
-  uint64_t holds_tokens_milli;
+  uint64_t holds_milli;
+  uint64_t returns_milli;
   uint64_t demand_milli;
   uint32_t want;
   protobuf_c_boolean foreign;
 };
 #define EGRET__LOAN_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__loan_request__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Egret__LoanReply
@@ -271,16 +269,13 @@
   uint64_t sequence;
   char *account;
   protobuf_c_boolean granted;
-  uint64_t rate_milli;
-  uint64_t capacity_milli;
   uint64_t tokens_milli;
-  uint32_t term_ms;
   uint32_t spends;
   uint32_t pressure_milli;
 };
 #define EGRET__LOAN_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__loan_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -1885,7 +1885,7 @@
   (ProtobufCMessageInit) egret__fence_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__loan_request__field_descriptors[9] =
+static const ProtobufCFieldDescriptor egret__loan_request__field_descriptors[8] =
 {
   {
     "loan",
@@ -1924,36 +1924,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holds_rate_milli",
+    "holds_milli",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Egret__LoanRequest, holds_rate_milli),
+    offsetof(Egret__LoanRequest, holds_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holds_capacity_milli",
+    "returns_milli",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Egret__LoanRequest, holds_capacity_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "holds_tokens_milli",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Egret__LoanRequest, holds_tokens_milli),
+    offsetof(Egret__LoanRequest, returns_milli),
     NULL,
     NULL,
     0,             /* flags */
@@ -1961,7 +1949,7 @@
   },
   {
     "demand_milli",
-    7,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -1973,7 +1961,7 @@
   },
   {
     "want",
-    8,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1985,7 +1973,7 @@
   },
   {
     "foreign",
-    9,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -1998,19 +1986,18 @@
 };
 static const unsigned egret__loan_request__field_indices_by_name[] = {
   2,   /* field[2] = account */
-  6,   /* field[6] = demand_milli */
-  8,   /* field[8] = foreign */
-  4,   /* field[4] = holds_capacity_milli */
-  3,   /* field[3] = holds_rate_milli */
-  5,   /* field[5] = holds_tokens_milli */
+  5,   /* field[5] = demand_milli */
+  7,   /* field[7] = foreign */
+  3,   /* field[3] = holds_milli */
   0,   /* field[0] = loan */
+  4,   /* field[4] = returns_milli */
   1,   /* field[1] = sequence */
-  7,   /* field[7] = want */
+  6,   /* field[6] = want */
 };
 static const ProtobufCIntRange egret__loan_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor egret__loan_request__descriptor =
 {
@@ -2020,14 +2007,14 @@
   "Egret__LoanRequest",
   "egret",
   sizeof(Egret__LoanRequest),
-  9,
+  8,
   egret__loan_request__field_descriptors,
   egret__loan_request__field_indices_by_name,
   1,  egret__loan_request__number_ranges,
   (ProtobufCMessageInit) egret__loan_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__loan_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor egret__loan_reply__field_descriptors[7] =
 {
   {
     "loan",
@@ -2077,33 +2064,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "rate_milli",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Egret__LoanReply, rate_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "capacity_milli",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Egret__LoanReply, capacity_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "tokens_milli",
-    7,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -2113,21 +2076,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "term_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Egret__LoanReply, term_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "spends",
-    9,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2139,7 +2090,7 @@
   },
   {
     "pressure_milli",
-    10,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2152,20 +2103,17 @@
 };
 static const unsigned egret__loan_reply__field_indices_by_name[] = {
   2,   /* field[2] = account */
-  5,   /* field[5] = capacity_milli */
   3,   /* field[3] = granted */
   0,   /* field[0] = loan */
-  9,   /* field[9] = pressure_milli */
-  4,   /* field[4] = rate_milli */
+  6,   /* field[6] = pressure_milli */
   1,   /* field[1] = sequence */
-  8,   /* field[8] = spends */
-  7,   /* field[7] = term_ms */
-  6,   /* field[6] = tokens_milli */
+  5,   /* field[5] = spends */
+  4,   /* field[4] = tokens_milli */
 };
 static const ProtobufCIntRange egret__loan_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor egret__loan_reply__descriptor =
 {
@@ -2175,7 +2123,7 @@
   "Egret__LoanReply",
   "egret",
   sizeof(Egret__LoanReply),
-  10,
+  7,
   egret__loan_reply__field_descriptors,
   egret__loan_reply__field_indices_by_name,
   1,  egret__loan_reply__number_ranges,
