accounts: give up a lease that cannot lend; see takeovers in the tests

It does now after 3 s, and a keeper that may not lend for 12 s gives its lease up, so that a cut-off keeper does not block its zone.

--- a/accounts/lease.c
+++ b/accounts/lease.c
@@ -12,6 +12,9 @@
 			return LEASE_DO_TAKE;
 		return LEASE_DO_NOTHING;
 	case LEASE_HELD:
+		if (now > lease->renewed + 2 * LEASE_TERM &&
+		    now > lease->confirmed_until + LEASE_TERM)
+			return LEASE_DO_GIVE_UP;
 		if (!lease->committing && now - lease->sent >= LEASE_RENEW_PERIOD)
 			return LEASE_DO_RENEW;
 		return LEASE_DO_NOTHING;
--- a/egretscaled/leases_io.c
+++ b/egretscaled/leases_io.c
@@ -497,6 +497,11 @@
 		lease_reading(lease);
 	if (action == LEASE_DO_TAKE)
 		lease_sent(lease, now);
+	if (action == LEASE_DO_GIVE_UP) {
+		lease_superseded(lease);
+		keeper_drop_lenders(node->accounts->keeper, partition->index);
+		partition->io->changed = true;
+	}
 	lease_t copy = *lease;
 	pthread_mutex_unlock(&node->account_lock);
 	*due = action == LEASE_DO_RENEW;
--- a/tests/unit/world.c
+++ b/tests/unit/world.c
@@ -9,6 +9,7 @@
 #define ACCOUNT "a"
 #define TICK (50 * USEC_PER_MSEC)
 #define WAIT (60 * USEC_PER_MSEC)
+#define DETECTION (3 * USEC_PER_SEC)
 #define EPSILON 1e-6
 /* Share of look-ups that see the present keepers. */
 #define VIEW_REFRESH 0.02
@@ -20,6 +21,7 @@
 	uint32_t zone_index;
 	bool down;
 	bool off_platform; /* this node alone cannot reach the platform */
+	usec_t paused_from;
 	usec_t paused_until;
 	uint32_t life; /* messages of an earlier life are dropped */
 	keeper_t *keeper;
@@ -148,9 +150,17 @@
 	}
 }
 
+/* A process that is stopped for long counts as dead. */
+static bool seems_dead(const node_t *node)
+{
+	usec_t now = node->world->now;
+
+	return node->down || (now < node->paused_until && now - node->paused_from > DETECTION);
+}
+
 static bool reachable(const node_t *a, const node_t *b)
 {
-	return !b->down && !a->world->cut[a->zone_index][b->zone_index];
+	return !seems_dead(b) && !a->world->cut[a->zone_index][b->zone_index];
 }
 
 /* The live holder of a zone's newest epoch. */
@@ -435,7 +445,8 @@
 	if (newest_keeper(node, node->zone_index))
 		return false;
 	for (uint32_t i = 0; i < node->index; i++) {
-		if (world->nodes[i].zone_index == node->zone_index && !world->nodes[i].down)
+		if (world->nodes[i].zone_index == node->zone_index &&
+		    !seems_dead(&world->nodes[i]))
 			return false;
 	}
 	return true;
@@ -446,6 +457,8 @@
 	usec_t now = node->world->now;
 	lease_t *lease = keeper_lease(node->keeper, partition());
 
+	if (node->world->options.ignore_lease && lease->state == LEASE_HELD)
+		return;
 	switch (lease_next(lease, now, is_candidate(node))) {
 	case LEASE_DO_READ:
 		read_row(node);
@@ -456,6 +469,10 @@
 	case LEASE_DO_RENEW:
 		commit_row(node, lease->epoch);
 		break;
+	case LEASE_DO_GIVE_UP:
+		lease_superseded(lease);
+		keeper_drop_lenders(node->keeper, partition());
+		break;
 	default:
 		break;
 	}
@@ -533,6 +550,7 @@
 
 void world_pause(world_t *world, uint32_t index, usec_t span)
 {
+	world->nodes[index].paused_from = world->now;
 	world->nodes[index].paused_until = world->now + span;
 }
 
