--- a/admission/limit.c
+++ b/admission/limit.c
@@ -12,7 +12,7 @@
 #define COLD_GROWTH_PER_SUCCESS 0.25
 #define LATENCY_EWMA_WEIGHT 0.1
 /* The base latency rises slowly so that a changed workload is learnt. */
-#define BASE_RISE_PER_WINDOW 1.002
+#define BASE_RISE_PER_WINDOW 1.0005
 #define CLIFF_FACTOR 8.0
 #define CLIFF_LATENCY_MIN (20 * USEC_PER_MSEC)
 #define CLIFF_WINDOWS 2
@@ -141,6 +141,9 @@
 	} else if (limit->samples >= WINDOW_SAMPLES_MIN) {
 		cliff = !limit->cold && is_cliff(limit, average);
 		update_base(limit);
+		/* The first sign of overload ends the growth from the cold floor. */
+		if (average > LATENCY_TOLERANCE * (double)MAX(limit->base, LATENCY_FLOOR))
+			limit->cold = false;
 		if (cliff)
 			limit_reset(limit, now);
 		else if (!limit->cold && limit->algorithm == LIMIT_GRADIENT)
--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -85,9 +85,9 @@
 		return;
 	fprintf(target.history,
 		"{\"time\":%" G_GINT64_FORMAT ",\"event\":\"%s\",\"id\":\"%s\","
-		"\"service\":\"%s\",\"target\":\"%s\",\"running\":%d,\"bears\":%.1f}\n",
+		"\"service\":\"%s\",\"target\":\"%s\",\"running\":%d,\"bears\":%.1f,\"slots\":%d}\n",
 		clock_boot_usec(), event, job->id, target.args.service,
-		target.args.listen_text, target.running, target.bears);
+		target.args.listen_text, target.running, target.bears, target.args.slots);
 	fflush(target.history);
 }
 
--- /dev/null
+++ b/tests/unit/test_config.c
@@ -0,0 +1,293 @@
+/* Records, their checks, merging by revision, and look-ups. */
+#include "case.h"
+
+#include "config/config.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DIGEST "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+/* --- records ------------------------------------------------------------------- */
+
+typedef struct record_case {
+	const char *name;
+	const char *json;
+	const char *fault; /* the field at fault, NULL if valid */
+} record_case_t;
+
+static void note_fault(void *ctx, const char *field, const char *allowed)
+{
+	GPtrArray *faults = ctx;
+
+	assert_true(strlen(allowed) > 0);
+	g_ptr_array_add(faults, g_strdup(field));
+}
+
+static void test_record(void **state)
+{
+	const record_case_t *c = *state;
+	json_t *json = json_loads(c->json, 0, NULL);
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+
+	assert_non_null(json);
+	record_t *record = record_parse(json, note_fault, faults);
+	if (c->fault) {
+		assert_null(record);
+		assert_int_equal(faults->len, 1);
+		assert_string_equal(faults->pdata[0], c->fault);
+	} else {
+		assert_non_null(record);
+		assert_int_equal(faults->len, 0);
+	}
+	record_destroy(record);
+	g_ptr_array_free(faults, TRUE);
+	json_decref(json);
+}
+
+#define HEAD(kind) "{\"kind\":\"" kind "\",\"name\":\"n\",\"schema_version\":1,"
+
+static const record_case_t record_cases[] = {
+	{"account", HEAD("client_account") "\"rate\":10,\"burst\":5}", NULL},
+	{"account without rate", HEAD("client_account") "\"burst\":5}", "rate"},
+	{"account with a negative rate", HEAD("client_account") "\"rate\":-1,\"burst\":5}",
+	 "rate"},
+	{"account with burst 0", HEAD("client_account") "\"rate\":1,\"burst\":0}", "burst"},
+	{"account with a text rate", HEAD("client_account") "\"rate\":\"9\",\"burst\":1}",
+	 "rate"},
+	{"unknown field", HEAD("client_account") "\"rate\":1,\"burst\":1,\"x\":2}", "x"},
+	{"key", HEAD("key") "\"digest\":\"" DIGEST "\",\"account\":\"a\"}", NULL},
+	{"key with a short digest", HEAD("key") "\"digest\":\"ab\",\"account\":\"a\"}",
+	 "digest"},
+	{"key with a bad account",
+	 HEAD("key") "\"digest\":\"" DIGEST "\",\"account\":\"a b\"}", "account"},
+	{"route", HEAD("route") "\"prefix\":\"/p\",\"service\":\"s\",\"importance\":9}", NULL},
+	{"route without a slash",
+	 HEAD("route") "\"prefix\":\"p\",\"service\":\"s\",\"importance\":9}", "prefix"},
+	{"importance 10", HEAD("route") "\"prefix\":\"/\",\"service\":\"s\",\"importance\":10}",
+	 "importance"},
+	{"importance 1.5",
+	 HEAD("route") "\"prefix\":\"/\",\"service\":\"s\",\"importance\":1.5}", "importance"},
+	{"lower-case method",
+	 HEAD("route") "\"prefix\":\"/\",\"service\":\"s\",\"importance\":1,"
+		       "\"methods\":[\"get\"]}",
+	 "methods"},
+	{"timeout 0",
+	 HEAD("route") "\"prefix\":\"/\",\"service\":\"s\",\"importance\":1,\"timeout_ms\":0}",
+	 "timeout_ms"},
+	{"zone out", HEAD("availability_zone") "\"status\":\"out\"}", NULL},
+	{"zone sideways", HEAD("availability_zone") "\"status\":\"side\"}", "status"},
+	{"service", HEAD("service") "\"cold_slots\":3,\"retry_ratio\":0.5}", NULL},
+	{"retry ratio 2", HEAD("service") "\"retry_ratio\":2}", "retry_ratio"},
+	{"unknown kind", HEAD("vm") "\"a\":1}", "kind"},
+	{"not an object", "[1]", ""},
+	{"bad name", "{\"kind\":\"service\",\"name\":\"a/b\",\"schema_version\":1}", "name"},
+	{"no version", "{\"kind\":\"service\",\"name\":\"a\"}", "schema_version"},
+	{"a newer version is kept unread",
+	 "{\"kind\":\"service\",\"name\":\"a\",\"schema_version\":9,\"z\":1}", NULL},
+};
+
+/* --- merging: any order, loss and repetition end the same, and never go back ------ */
+
+typedef struct merge_case {
+	const char *name;
+	guint32 seeds;
+	size_t page;
+} merge_case_t;
+
+#define ROWS 12
+#define CHANGES 60
+
+static char *account_value(int rate)
+{
+	return g_strdup_printf("{\"kind\":\"client_account\",\"name\":\"n\","
+			       "\"schema_version\":1,\"rate\":%d,\"burst\":1}",
+			       rate);
+}
+
+/* One log that sees every change in order. */
+static config_log_t *make_source(GRand *rand)
+{
+	config_log_t *log = config_log_create();
+
+	for (int revision = 1; revision <= CHANGES; revision++) {
+		char *key = g_strdup_printf("record/client_account/n%d@1",
+					    g_rand_int_range(rand, 0, ROWS));
+		char *value = g_rand_double(rand) < 0.2 ? NULL : account_value(revision);
+		config_log_merge(log, key, (uint64_t)revision, value);
+		config_log_advance(log, (uint64_t)revision);
+		g_free(key);
+		g_free(value);
+	}
+	return log;
+}
+
+static void pull(config_log_t *to, const config_log_t *from, size_t page)
+{
+	GPtrArray *rows = g_ptr_array_new();
+	uint64_t before = config_log_revision(to);
+	uint64_t complete = config_log_changes(from, before, page, rows);
+
+	for (guint i = 0; i < rows->len; i++) {
+		const config_row_t *row = rows->pdata[i];
+		config_log_merge(to, row->key, row->revision, row->value);
+	}
+	config_log_advance(to, complete);
+	assert_true(config_log_revision(to) >= before);
+	g_ptr_array_free(rows, TRUE);
+}
+
+static void assert_same(const config_log_t *a, const config_log_t *b)
+{
+	GPtrArray *left = g_ptr_array_new();
+	GPtrArray *right = g_ptr_array_new();
+
+	config_log_changes(a, 0, G_MAXSIZE, left);
+	config_log_changes(b, 0, G_MAXSIZE, right);
+	assert_int_equal(left->len, right->len);
+	for (guint i = 0; i < left->len; i++) {
+		const config_row_t *x = left->pdata[i];
+		const config_row_t *y = right->pdata[i];
+		assert_string_equal(x->key, y->key);
+		assert_int_equal(x->revision, y->revision);
+		assert_int_equal(g_strcmp0(x->value, y->value), 0);
+	}
+	g_ptr_array_free(left, TRUE);
+	g_ptr_array_free(right, TRUE);
+}
+
+static void test_merge(void **state)
+{
+	const merge_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= c->seeds; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		config_log_t *logs[4] = {make_source(rand), config_log_create(),
+					 config_log_create(), config_log_create()};
+		for (int i = 0; i < 400; i++) {
+			int to = g_rand_int_range(rand, 1, 4);
+			int from = g_rand_int_range(rand, 0, 4);
+			if (to != from)
+				pull(logs[to], logs[from], c->page);
+		}
+		for (int i = 1; i < 4; i++)
+			assert_same(logs[0], logs[i]);
+		for (int i = 0; i < 4; i++)
+			config_log_destroy(logs[i]);
+		g_rand_free(rand);
+	}
+}
+
+static const merge_case_t merge_cases[] = {
+	{"random pulls in pages of one row", 20, 1},
+	{"random pulls in larger pages", 20, 400},
+	{"random pulls without pages", 20, G_MAXSIZE},
+};
+
+/* --- look-ups ---------------------------------------------------------------------- */
+
+typedef struct route_case {
+	const char *name;
+	const char *method;
+	const char *path;
+	const char *route; /* NULL for none */
+} route_case_t;
+
+static void add(config_log_t *log, uint64_t revision, const char *key, const char *value)
+{
+	config_log_merge(log, key, revision, value);
+	config_log_advance(log, revision);
+}
+
+static config_log_t *route_log(void)
+{
+	config_log_t *log = config_log_create();
+
+	add(log, 1, "record/route/all@1",
+	    "{\"kind\":\"route\",\"name\":\"all\",\"schema_version\":1,\"prefix\":\"/a\","
+	    "\"service\":\"s\",\"importance\":1}");
+	add(log, 2, "record/route/deep@1",
+	    "{\"kind\":\"route\",\"name\":\"deep\",\"schema_version\":1,\"prefix\":\"/a/b\","
+	    "\"methods\":[\"POST\"],\"service\":\"s\",\"importance\":1}");
+	add(log, 3, "record/route/slash@1",
+	    "{\"kind\":\"route\",\"name\":\"slash\",\"schema_version\":1,\"prefix\":\"/c/\","
+	    "\"service\":\"s\",\"importance\":1}");
+	return log;
+}
+
+static void test_route(void **state)
+{
+	const route_case_t *c = *state;
+	config_log_t *log = route_log();
+	config_t *config = config_build(log);
+	const record_t *record = config_route(config, c->method, c->path);
+
+	if (c->route)
+		assert_string_equal(record->name, c->route);
+	else
+		assert_null(record);
+	config_unref(config);
+	config_log_destroy(log);
+}
+
+static const route_case_t route_cases[] = {
+	{"the prefix itself", "GET", "/a", "all"},
+	{"below the prefix", "GET", "/a/x", "all"},
+	{"with a query", "GET", "/a?q=1", "all"},
+	{"not at a path boundary", "GET", "/ab", NULL},
+	{"the longest prefix", "POST", "/a/b/c", "deep"},
+	{"a method that the longest does not take", "GET", "/a/b/c", "all"},
+	{"a prefix that ends in a slash", "GET", "/c/d", "slash"},
+	{"no route", "GET", "/z", NULL},
+};
+
+/* --- schema versions side by side ------------------------------------------------------ */
+
+typedef struct version_case {
+	const char *name;
+	const char *rows[4]; /* "VERSION RATE", or "VERSION -" for a tombstone */
+	double rate;	     /* in force; 0 for none */
+} version_case_t;
+
+static void test_versions(void **state)
+{
+	const version_case_t *c = *state;
+	config_log_t *log = config_log_create();
+
+	for (int i = 0; i < 4 && c->rows[i]; i++) {
+		int version = c->rows[i][0] - '0';
+		char *key = g_strdup_printf("record/client_account/n@%d", version);
+		char *value = g_strdup_printf(
+			"{\"kind\":\"client_account\",\"name\":\"n\","
+			"\"schema_version\":%d,\"rate\":%s,\"burst\":1}",
+			version, c->rows[i] + 2);
+		add(log, (uint64_t)i + 1, key, c->rows[i][2] == '-' ? NULL : value);
+		g_free(key);
+		g_free(value);
+	}
+	config_t *config = config_build(log);
+	const client_account_t *account = config_client_account(config, "n");
+	assert_true(c->rate > 0 ? account && account->rate == c->rate : !account);
+	config_unref(config);
+	config_log_destroy(log);
+}
+
+static const version_case_t version_cases[] = {
+	{"one version", {"1 5"}, 5},
+	{"a newer version is kept and the understood one in force", {"1 5", "9 7"}, 5},
+	{"only a version that is not understood", {"9 7"}, 0},
+	{"an update", {"1 5", "1 6"}, 6},
+	{"retired", {"1 5", "1 -"}, 0},
+	{"retired and created again", {"1 5", "1 -", "1 8"}, 8},
+};
+
+int main(void)
+{
+	int failed = RUN_CASES("records", record_cases, test_record);
+
+	failed += RUN_CASES("config_merge", merge_cases, test_merge);
+	failed += RUN_CASES("routes", route_cases, test_route);
+	failed += RUN_CASES("schema_versions", version_cases, test_versions);
+	return failed;
+}
--- /dev/null
+++ b/tests/unit/test_membership.c
@@ -0,0 +1,351 @@
+/* Directory and gossip in virtual time, under loss, cuts, crashes and restarts. */
+#include "case.h"
+
+#include "membership/gossip.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define START (1000 * USEC_PER_SEC)
+#define NODES_MAX 40
+
+typedef struct net net_t;
+
+typedef struct peer {
+	net_t *net;
+	int index;
+	gossip_t *gossip;
+	uint64_t revision;
+	uint64_t highest; /* seen by its own configuration, to check monotony */
+	bool down;
+	int group; /* peers of different groups cannot talk */
+} peer_t;
+
+typedef struct packet {
+	usec_t due;
+	int to;
+	uint8_t *data;
+	size_t len;
+} packet_t;
+
+struct net {
+	peer_t peers[NODES_MAX];
+	int count;
+	double loss;
+	usec_t now;
+	GRand *rand;
+	GQueue packets; /* of packet_t, by due time */
+	uint64_t bytes;
+};
+
+static int compare_due(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	usec_t left = ((const packet_t *)a)->due;
+	usec_t right = ((const packet_t *)b)->due;
+
+	return (left > right) - (left < right);
+}
+
+static int index_of(const char *address)
+{
+	return (int)strtol(strchr(address, ':') + 1, NULL, 10) - 1000;
+}
+
+static void send_packet(void *ctx, const char *address, const Egret__Gossip *message)
+{
+	peer_t *from = ctx;
+	net_t *net = from->net;
+	peer_t *to = &net->peers[index_of(address)];
+	size_t len = egret__gossip__get_packed_size(message);
+
+	assert_true(len + DATAGRAM_TAG_BYTES <= GOSSIP_DATAGRAM_BYTES);
+	net->bytes += len;
+	if (to->down || from->group != to->group || g_rand_double(net->rand) < net->loss)
+		return;
+	packet_t *packet = g_new0(packet_t, 1);
+	packet->due = net->now + 500 + (usec_t)(g_rand_double(net->rand) * 3000);
+	packet->to = to->index;
+	packet->data = g_malloc(len);
+	packet->len = len;
+	egret__gossip__pack(message, packet->data);
+	g_queue_insert_sorted(&net->packets, packet, compare_due, NULL);
+}
+
+static uint64_t revision_of(void *ctx)
+{
+	return ((peer_t *)ctx)->revision;
+}
+
+/* The test's pull: takes the sender's revision at once. */
+static void take_revision(void *ctx, const char *address, uint64_t revision)
+{
+	peer_t *peer = ctx;
+
+	(void)address;
+	assert_true(revision > peer->revision);
+	peer->revision = revision;
+	peer->highest = MAX(peer->highest, revision);
+	gossip_push(peer->gossip, peer->net->now);
+}
+
+static void ignore_member(void *ctx, const member_t *member)
+{
+	(void)ctx;
+	(void)member;
+}
+
+static void ignore_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash, uint32_t age)
+{
+	(void)ctx;
+	(void)fingerprint;
+	(void)crash;
+	(void)age;
+}
+
+static const gossip_ops_t ops = {send_packet, revision_of, take_revision, ignore_member,
+				 ignore_suspicion};
+
+static void start_peer(net_t *net, int i, uint64_t generation)
+{
+	peer_t *peer = &net->peers[i];
+	member_t self = {.node_id = generation * 100 + (uint64_t)i, .generation = generation,
+			 .ready = true, .target = EGRET__TARGET_STATE__TARGET_UP};
+	const char *seeds[] = {"127.0.0.1:1000", "127.0.0.1:1001", NULL};
+
+	peer->net = net;
+	peer->index = i;
+	peer->down = false;
+	g_snprintf(self.address, sizeof(self.address), "127.0.0.1:%d", 1000 + i);
+	g_strlcpy(self.zone, i % 2 ? "a" : "b", sizeof(self.zone));
+	g_strlcpy(self.service, "s", sizeof(self.service));
+	peer->gossip = gossip_create(&self, seeds, &ops, peer,
+				     (uint64_t)g_rand_int(net->rand) + 1);
+}
+
+static void stop_peer(net_t *net, int i)
+{
+	net->peers[i].down = true;
+	g_clear_pointer(&net->peers[i].gossip, gossip_destroy);
+}
+
+static void deliver_due(net_t *net)
+{
+	packet_t *packet;
+
+	while ((packet = g_queue_peek_head(&net->packets)) && packet->due <= net->now) {
+		g_queue_pop_head(&net->packets);
+		peer_t *to = &net->peers[packet->to];
+		Egret__Gossip *message =
+			egret__gossip__unpack(NULL, packet->len, packet->data);
+		if (!to->down)
+			gossip_receive(to->gossip, net->now, message);
+		egret__gossip__free_unpacked(message, NULL);
+		g_free(packet->data);
+		g_free(packet);
+	}
+}
+
+static void run(net_t *net, usec_t span)
+{
+	for (usec_t end = net->now + span; net->now < end; net->now += USEC_PER_MSEC) {
+		deliver_due(net);
+		if (net->now % GOSSIP_TICK)
+			continue;
+		for (int i = 0; i < net->count; i++) {
+			if (!net->peers[i].down)
+				gossip_tick(net->peers[i].gossip, net->now);
+		}
+	}
+}
+
+static net_t *create_net(int count, double loss, guint32 seed)
+{
+	net_t *net = g_new0(net_t, 1);
+
+	net->count = count;
+	net->loss = loss;
+	net->now = START;
+	net->rand = g_rand_new_with_seed(seed);
+	g_queue_init(&net->packets);
+	for (int i = 0; i < count; i++)
+		start_peer(net, i, 1);
+	return net;
+}
+
+static void destroy_net(net_t *net)
+{
+	packet_t *packet;
+
+	for (int i = 0; i < net->count; i++)
+		stop_peer(net, i);
+	while ((packet = g_queue_pop_head(&net->packets))) {
+		g_free(packet->data);
+		g_free(packet);
+	}
+	g_rand_free(net->rand);
+	g_free(net);
+}
+
+static int state_at(net_t *net, int viewer, int subject)
+{
+	char address[ADDRESS_TEXT_BYTES];
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", 1000 + subject);
+	const member_t *member =
+		directory_lookup(gossip_directory(net->peers[viewer].gossip), address);
+	return member ? (int)member->state : -1;
+}
+
+/* Number of live peers that see the subject in this state. */
+static int viewers(net_t *net, int subject, int state)
+{
+	int count = 0;
+
+	for (int i = 0; i < net->count; i++)
+		count += !net->peers[i].down && i != subject &&
+			 state_at(net, i, subject) == state;
+	return count;
+}
+
+typedef struct net_case {
+	const char *name;
+	int count;
+	double loss;
+	guint32 seeds;
+} net_case_t;
+
+#define ALIVE EGRET__MEMBER_STATE__MEMBER_ALIVE
+#define DEAD EGRET__MEMBER_STATE__MEMBER_DEAD
+#define LEFT EGRET__MEMBER_STATE__MEMBER_LEFT
+
+static void test_join_crash_restart(void **state)
+{
+	const net_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= c->seeds; seed++) {
+		net_t *net = create_net(c->count, c->loss, seed);
+		int last = c->count - 1;
+		run(net, 15 * USEC_PER_SEC);
+		assert_int_equal(viewers(net, last, ALIVE), c->count - 1);
+		stop_peer(net, last);
+		run(net, 30 * USEC_PER_SEC);
+		assert_int_equal(viewers(net, last, DEAD), c->count - 1);
+		start_peer(net, last, 2);
+		run(net, 15 * USEC_PER_SEC);
+		assert_int_equal(viewers(net, last, ALIVE), c->count - 1);
+		destroy_net(net);
+	}
+}
+
+/* A leaving target and a new configuration are known within 3 s. */
+static void test_news_in_time(void **state)
+{
+	const net_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= c->seeds; seed++) {
+		net_t *net = create_net(c->count, c->loss, seed);
+		run(net, 15 * USEC_PER_SEC);
+		peer_t *first = &net->peers[3];
+		member_t fields = *directory_self(gossip_directory(first->gossip));
+		fields.state = LEFT;
+		gossip_update_self(first->gossip, net->now, &fields);
+		net->peers[2].revision = 7;
+		gossip_push(net->peers[2].gossip, net->now);
+		run(net, 3 * USEC_PER_SEC);
+		assert_int_equal(viewers(net, 3, LEFT), c->count - 1);
+		for (int i = 0; i < c->count; i++)
+			assert_int_equal(net->peers[i].revision, 7);
+		destroy_net(net);
+	}
+}
+
+static void test_partition_heals(void **state)
+{
+	const net_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= c->seeds; seed++) {
+		net_t *net = create_net(c->count, c->loss, seed);
+		run(net, 15 * USEC_PER_SEC);
+		for (int i = 0; i < c->count; i++)
+			net->peers[i].group = i % 2;
+		run(net, 60 * USEC_PER_SEC);
+		assert_int_equal(state_at(net, 0, 1), DEAD);
+		assert_int_equal(state_at(net, 0, 2), ALIVE);
+		for (int i = 0; i < c->count; i++)
+			net->peers[i].group = 0;
+		run(net, 30 * USEC_PER_SEC);
+		for (int i = 0; i < c->count; i++)
+			assert_int_equal(viewers(net, i, ALIVE), c->count - 1);
+		destroy_net(net);
+	}
+}
+
+static const net_case_t join_cases[] = {
+	{"12 peers, no loss", 12, 0, 5},
+	{"12 peers, 10% loss", 12, 0.1, 5},
+	{"40 peers, 2% loss", 40, 0.02, 2},
+};
+static const net_case_t news_cases[] = {
+	{"12 peers, no loss: known within 3 s", 12, 0, 5},
+	{"40 peers, 5% loss: known within 3 s", 40, 0.05, 3},
+};
+static const net_case_t heal_cases[] = {
+	{"12 peers heal", 12, 0, 3},
+	{"16 peers heal with 5% loss", 16, 0.05, 3},
+};
+
+/* --- merging: any order gives the same entry ------------------------------------ */
+
+typedef struct merge_case {
+	const char *name;
+	guint32 seeds;
+} merge_case_t;
+
+static void test_merge_order(void **state)
+{
+	const merge_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= c->seeds; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		member_t self = {.generation = 1, .address = "127.0.0.1:1"};
+		directory_t *directory = directory_create(&self);
+		member_t newest = {.generation = 0};
+		for (int i = 0; i < 100; i++) {
+			member_t member = {
+				.address = "127.0.0.1:2",
+				.generation = (uint64_t)g_rand_int_range(rand, 1, 4),
+				.incarnation = (uint64_t)g_rand_int_range(rand, 1, 5),
+				.state = (Egret__MemberState)g_rand_int_range(rand, 0, 4),
+			};
+			uint64_t order = member.generation << 32 | member.incarnation << 8 |
+					 member.state;
+			uint64_t best = newest.generation << 32 | newest.incarnation << 8 |
+					newest.state;
+			bool fresh = order > best;
+			assert_int_equal(directory_merge(directory, &member, START + i) ==
+						 DIRECTORY_CHANGED,
+					 fresh);
+			if (fresh)
+				newest = member;
+		}
+		const member_t *known = directory_lookup(directory, "127.0.0.1:2");
+		assert_int_equal(known->generation, newest.generation);
+		assert_int_equal(known->incarnation, newest.incarnation);
+		assert_int_equal(known->state, newest.state);
+		directory_destroy(directory);
+		g_rand_free(rand);
+	}
+}
+
+static const merge_case_t merge_cases[] = {{"random orders never take an entry back", 50}};
+
+int main(void)
+{
+	int failed = RUN_CASES("join_crash_restart", join_cases, test_join_crash_restart);
+
+	failed += RUN_CASES("news_in_time", news_cases, test_news_in_time);
+	failed += RUN_CASES("partition_heals", heal_cases, test_partition_heals);
+	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
+	return failed;
+}
--- /dev/null
+++ b/tests/unit/test_routing.c
@@ -0,0 +1,310 @@
+/* Router, backpressure and retries in virtual time. */
+#include "case.h"
+
+#include "retry/retry.h"
+#include "routing/backpressure.h"
+#include "routing/router.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define START (1000 * USEC_PER_SEC)
+#define SERVICE "s"
+
+static member_t make_member(int i, const char *zone, Egret__TargetState target)
+{
+	member_t member = {.node_id = (uint64_t)i + 1, .slots = 10, .cold_slots = 10,
+			   .target = target, .ready = true};
+
+	g_snprintf(member.address, sizeof(member.address), "127.0.0.1:%d", 1000 + i);
+	g_strlcpy(member.zone, zone, sizeof(member.zone));
+	g_strlcpy(member.service, SERVICE, sizeof(member.service));
+	return member;
+}
+
+/* --- choice ---------------------------------------------------------------- */
+
+typedef struct instance_row {
+	const char *zone; /* NULL ends the list */
+	Egret__TargetState target;
+	Egret__MemberState state;
+	uint32_t inflight; /* reported, of a limit of 10 */
+	priority_t level;
+	int failures;
+} instance_row_t;
+
+typedef struct pick_case {
+	const char *name;
+	instance_row_t instances[6];
+	const char *zone_out;
+	uint32_t importance;
+	bool allowed[6]; /* which may be chosen */
+	router_why_t why;
+} pick_case_t;
+
+#define UP EGRET__TARGET_STATE__TARGET_UP
+#define DRAINING EGRET__TARGET_STATE__TARGET_DRAINING
+#define ALIVE EGRET__MEMBER_STATE__MEMBER_ALIVE
+#define DEAD EGRET__MEMBER_STATE__MEMBER_DEAD
+#define LEFT EGRET__MEMBER_STATE__MEMBER_LEFT
+#define ALL PRIORITY_LEVEL_ALL
+
+static router_t *build_router(const pick_case_t *c)
+{
+	router_t *router = router_create("a", 7);
+
+	if (c->zone_out)
+		router_set_zone(router, c->zone_out, false, START);
+	for (int i = 0; c->instances[i].zone; i++) {
+		member_t member = make_member(i, c->instances[i].zone, UP);
+		router_update(router, &member, START);
+	}
+	for (int i = 0; c->instances[i].zone; i++) {
+		const instance_row_t *row = &c->instances[i];
+		member_t member = make_member(i, row->zone, UP);
+		router_report_t report = {.level = row->level, .limit = 10,
+					  .inflight = row->inflight};
+		for (int f = 0; f < row->failures; f++)
+			router_done(router, member.address, ROUTER_FAILED, NULL, START);
+		router_done(router, member.address, ROUTER_REFUSED, &report, START);
+		member.target = row->target;
+		member.state = row->state;
+		router_update(router, &member, START);
+	}
+	return router;
+}
+
+static void test_pick(void **state)
+{
+	const pick_case_t *c = *state;
+	router_t *router = build_router(c);
+	router_request_t request = {.service = SERVICE,
+				    .priority = priority_make(c->importance, 100)};
+
+	for (int i = 0; i < 200; i++) {
+		router_choice_t choice;
+		router_pick(router, &request, START, &choice);
+		assert_int_equal(choice.why, c->why);
+		if (!choice.address[0])
+			continue;
+		int chosen = (int)strtol(strchr(choice.address, ':') + 1, NULL, 10) - 1000;
+		assert_true(c->allowed[chosen]);
+		router_done(router, choice.address, ROUTER_REFUSED, NULL, START);
+	}
+	router_destroy(router);
+}
+
+static const pick_case_t pick_cases[] = {
+	{"own zone first",
+	 {{"a", UP, ALIVE, 5, ALL, 0}, {"b", UP, ALIVE, 0, ALL, 0}},
+	 NULL, 5, {true, false}, ROUTER_OWN_ZONE},
+	{"a saturated own zone spills",
+	 {{"a", UP, ALIVE, 15, ALL, 0}, {"b", UP, ALIVE, 2, ALL, 0}},
+	 NULL, 5, {false, true}, ROUTER_SPILL},
+	{"other zones are not swamped",
+	 {{"a", UP, ALIVE, 15, ALL, 0}, {"b", UP, ALIVE, 9, ALL, 0}},
+	 NULL, 5, {true, false}, ROUTER_OWN_ZONE},
+	{"a zone that is out gets nothing",
+	 {{"a", UP, ALIVE, 0, ALL, 0}, {"b", UP, ALIVE, 9, ALL, 0}},
+	 "a", 5, {false, true}, ROUTER_SPILL},
+	{"nothing is left when every zone is out",
+	 {{"a", UP, ALIVE, 0, ALL, 0}},
+	 "a", 5, {false}, ROUTER_NO_INSTANCE},
+	{"draining and left instances get nothing",
+	 {{"a", DRAINING, ALIVE, 0, ALL, 0}, {"a", UP, LEFT, 0, ALL, 0},
+	  {"a", UP, DEAD, 0, ALL, 0}, {"a", UP, ALIVE, 9, ALL, 0}},
+	 NULL, 5, {false, false, false, true}, ROUTER_OWN_ZONE},
+	{"a level that refuses the priority is passed over",
+	 {{"a", UP, ALIVE, 0, 5u << 16, 0}, {"a", UP, ALIVE, 9, ALL, 0}},
+	 NULL, 3, {false, true}, ROUTER_OWN_ZONE},
+	{"shed when every level refuses the priority",
+	 {{"a", UP, ALIVE, 0, 5u << 16, 0}, {"b", UP, ALIVE, 0, 5u << 16, 0}},
+	 NULL, 3, {false, false}, ROUTER_SHED},
+	{"important calls pass the same level",
+	 {{"a", UP, ALIVE, 0, 5u << 16, 0}, {"b", UP, ALIVE, 0, 5u << 16, 0}},
+	 NULL, 9, {true, false}, ROUTER_OWN_ZONE},
+	{"a failing instance is ejected",
+	 {{"a", UP, ALIVE, 0, ALL, 5}, {"a", UP, ALIVE, 9, ALL, 0},
+	  {"a", UP, ALIVE, 9, ALL, 0}},
+	 NULL, 5, {false, true, true}, ROUTER_OWN_ZONE},
+	{"at most half of a service is ejected",
+	 {{"a", UP, ALIVE, 0, ALL, 5}, {"a", UP, ALIVE, 0, ALL, 5}},
+	 NULL, 5, {false, true}, ROUTER_OWN_ZONE},
+};
+
+/* --- ramp and report age ---------------------------------------------------- */
+
+typedef struct ramp_case {
+	const char *name;
+	usec_t since; /* after the zone came back */
+	uint32_t low, high; /* calls of 1000 to the own, returned zone */
+} ramp_case_t;
+
+static void test_ramp(void **state)
+{
+	const ramp_case_t *c = *state;
+	router_t *router = router_create("a", 3);
+	router_request_t request = {.service = SERVICE};
+	usec_t now = START;
+	uint32_t own = 0;
+
+	for (int i = 0; i < 4; i++) {
+		member_t member = make_member(i, i % 2 ? "b" : "a", UP);
+		router_update(router, &member, now);
+	}
+	router_set_zone(router, "a", false, now);
+	now += 60 * USEC_PER_SEC;
+	router_set_zone(router, "a", true, now);
+	now += c->since;
+	for (int i = 0; i < 1000; i++) {
+		router_choice_t choice;
+		router_report_t report = {.level = ALL, .limit = 10, .inflight = 4};
+		router_pick(router, &request, now, &choice);
+		own += choice.zone[0] == 'a';
+		router_done(router, choice.address, ROUTER_ANSWERED, &report, now);
+	}
+	assert_in_range(own, c->low, c->high);
+	router_destroy(router);
+}
+
+static const ramp_case_t ramp_cases[] = {
+	{"a zone just back takes little", 0, 0, 100},
+	{"a zone back for long takes all of its own", ROUTER_ZONE_RAMP, 1000, 1000},
+};
+
+typedef struct age_case {
+	const char *name;
+	usec_t age;
+	bool admitted;
+} age_case_t;
+
+static void test_report_age(void **state)
+{
+	const age_case_t *c = *state;
+	router_t *router = router_create("a", 3);
+	backpressure_t *below = backpressure_create();
+	member_t member = make_member(0, "a", UP);
+	router_report_t report = {.level = 2u << 16, .limit = 10};
+	router_request_t request = {.service = SERVICE, .priority = priority_make(3, 0)};
+	router_choice_t choice;
+
+	router_update(router, &member, START);
+	router_done(router, member.address, ROUTER_REFUSED, &report, START);
+	for (int i = 0; i < 50; i++)
+		backpressure_note(below, "r", 2u << 16, START);
+	router_pick(router, &request, START + c->age, &choice);
+	assert_int_equal(choice.why != ROUTER_SHED, c->admitted);
+	priority_t level = backpressure_level(below, "r", START + c->age);
+	assert_int_equal(request.priority < level, c->admitted);
+	assert_int_equal(backpressure_level(below, "other", START), ALL);
+	backpressure_destroy(below);
+	router_destroy(router);
+}
+
+static const age_case_t age_cases[] = {
+	{"a fresh level is obeyed", 0, false},
+	{"a level is forgotten within a second", ROUTER_REPORT_LIFE, true},
+};
+
+/* --- retries ----------------------------------------------------------------- */
+
+typedef struct chain_case {
+	const char *name;
+	uint32_t retries;
+	uint32_t depth;
+	uint32_t fan_out;
+	double failures; /* share of calls that fail */
+	double lost;	 /* share of answers that are lost */
+} chain_case_t;
+
+typedef struct chain {
+	const chain_case_t *c;
+	GRand *rand;
+	uint32_t repeats;
+	uint32_t calls;
+} chain_t;
+
+#define CHAIN_CALLS_MAX 200000
+
+/* One call at a depth: returns the retries it gives back. */
+static uint32_t run_call(chain_t *chain, uint32_t depth, uint32_t lent, bool *ok)
+{
+	const chain_case_t *c = chain->c;
+	retry_count_t count = {lent};
+
+	*ok = g_rand_double(chain->rand) >= c->failures;
+	if (++chain->calls > CHAIN_CALLS_MAX)
+		return 0;
+	for (uint32_t i = 0; depth < c->depth && i < c->fan_out && *ok; i++) {
+		bool child_ok;
+		do {
+			uint32_t part = retry_lend(&count);
+			uint32_t back = run_call(chain, depth + 1, part, &child_ok);
+			if (g_rand_double(chain->rand) >= c->lost)
+				retry_return(&count, part, back);
+			if (child_ok)
+				break;
+			if (!retry_take(&count)) {
+				*ok = false;
+				break;
+			}
+			chain->repeats++;
+		} while (true);
+	}
+	return count.left;
+}
+
+static void test_chain(void **state)
+{
+	const chain_case_t *c = *state;
+
+	for (guint32 seed = 1; seed <= 200; seed++) {
+		chain_t chain = {.c = c, .rand = g_rand_new_with_seed(seed)};
+		bool ok;
+		uint32_t back = run_call(&chain, 0, c->retries, &ok);
+		assert_true(chain.repeats + back <= c->retries);
+		g_rand_free(chain.rand);
+	}
+}
+
+static const chain_case_t chain_cases[] = {
+	{"depth 29, one child", 3, 29, 1, 0.2, 0},
+	{"depth 29, one child, answers lost", 10, 29, 1, 0.3, 0.2},
+	{"depth 8, fan-out 3", 5, 8, 3, 0.05, 0.05},
+	{"depth 29, fan-out 2, most calls fail", 10, 29, 2, 0.7, 0},
+};
+
+typedef struct ratio_case {
+	const char *name;
+	double ratio;
+	int calls, low, high;
+} ratio_case_t;
+
+static void test_ratio(void **state)
+{
+	const ratio_case_t *c = *state;
+	retry_ratio_t ratio = {0};
+	int retries = 0;
+
+	for (int i = 0; i < c->calls; i++) {
+		retry_ratio_call(&ratio, c->ratio);
+		retries += retry_ratio_take(&ratio);
+	}
+	assert_in_range(retries, c->low, c->high);
+}
+
+static const ratio_case_t ratio_cases[] = {
+	{"a tenth of the calls", 0.1, 1000, 90, 100},
+	{"none", 0, 1000, 0, 0},
+};
+
+int main(void)
+{
+	int failed = RUN_CASES("router", pick_cases, test_pick);
+
+	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
+	failed += RUN_CASES("report_age", age_cases, test_report_age);
+	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
+	failed += RUN_CASES("retry_ratio", ratio_cases, test_ratio);
+	return failed;
+}
