--- a/accounts/borrower.c
+++ b/accounts/borrower.c
@@ -53,8 +53,8 @@
 
 static void count_demand(borrower_t *borrower, usec_t now)
 {
-	borrower->demand = borrower_demand(borrower, now) +
-			   USEC_PER_SEC / DEMAND_TIME_CONSTANT;
+	borrower->demand =
+		borrower_demand(borrower, now) + USEC_PER_SEC / DEMAND_TIME_CONSTANT;
 	borrower->demand_updated = now;
 }
 
@@ -94,8 +94,8 @@
 
 		if (loan->id && strcmp(loan->zone, zone) == 0)
 			return loan;
-		bool pending = loan->outstanding &&
-			       now - loan->asked < BORROWER_REPLY_TIMEOUT;
+		bool pending =
+			loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT;
 		if (!place && (!loan->id || (now >= loan->expires && !pending)))
 			place = loan;
 	}
--- a/accounts/keeper.c
+++ b/accounts/keeper.c
@@ -17,6 +17,7 @@
 typedef struct partition {
 	lease_t lease;
 	uint32_t portion;
+	usec_t portion_since;
 	uint64_t heard_epoch;
 	GHashTable *lenders; /* account -> lender_t */
 } partition_t;
@@ -36,9 +37,8 @@
 	keeper_t *keeper = g_new0(keeper_t, 1);
 
 	for (int i = 0; i < KEEPER_PARTITIONS; i++)
-		keeper->partitions[i].lenders =
-			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      (GDestroyNotify)lender_destroy);
+		keeper->partitions[i].lenders = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, (GDestroyNotify)lender_destroy);
 	return keeper;
 }
 
@@ -56,9 +56,13 @@
 	return &keeper->partitions[partition].lease;
 }
 
-void keeper_set_portion(keeper_t *keeper, uint32_t partition, uint32_t milli)
+void keeper_set_portion(keeper_t *keeper, uint32_t index, uint32_t milli, usec_t now)
 {
-	keeper->partitions[partition].portion = MIN(milli, PORTION_WHOLE);
+	partition_t *partition = &keeper->partitions[index];
+
+	if (milli != partition->portion)
+		partition->portion_since = now;
+	partition->portion = MIN(milli, PORTION_WHOLE);
 }
 
 uint32_t keeper_portion(const keeper_t *keeper, uint32_t partition)
@@ -77,7 +81,13 @@
 	lender_t *lender = g_hash_table_lookup(partition->lenders, account);
 
 	if (!lender) {
-		lender = lender_create(now, rate, burst);
+		usec_t since = MAX(partition->lease.lend_from, partition->portion_since);
+		lender = lender_create(MIN(since, now), now, rate, burst);
+		if (partition->lease.released && now < partition->lease.loans_end)
+			lender_reserve(lender,
+				       burst * partition->lease.lent_milli /
+					       PORTION_WHOLE,
+				       partition->lease.loans_end, now);
 		g_hash_table_insert(partition->lenders, g_strdup(account), lender);
 	} else {
 		lender_resize(lender, now, rate, burst);
@@ -111,6 +121,22 @@
 	return pressure;
 }
 
+uint32_t keeper_lent_milli(keeper_t *keeper, uint32_t index, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+	const lease_t *lease = &keeper->partitions[index].lease;
+	double share = 0;
+
+	/* Loans of the keeper before that may still be spent. */
+	if (now < lease->loans_end)
+		share = (double)lease->lent_milli / PORTION_WHOLE;
+	g_hash_table_iter_init(&iter, keeper->partitions[index].lenders);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		share = fmax(share, lender_lent_share(value, now));
+	return (uint32_t)ceil(share * PORTION_WHOLE);
+}
+
 uint64_t keeper_hear_epoch(keeper_t *keeper, uint32_t index, uint64_t epoch)
 {
 	partition_t *partition = &keeper->partitions[index];
--- a/accounts/lease.c
+++ b/accounts/lease.c
@@ -29,16 +29,19 @@
 }
 
 void lease_observed(lease_t *lease, usec_t now, uint64_t revision, uint64_t epoch,
-		    bool released)
+		    bool released, uint32_t lent_milli)
 {
+	/* Read again without a change: the row has been lapsing since before. */
+	if (lease->state == LEASE_OBSERVING && lease->revision == revision)
+		return;
 	lease->state = LEASE_OBSERVING;
 	lease->revision = revision;
 	lease->epoch = epoch;
 	lease->successor = revision != 0;
 	lease->released = released;
+	lease->lent_milli = lent_milli;
 	/* A row that nobody holds can be taken at once. */
-	lease->observed =
-		revision == 0 || released ? now - LOAN_MARGIN(LEASE_TERM) : now;
+	lease->observed = revision == 0 || released ? now - LOAN_MARGIN(LEASE_TERM) : now;
 }
 
 void lease_sent(lease_t *lease, usec_t now)
@@ -61,7 +64,8 @@
 	lease->confirmed_until = 0;
 	/* A holder that released the row confirms nothing any more. */
 	lease->acknowledged = !lease->successor || lease->released;
-	lease->lend_from = lease->successor ? now + LOAN_MARGIN(LOAN_TERM) : now;
+	lease->loans_end = lease->successor ? now + LOAN_MARGIN(LOAN_TERM) : now;
+	lease->lend_from = lease->released ? now : lease->loans_end;
 }
 
 void lease_failed(lease_t *lease, usec_t now, bool conflict)
@@ -75,7 +79,8 @@
 void lease_confirmed(lease_t *lease, usec_t asked)
 {
 	if (lease->state == LEASE_HELD)
-		lease->confirmed_until = MAX(lease->confirmed_until, asked + CONFIRM_TERM);
+		lease->confirmed_until =
+			MAX(lease->confirmed_until, asked + CONFIRM_TERM);
 }
 
 void lease_acknowledged(lease_t *lease, usec_t now)
--- a/accounts/lender.c
+++ b/accounts/lender.c
@@ -41,15 +41,15 @@
 	usec_t last_request;
 };
 
-lender_t *lender_create(usec_t now, double rate, double capacity)
+lender_t *lender_create(usec_t since, usec_t now, double rate, double capacity)
 {
 	lender_t *lender = g_new0(lender_t, 1);
 
 	LIST_INIT(&lender->loans);
 	TAILQ_INIT(&lender->spends);
-	lender->pool.updated = now;
+	lender->pool.updated = since;
 	lender->last_request = now;
-	lender_resize(lender, now, rate, capacity);
+	lender_resize(lender, since, rate, capacity);
 	return lender;
 }
 
@@ -104,9 +104,13 @@
 			drop_loan(lender, loan);
 		loan = next;
 	}
-	while (!TAILQ_EMPTY(&lender->spends) &&
-	       TAILQ_FIRST(&lender->spends)->expires <= now)
-		drop_spend(lender, TAILQ_FIRST(&lender->spends));
+	spend_t *spend = TAILQ_FIRST(&lender->spends);
+	while (spend) {
+		spend_t *next = TAILQ_NEXT(spend, link);
+		if (spend->expires <= now)
+			drop_spend(lender, spend);
+		spend = next;
+	}
 	settle_pool(lender, now);
 }
 
@@ -114,7 +118,8 @@
 {
 	loan_t *loan;
 
-	LIST_FOREACH (loan, &lender->loans, link) {
+	LIST_FOREACH(loan, &lender->loans, link)
+	{
 		if (loan->id == request->loan)
 			return loan;
 	}
@@ -136,8 +141,7 @@
 	loan->tokens = holds;
 	loan->demand = MAX(request->demand, 0);
 	settle_pool(lender, now);
-	lender->pool.tokens =
-		MIN(lender->pool.tokens + returned, lender->pool.capacity);
+	lender->pool.tokens = MIN(lender->pool.tokens + returned, lender->pool.capacity);
 }
 
 static double demand_of(const lender_t *lender, bool foreign)
@@ -145,8 +149,8 @@
 	const loan_t *loan;
 	double demand = 0;
 
-	LIST_FOREACH (loan, &lender->loans, link)
-		demand += loan->foreign == foreign ? loan->demand : 0;
+	LIST_FOREACH(loan, &lender->loans, link)
+	demand += loan->foreign == foreign ? loan->demand : 0;
 	return demand;
 }
 
@@ -189,17 +193,24 @@
 	return tokens;
 }
 
-static uint32_t grant_spends(lender_t *lender, const loan_t *loan, uint32_t want, usec_t now)
+static void hold_back(lender_t *lender, double tokens, usec_t expires)
+{
+	spend_t *spend = g_new0(spend_t, 1);
+
+	spend->tokens = tokens;
+	spend->expires = expires;
+	TAILQ_INSERT_TAIL(&lender->spends, spend, link);
+	take_from_pool(lender, tokens);
+}
+
+static uint32_t grant_spends(lender_t *lender, const loan_t *loan, uint32_t want,
+			     usec_t now)
 {
 	uint32_t spends = (uint32_t)MIN((double)want, floor(available(lender, loan)));
 
 	if (spends == 0)
 		return 0;
-	spend_t *spend = g_new0(spend_t, 1);
-	spend->tokens = spends;
-	spend->expires = now + LOAN_MARGIN(SPEND_TERM);
-	TAILQ_INSERT_TAIL(&lender->spends, spend, link);
-	take_from_pool(lender, spends);
+	hold_back(lender, spends, now + LOAN_MARGIN(SPEND_TERM));
 	return spends;
 }
 
@@ -226,6 +237,20 @@
 	reply->pressure = pressure(lender);
 }
 
+void lender_reserve(lender_t *lender, double capacity, usec_t until, usec_t now)
+{
+	expire(lender, now);
+	hold_back(lender, capacity, until);
+	lender->pool.tokens = MAX(lender->pool.tokens, 0);
+	settle_pool(lender, now);
+}
+
+double lender_lent_share(lender_t *lender, usec_t now)
+{
+	expire(lender, now);
+	return lender->capacity > 0 ? CLAMP(lender->lent / lender->capacity, 0, 1) : 0;
+}
+
 double lender_pressure(lender_t *lender, usec_t now)
 {
 	expire(lender, now);
--- a/claims/attempts.c
+++ b/claims/attempts.c
@@ -27,7 +27,8 @@
 {
 	attempts_t *attempts = g_new0(attempts_t, 1);
 
-	attempts->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	attempts->by_id =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	TAILQ_INIT(&attempts->ended);
 	return attempts;
 }
--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -47,7 +47,8 @@
 	(void)key;
 	const suspect_t *suspect = value;
 	usec_t now = *(const usec_t *)data;
-	bool refused = suspect->crash_count && now - suspect->last_crash < SUSPECT_REFUSAL;
+	bool refused =
+		suspect->crash_count && now - suspect->last_crash < SUSPECT_REFUSAL;
 
 	return !refused && !is_exonerated(suspect, now);
 }
@@ -93,7 +94,8 @@
 	return true;
 }
 
-bool suspects_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash, usec_t now)
+bool suspects_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash,
+		    usec_t now)
 {
 	suspect_t *suspect = entry_for(suspects, fingerprint, now);
 
--- a/config/record.c
+++ b/config/record.c
@@ -48,7 +48,8 @@
 
 static char *take_name(parse_t *p, const char *field)
 {
-	char *name = take_string(p, field, "a name of 1 to 64 characters a-z A-Z 0-9 . _ -");
+	char *name =
+		take_string(p, field, "a name of 1 to 64 characters a-z A-Z 0-9 . _ -");
 
 	if (name && !record_name_valid(name)) {
 		report(p, field, "a name of 1 to 64 characters a-z A-Z 0-9 . _ -");
@@ -131,8 +132,9 @@
 	check_fields(p, known);
 	r->key.digest = take_string(p, "digest", allowed);
 	r->key.account = take_name(p, "account");
-	if (r->key.digest && (strlen(r->key.digest) != KEY_DIGEST_HEX_BYTES ||
-			      strspn(r->key.digest, "0123456789abcdef") != KEY_DIGEST_HEX_BYTES))
+	if (r->key.digest &&
+	    (strlen(r->key.digest) != KEY_DIGEST_HEX_BYTES ||
+	     strspn(r->key.digest, "0123456789abcdef") != KEY_DIGEST_HEX_BYTES))
 		report(p, "digest", allowed);
 }
 
@@ -168,8 +170,8 @@
 
 static void parse_route(parse_t *p, record_t *r)
 {
-	static const char *const known[] = {"prefix", "methods",    "service",
-					    "open",   "importance", "idempotent",
+	static const char *const known[] = {"prefix",  "methods",    "service",
+					    "open",    "importance", "idempotent",
 					    "retries", "timeout_ms", NULL};
 
 	check_fields(p, known);
@@ -181,8 +183,9 @@
 		take_integer(p, "importance", 0, IMPORTANCE_LEVELS - 1, -1, "0 to 9");
 	r->route.idempotent = take_bool(p, "idempotent", false);
 	r->route.open = take_bool(p, "open", false);
-	r->route.timeout_ms = take_integer(p, "timeout_ms", TIMEOUT_MIN_MS, TIMEOUT_MAX_MS,
-					   TIMEOUT_DEFAULT_MS, "milliseconds, 1 to 600000");
+	r->route.timeout_ms =
+		take_integer(p, "timeout_ms", TIMEOUT_MIN_MS, TIMEOUT_MAX_MS,
+			     TIMEOUT_DEFAULT_MS, "milliseconds, 1 to 600000");
 	r->route.retries =
 		take_integer(p, "retries", 0, RETRIES_MAX, RETRIES_DEFAULT, "0 to 10");
 	parse_methods(p, &r->route);
--- a/egretctl/changes.c
+++ b/egretctl/changes.c
@@ -71,9 +71,11 @@
 		json_t *item = json_pack("{s:s, s:s}", "change", change->verb, "record",
 					 change->key);
 		if (change->old)
-			json_object_set_new(item, "old", json_loads(change->old, 0, NULL));
+			json_object_set_new(item, "old",
+					    json_loads(change->old, 0, NULL));
 		if (change->value)
-			json_object_set_new(item, "new", json_loads(change->value, 0, NULL));
+			json_object_set_new(item, "new",
+					    json_loads(change->value, 0, NULL));
 		json_array_append_new(list, item);
 	}
 	json_dumpf(list, stdout, JSON_INDENT(2));
--- a/egretctl/get.c
+++ b/egretctl/get.c
@@ -38,7 +38,8 @@
 	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
 	int status;
 	if (rows) {
-		char *prefix = g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
+		char *prefix =
+			g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
 		status = print_versions(rows, prefix);
 		g_free(prefix);
 		g_hash_table_destroy(rows);
--- a/egretctl/key.c
+++ b/egretctl/key.c
@@ -18,8 +18,8 @@
 		return status;
 	}
 	json_t *json = json_pack("{s:s, s:s, s:i, s:s, s:s}", "kind", "key", "name", name,
-				 "schema_version", RECORD_SCHEMA_VERSION, "digest", digest,
-				 "account", account);
+				 "schema_version", RECORD_SCHEMA_VERSION, "digest",
+				 digest, "account", account);
 	char *value = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
 	char *row = record_row_key(RECORD_KEY, name, RECORD_SCHEMA_VERSION);
 	store_write_t write = {
--- a/egretctl/list.c
+++ b/egretctl/list.c
@@ -56,9 +56,9 @@
 	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
 	int status = CTL_OK;
 	if (rows) {
-		char *prefix = ctl->argc == 1 ?
-				       g_strdup_printf("record/%s/", ctl->argv[0]) :
-				       g_strdup("record/");
+		char *prefix = ctl->argc == 1
+				       ? g_strdup_printf("record/%s/", ctl->argv[0])
+				       : g_strdup("record/");
 		GPtrArray *list = live_rows(rows, prefix);
 		print_rows(ctl, list);
 		g_ptr_array_free(list, TRUE);
--- a/egretctl/main.c
+++ b/egretctl/main.c
@@ -15,8 +15,8 @@
 
 /* Sorted by name, for bsearch(3). */
 static const handler_t handlers[] = {
-	{"apply", ctl_apply}, {"diff", ctl_diff},     {"drain", ctl_drain},
-	{"get", ctl_get},     {"key", ctl_key},	      {"list", ctl_list},
+	{"apply", ctl_apply},	{"diff", ctl_diff},	{"drain", ctl_drain},
+	{"get", ctl_get},	{"key", ctl_key},	{"list", ctl_list},
 	{"retire", ctl_retire}, {"status", ctl_status}, {"validate", ctl_validate},
 };
 
@@ -56,7 +56,8 @@
 		return 0;
 	case OPTION_OUTPUT:
 		if (strcmp(arg, "table") != 0 && strcmp(arg, "json") != 0)
-			argp_error(state, "--output: '%s' is not allowed: must be table or json",
+			argp_error(state,
+				   "--output: '%s' is not allowed: must be table or json",
 				   arg);
 		ctl->json = strcmp(arg, "json") == 0;
 		return 0;
@@ -117,9 +118,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &ctl);
 	if (ctl.argc == 0)
 		return ctl_usage("COMMAND [ARGUMENT...]; see egretctl --help");
-	const handler_t *handler =
-		bsearch(ctl.argv[0], handlers, G_N_ELEMENTS(handlers), sizeof(handlers[0]),
-			compare_handler);
+	const handler_t *handler = bsearch(ctl.argv[0], handlers, G_N_ELEMENTS(handlers),
+					   sizeof(handlers[0]), compare_handler);
 	if (!handler) {
 		fprintf(stderr, "egretctl: '%s' is not a command; see egretctl --help\n",
 			ctl.argv[0]);
--- a/egretctl/platform.c
+++ b/egretctl/platform.c
@@ -24,8 +24,9 @@
 platform_t *platform_open(const char *url, GError **error)
 {
 	if (!url) {
-		g_set_error(error, EGRET_ERROR, EGRET_ERROR_SETTING,
-			    "--platform or EGRETSCALE_PLATFORM must name the platform's URL");
+		g_set_error(
+			error, EGRET_ERROR, EGRET_ERROR_SETTING,
+			"--platform or EGRETSCALE_PLATFORM must name the platform's URL");
 		return NULL;
 	}
 	platform_t *platform = g_new0(platform_t, 1);
@@ -68,8 +69,8 @@
 	g_free(row);
 }
 
-static void handle_rows(void *ctx, uint64_t revision, const store_row_t *rows, size_t count,
-			const GError *error)
+static void handle_rows(void *ctx, uint64_t revision, const store_row_t *rows,
+			size_t count, const GError *error)
 {
 	platform_t *platform = ctx;
 
@@ -93,8 +94,8 @@
 
 	platform->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
 	do {
-		store_changes(platform->store, RECORD_PREFIX, after, PAGE_ROWS, handle_rows,
-			      platform);
+		store_changes(platform->store, RECORD_PREFIX, after, PAGE_ROWS,
+			      handle_rows, platform);
 		if (!wait_done(platform, error)) {
 			g_hash_table_destroy(platform->rows);
 			return NULL;
@@ -166,8 +167,9 @@
 	curl_loop_destroy(loop);
 	talloc_free(ev);
 	if (answer.code != CURLE_OK || answer.status != 200) {
-		g_set_error(error, EGRET_ERROR, EGRET_ERROR_UNAVAILABLE, "%s: %s, status %ld",
-			    url, curl_easy_strerror(answer.code), answer.status);
+		g_set_error(error, EGRET_ERROR, EGRET_ERROR_UNAVAILABLE,
+			    "%s: %s, status %ld", url, curl_easy_strerror(answer.code),
+			    answer.status);
 		g_free(url);
 		g_string_free(answer.text, TRUE);
 		return NULL;
--- a/egretctl/record_files.c
+++ b/egretctl/record_files.c
@@ -22,8 +22,8 @@
 static void report(loading_t *loading, const char *field, const char *allowed)
 {
 	loading->failed = true;
-	fprintf(stderr, "%s: %s%smust be: %s\n", loading->source, field, *field ? ": " : "",
-		allowed);
+	fprintf(stderr, "%s: %s%smust be: %s\n", loading->source, field,
+		*field ? ": " : "", allowed);
 }
 
 static void handle_fault(void *ctx, const char *field, const char *allowed)
@@ -56,7 +56,8 @@
 	json_t *item;
 
 	if (!json) {
-		fprintf(stderr, "%s:%d:%d: %s\n", path, fault.line, fault.column, fault.text);
+		fprintf(stderr, "%s:%d:%d: %s\n", path, fault.line, fault.column,
+			fault.text);
 		loading->failed = true;
 		return;
 	}
--- a/egretctl/retire.c
+++ b/egretctl/retire.c
@@ -18,7 +18,8 @@
 		const config_row_t *row = value;
 		if (!row->value || !g_str_has_prefix(row->key, prefix))
 			continue;
-		store_write_t write = {.key = row->key, .expected_revision = row->revision};
+		store_write_t write = {.key = row->key,
+				       .expected_revision = row->revision};
 		g_array_append_val(writes, write);
 		printf("retire  %s\n", row->key);
 	}
@@ -46,7 +47,8 @@
 	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
 	int status;
 	if (rows) {
-		char *prefix = g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
+		char *prefix =
+			g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
 		status = retire_versions(platform, rows, prefix, ctl->dry_run);
 		g_free(prefix);
 		g_hash_table_destroy(rows);
--- a/egretctl/status.c
+++ b/egretctl/status.c
@@ -39,11 +39,10 @@
 		       number_of(item, "portion_milli"));
 	printf("\n%-22s %-12s %-8s %-16s %-9s %s\n", "MEMBER", "ZONE", "STATE", "SERVICE",
 	       "TARGET", "SLOTS");
-	json_array_foreach(json_object_get(status, "members"), i, item)
-		printf("%-22s %-12s %-8s %-16s %-9s %ld\n", text_of(item, "address"),
-		       text_of(item, "zone"), text_of(item, "state"),
-		       text_of(item, "service"), text_of(item, "target"),
-		       number_of(item, "slots"));
+	json_array_foreach(json_object_get(status, "members"), i, item) printf(
+		"%-22s %-12s %-8s %-16s %-9s %ld\n", text_of(item, "address"),
+		text_of(item, "zone"), text_of(item, "state"), text_of(item, "service"),
+		text_of(item, "target"), number_of(item, "slots"));
 }
 
 int ctl_status(ctl_t *ctl)
--- a/egretscaled/accounts_io.c
+++ b/egretscaled/accounts_io.c
@@ -8,7 +8,11 @@
 #include <string.h>
 
 #define MILLI 1000.0
-#define WAIT_TIMEOUT (60 * USEC_PER_MSEC)
+/* How long a request waits for a token: while the account is within its rate,
+ * and while no keeper answers. */
+#define WAIT_FOR_TOKEN (60 * USEC_PER_MSEC)
+#define WAIT_FOR_KEEPER (500 * USEC_PER_MSEC)
+#define ASK_PERIOD (20 * USEC_PER_MSEC)
 #define FOREIGN_ASKS_MAX 2
 /* After a fruitless round, misses are refused for so long without asking. */
 #define SHORT_BACKOFF (10 * USEC_PER_MSEC)
@@ -18,6 +22,8 @@
 	TAILQ_ENTRY(waiting) link;
 	admit_fn fn;
 	void *ctx;
+	usec_t arrived;
+	usec_t until;
 	uint32_t foreign_asks;
 } waiting_t;
 
@@ -33,7 +39,7 @@
 	struct tevent_timer *timer;
 	uint32_t next_zone;
 	usec_t short_until;
-	bool asking;
+	bool replying;
 } account_entry_t;
 
 accounts_t *accounts_create(void)
@@ -132,8 +138,9 @@
 	pthread_mutex_lock(&node->account_lock);
 	guint count = node->accounts->zones->len;
 	for (guint tries = 0; tries < count && !found; tries++) {
-		const zone_keepers_t *zone = &g_array_index(
-			node->accounts->zones, zone_keepers_t, entry->next_zone++ % count);
+		const zone_keepers_t *zone =
+			&g_array_index(node->accounts->zones, zone_keepers_t,
+				       entry->next_zone++ % count);
 		if (strcmp(zone->zone, node->settings->zone) == 0 ||
 		    zone->places[partition].epoch == 0)
 			continue;
@@ -204,8 +211,8 @@
 	worker_t *worker = entry->worker;
 	loan_request_t request;
 
-	if (!borrower_ask(entry->borrower, zone, want, node_random_id(), clock_boot_usec(),
-			  &request))
+	if (!borrower_ask(entry->borrower, zone, want, node_random_id(),
+			  clock_boot_usec(), &request))
 		return false;
 	counter_add(COUNTER_BORROWS, 1);
 	if (strcmp(place->address, worker->node->address) == 0) {
@@ -222,7 +229,8 @@
 {
 	keeper_place_t place;
 
-	if (!own_zone_place(entry->worker->node, account_partition(entry->account), &place))
+	if (!own_zone_place(entry->worker->node, account_partition(entry->account),
+			    &place))
 		return false;
 	return ask(entry, entry->worker->node->settings->zone, &place, want);
 }
@@ -250,29 +258,23 @@
 	}
 }
 
-/* Those still waiting ask another zone, or are refused. */
-static void continue_waiting(account_entry_t *entry)
+/* Refuses those whose wait is over. */
+static void expire_waiting(account_entry_t *entry, usec_t now)
 {
-	uint32_t asking = 0;
 	waiting_t *waiting = TAILQ_FIRST(&entry->waiting);
 
 	while (waiting) {
 		waiting_t *next = TAILQ_NEXT(waiting, link);
-		if (waiting->foreign_asks++ < FOREIGN_ASKS_MAX)
-			asking++;
-		else
+		if (waiting->until <= now)
 			decide(entry, waiting, false);
 		waiting = next;
 	}
-	if (asking == 0 || ask_foreign(entry, asking))
-		return;
-	entry->short_until = clock_boot_usec() + SHORT_BACKOFF;
-	while (!TAILQ_EMPTY(&entry->waiting))
-		decide(entry, TAILQ_FIRST(&entry->waiting), false);
 }
 
-static void handle_wait_timeout(struct tevent_context *ev, struct tevent_timer *te,
-				struct timeval when, void *private_data)
+static void schedule_ask(account_entry_t *entry);
+
+static void handle_ask_time(struct tevent_context *ev, struct tevent_timer *te,
+			    struct timeval when, void *private_data)
 {
 	(void)ev;
 	(void)te;
@@ -281,11 +283,46 @@
 
 	entry->timer = NULL;
 	serve_waiting(entry, 0);
-	if (!TAILQ_EMPTY(&entry->waiting))
-		continue_waiting(entry);
-	if (!TAILQ_EMPTY(&entry->waiting))
-		entry->timer = worker_timer(entry->worker, WAIT_TIMEOUT,
-					    handle_wait_timeout, entry);
+	expire_waiting(entry, clock_boot_usec());
+	if (!TAILQ_EMPTY(&entry->waiting) && !ask_own(entry, entry->waiting_count))
+		ask_foreign(entry, entry->waiting_count);
+	schedule_ask(entry);
+}
+
+static void schedule_ask(account_entry_t *entry)
+{
+	if (!TAILQ_EMPTY(&entry->waiting) && !entry->timer)
+		entry->timer =
+			worker_timer(entry->worker, ASK_PERIOD, handle_ask_time, entry);
+}
+
+/*
+ * A keeper answered without enough tokens. Those still waiting ask another zone;
+ * while the account is within its rate they wait for a token, otherwise they are
+ * refused once other zones were asked.
+ */
+static void continue_waiting(account_entry_t *entry, bool over_rate)
+{
+	usec_t now = clock_boot_usec();
+	uint32_t asking = 0;
+	waiting_t *waiting = TAILQ_FIRST(&entry->waiting);
+
+	while (waiting) {
+		waiting_t *next = TAILQ_NEXT(waiting, link);
+		waiting->until = MIN(waiting->until, waiting->arrived + WAIT_FOR_TOKEN);
+		if (waiting->foreign_asks++ < FOREIGN_ASKS_MAX)
+			asking++;
+		else if (over_rate)
+			decide(entry, waiting, false);
+		waiting = next;
+	}
+	if (asking > 0 && ask_foreign(entry, asking))
+		return;
+	if (!over_rate)
+		return;
+	entry->short_until = now + SHORT_BACKOFF;
+	while (!TAILQ_EMPTY(&entry->waiting))
+		decide(entry, TAILQ_FIRST(&entry->waiting), false);
 }
 
 static void apply_reply(account_entry_t *entry, const loan_reply_t *reply)
@@ -293,11 +330,11 @@
 	uint32_t spends = borrower_reply(entry->borrower, reply, clock_boot_usec());
 
 	serve_waiting(entry, spends);
-	if (!TAILQ_EMPTY(&entry->waiting) && !entry->asking) {
-		entry->asking = true;
-		continue_waiting(entry);
-		entry->asking = false;
-	}
+	if (TAILQ_EMPTY(&entry->waiting) || entry->replying || !reply->granted)
+		return;
+	entry->replying = true;
+	continue_waiting(entry, borrower_pressure(entry->borrower) > 1.0);
+	entry->replying = false;
 }
 
 static void renew_loans(account_entry_t *entry, usec_t now)
@@ -336,13 +373,13 @@
 	waiting_t *waiting = g_new0(waiting_t, 1);
 	waiting->fn = fn;
 	waiting->ctx = ctx;
+	waiting->arrived = now;
+	waiting->until = now + WAIT_FOR_KEEPER;
 	TAILQ_INSERT_TAIL(&entry->waiting, waiting, link);
 	entry->waiting_count++;
-	if (!entry->timer)
-		entry->timer =
-			worker_timer(worker, WAIT_TIMEOUT, handle_wait_timeout, entry);
 	if (entry->waiting_count == 1 && !ask_own(entry, entry->waiting_count))
-		continue_waiting(entry);
+		ask_foreign(entry, entry->waiting_count);
+	schedule_ask(entry);
 	return ADMIT_WAITING;
 }
 
@@ -353,7 +390,8 @@
 
 	if (!entry)
 		return;
-	TAILQ_FOREACH (waiting, &entry->waiting, link) {
+	TAILQ_FOREACH(waiting, &entry->waiting, link)
+	{
 		if (waiting->ctx != ctx)
 			continue;
 		remove_waiting(entry, waiting);
--- a/egretscaled/admin.c
+++ b/egretscaled/admin.c
@@ -119,14 +119,13 @@
 	const member_t *member;
 
 	pthread_mutex_lock(&node->gossip_lock);
-	LIST_FOREACH (member, directory_members(gossip_directory(node->gossip)), link)
-		json_array_append_new(
-			list,
-			json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "address",
-				  member->address, "zone", member->zone, "state",
-				  states[member->state], "service", member->service,
-				  "target", targets[member->target], "slots",
-				  (int)member->slots));
+	LIST_FOREACH(member, directory_members(gossip_directory(node->gossip)), link)
+	json_array_append_new(list,
+			      json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "address",
+					member->address, "zone", member->zone, "state",
+					states[member->state], "service", member->service,
+					"target", targets[member->target], "slots",
+					(int)member->slots));
 	pthread_mutex_unlock(&node->gossip_lock);
 	return list;
 }
@@ -174,8 +173,8 @@
 	return text;
 }
 
-static enum MHD_Result answer_owned(struct MHD_Connection *connection, unsigned int status,
-				    const char *type, char *text)
+static enum MHD_Result answer_owned(struct MHD_Connection *connection,
+				    unsigned int status, const char *type, char *text)
 {
 	enum MHD_Result result = mhd_answer_text(connection, status, type, text);
 
@@ -233,6 +232,6 @@
 		.idle_timeout_sec = ADMIN_IDLE_TIMEOUT_SEC,
 	};
 
-	return mhd_loop_create(parent, ev, &options, handle_request, handle_completed, node,
-			       error);
+	return mhd_loop_create(parent, ev, &options, handle_request, handle_completed,
+			       node, error);
 }
--- a/egretscaled/announce.c
+++ b/egretscaled/announce.c
@@ -7,7 +7,8 @@
 
 #define SLOTS_MAX 100000
 
-static bool take_count(const json_t *json, const char *field, uint32_t absent, uint32_t *out)
+static bool take_count(const json_t *json, const char *field, uint32_t absent,
+		       uint32_t *out)
 {
 	const json_t *value = json_object_get(json, field);
 
--- a/egretscaled/call.c
+++ b/egretscaled/call.c
@@ -1,6 +1,5 @@
 #include "egretscaled/call.h"
 
-
 void request_context_copy(request_context_t *out, const request_context_t *from)
 {
 	*out = *from;
--- a/egretscaled/call_codec.c
+++ b/egretscaled/call_codec.c
@@ -75,7 +75,8 @@
 	return call;
 }
 
-void call_encode(const call_t *call, usec_t now, Egret__Call *wire, Egret__Context *context)
+void call_encode(const call_t *call, usec_t now, Egret__Call *wire,
+		 Egret__Context *context)
 {
 	const request_context_t *from = &call->context;
 	usec_t left = MAX(from->deadline - now, 0);
--- a/egretscaled/claims_io.c
+++ b/egretscaled/claims_io.c
@@ -73,7 +73,8 @@
 
 static http_request_t *request_of(const claim_handle_t *handle)
 {
-	return handle->request ? http_request_find(handle->worker, handle->request) : NULL;
+	return handle->request ? http_request_find(handle->worker, handle->request)
+			       : NULL;
 }
 
 static void refuse(const claim_handle_t *handle, Egret__Reason reason)
@@ -140,7 +141,8 @@
 		release_handle(handle);
 		return;
 	}
-	store_write_t write = {.key = handle->row_key, .expected_revision = rows[0].revision};
+	store_write_t write = {.key = handle->row_key,
+			       .expected_revision = rows[0].revision};
 	store_commit(handle->worker->store, &write, 1, handle_released, handle);
 }
 
@@ -164,7 +166,8 @@
 static void send_batch(claim_batch_t *batch);
 static void meet_conflict(claim_handle_t *handle);
 
-static void handle_object(void *ctx, const uint8_t *data, size_t len, const GError *error);
+static void handle_object(void *ctx, const uint8_t *data, size_t len,
+			  const GError *error);
 
 static void handle_claim_row(void *ctx, uint64_t revision, const store_row_t *rows,
 			     size_t count, const GError *error)
@@ -201,7 +204,8 @@
 		handle->reply.status = row.status;
 		handle->reply.headers = g_ptr_array_ref(row.headers);
 		handle->references++;
-		store_object_get(handle->worker->store, row.object, handle_object, handle);
+		store_object_get(handle->worker->store, row.object, handle_object,
+				 handle);
 		break;
 	case CLAIM_MISMATCH:
 		counter_add(COUNTER_CLAIM_CONFLICTS, 1);
@@ -376,8 +380,9 @@
 	if (!request)
 		return;
 	GBytes *body = g_bytes_new(handle->answer->data, handle->answer->len);
-	GPtrArray *headers = handle->reply.headers ? g_ptr_array_ref(handle->reply.headers) :
-						     headers_create();
+	GPtrArray *headers = handle->reply.headers
+				     ? g_ptr_array_ref(handle->reply.headers)
+				     : headers_create();
 	http_request_replay(request, handle->reply.status, headers, body);
 	g_bytes_unref(body);
 }
@@ -484,7 +489,8 @@
 		return;
 	while ((n = body_read(call->reply_body, buffer, sizeof(buffer))) > 0)
 		g_byte_array_append(handle->answer, buffer, (guint)n);
-	if (handle->answer->len > CLAIM_ANSWER_MAX_BYTES || body_aborted(call->reply_body)) {
+	if (handle->answer->len > CLAIM_ANSWER_MAX_BYTES ||
+	    body_aborted(call->reply_body)) {
 		/* The row stays: it ran, and its answer is not known. */
 		handle->settled = true;
 		handle->references++;
--- a/egretscaled/config_poll.c
+++ b/egretscaled/config_poll.c
@@ -41,9 +41,9 @@
 	uint32_t count = 0;
 
 	pthread_mutex_lock(&node->gossip_lock);
-	LIST_FOREACH (member, directory_members(gossip_directory(node->gossip)), link)
-		count += member->state <= EGRET__MEMBER_STATE__MEMBER_SUSPECT &&
-			 strcmp(member->zone, node->settings->zone) == 0;
+	LIST_FOREACH(member, directory_members(gossip_directory(node->gossip)), link)
+	count += member->state <= EGRET__MEMBER_STATE__MEMBER_SUSPECT &&
+		 strcmp(member->zone, node->settings->zone) == 0;
 	pthread_mutex_unlock(&node->gossip_lock);
 	return MAX(count, 1);
 }
@@ -178,11 +178,11 @@
 static void schedule(config_poll_t *poll, usec_t wait)
 {
 	TALLOC_FREE(poll->timer);
-	poll->timer = tevent_add_timer(poll->ev, poll,
-				       tevent_timeval_current_ofs(
-					       (uint32_t)(wait / USEC_PER_SEC),
-					       (uint32_t)(wait % USEC_PER_SEC)),
-				       handle_time, poll);
+	poll->timer = tevent_add_timer(
+		poll->ev, poll,
+		tevent_timeval_current_ofs((uint32_t)(wait / USEC_PER_SEC),
+					   (uint32_t)(wait % USEC_PER_SEC)),
+		handle_time, poll);
 }
 
 config_poll_t *config_poll_create(TALLOC_CTX *parent, struct tevent_context *ev,
--- a/egretscaled/confirm.c
+++ b/egretscaled/confirm.c
@@ -45,7 +45,8 @@
 
 	confirm->node = node;
 	confirm->ev = ev;
-	confirm->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, destroy_peer);
+	confirm->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, destroy_peer);
 	return confirm;
 }
 
@@ -158,8 +159,8 @@
 		g_hash_table_insert(confirm->peers, peer->address, peer);
 	}
 	if (!peer->link && address_parse(address, &to, NULL))
-		peer->link = frame_link_connect(NULL, confirm->ev, confirm->node->auth, &to,
-						&link_ops, peer, NULL);
+		peer->link = frame_link_connect(NULL, confirm->ev, confirm->node->auth,
+						&to, &link_ops, peer, NULL);
 	if (!peer->link)
 		return;
 	message.sequence = confirm->sequence;
@@ -175,8 +176,7 @@
 {
 	if (lease->state != LEASE_HELD)
 		return false;
-	return !lease->acknowledged ||
-	       now >= lease->renewed + LEASE_TERM - CONFIRM_AHEAD;
+	return !lease->acknowledged || now >= lease->renewed + LEASE_TERM - CONFIRM_AHEAD;
 }
 
 static void collect_claims(confirm_t *confirm, usec_t now)
@@ -208,7 +208,8 @@
 	confirm->zone_size = 1;
 	pthread_mutex_lock(&node->gossip_lock);
 	directory_t *directory = gossip_directory(node->gossip);
-	LIST_FOREACH (member, directory_members(directory), link) {
+	LIST_FOREACH(member, directory_members(directory), link)
+	{
 		if (member == directory_self(directory) ||
 		    member->state == EGRET__MEMBER_STATE__MEMBER_LEFT ||
 		    strcmp(member->zone, node->settings->zone) != 0)
--- a/egretscaled/entry.c
+++ b/egretscaled/entry.c
@@ -57,8 +57,9 @@
 	if (query)
 		*query = '\0';
 	bool safe = lower[0] == '/' && !strstr(lower, "/./") && !strstr(lower, "/../") &&
-		    !strstr(lower, "//") && !strstr(lower, "%2e") && !strstr(lower, "%2f") &&
-		    !strstr(lower, "%00") && !strstr(lower, "%5c") && !strchr(lower, '\\') &&
+		    !strstr(lower, "//") && !strstr(lower, "%2e") &&
+		    !strstr(lower, "%2f") && !strstr(lower, "%00") &&
+		    !strstr(lower, "%5c") && !strchr(lower, '\\') &&
 		    !g_str_has_suffix(lower, "/.") && !g_str_has_suffix(lower, "/..");
 	for (const char *c = lower; *c; c++)
 		safe = safe && *c > ' ' && *c != 0x7f;
@@ -164,7 +165,8 @@
 	XXH64_state_t *state = XXH64_createState();
 
 	XXH64_reset(state, FINGERPRINT_SEED);
-	XXH64_update(state, request->context.account, strlen(request->context.account) + 1);
+	XXH64_update(state, request->context.account,
+		     strlen(request->context.account) + 1);
 	XXH64_update(state, request->service, strlen(request->service) + 1);
 	XXH64_update(state, request->method, strlen(request->method) + 1);
 	XXH64_update(state, request->target_path, strlen(request->target_path) + 1);
--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -176,7 +176,8 @@
 	priority_t below = request->below;
 	if (request->service) {
 		pthread_mutex_lock(&node->router_lock);
-		below = MIN(below, router_service_level(node->router, request->service, now));
+		below = MIN(below,
+			    router_service_level(node->router, request->service, now));
 		pthread_mutex_unlock(&node->router_lock);
 	}
 	pthread_mutex_lock(&node->live_lock);
@@ -260,12 +261,13 @@
 		size_t len = body_pending(body);
 		uint8_t *copy = g_malloc(len + 1);
 		body_read(body, copy, len);
-		struct MHD_Response *response = MHD_create_response_from_buffer_with_free_callback(
-			len, copy, g_free);
+		struct MHD_Response *response =
+			MHD_create_response_from_buffer_with_free_callback(len, copy,
+									   g_free);
 		return response;
 	}
-	uint64_t size = reply->content_length >= 0 ? (uint64_t)reply->content_length :
-						     MHD_SIZE_UNKNOWN;
+	uint64_t size = reply->content_length >= 0 ? (uint64_t)reply->content_length
+						   : MHD_SIZE_UNKNOWN;
 	return MHD_create_response_from_callback(size, REPLY_BLOCK_BYTES, read_reply,
 						 request, NULL);
 }
@@ -308,7 +310,8 @@
 	} else {
 		response = refusal_response(request);
 	}
-	MHD_add_response_header(response, "Egret-Outcome", outcome_word(request->outcome));
+	MHD_add_response_header(response, "Egret-Outcome",
+				outcome_word(request->outcome));
 	request->answer_queued = true;
 	enum MHD_Result result =
 		MHD_queue_response(request->connection, request->status, response);
@@ -415,9 +418,9 @@
 	log_route(request, &choice);
 	if (choice.why == ROUTER_NO_INSTANCE || choice.why == ROUTER_SHED) {
 		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN,
-				    choice.why == ROUTER_SHED ?
-					    EGRET__REASON__REASON_SHED :
-					    EGRET__REASON__REASON_NO_INSTANCE);
+				    choice.why == ROUTER_SHED
+					    ? EGRET__REASON__REASON_SHED
+					    : EGRET__REASON__REASON_NO_INSTANCE);
 		return;
 	}
 	request->attempt_count++;
@@ -511,8 +514,8 @@
 		end_routing(request, ROUTER_FAILED, NULL);
 	/* A call that is under way may have run. */
 	http_request_refuse(request,
-			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN :
-				  EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN
+				: EGRET__OUTCOME__OUTCOME_NOT_RUN,
 			    EGRET__REASON__REASON_DEADLINE);
 }
 
@@ -571,7 +574,8 @@
 	usec_t wait = retry_backoff(request->attempt_count - 1, uniform);
 	usec_t left = request->context.deadline - clock_boot_usec();
 
-	if (!body_repeatable(request) || !outcome_repeatable(request, reply) || wait >= left)
+	if (!body_repeatable(request) || !outcome_repeatable(request, reply) ||
+	    wait >= left)
 		return false;
 	if (request->retries.left == 0 || !node_ratio_take(node, request->service)) {
 		counter_add(COUNTER_RETRIES_CAPPED, 1);
@@ -614,8 +618,8 @@
 
 /* --- libmicrohttpd's handlers ------------------------------------------ */
 
-static enum MHD_Result collect_header(void *ctx, enum MHD_ValueKind kind, const char *name,
-				      const char *value)
+static enum MHD_Result collect_header(void *ctx, enum MHD_ValueKind kind,
+				      const char *name, const char *value)
 {
 	(void)kind;
 	if (!header_is_private(name))
@@ -641,7 +645,8 @@
 {
 	GString *path = g_string_new(url);
 
-	MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, collect_argument, path);
+	MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, collect_argument,
+				  path);
 	char *query = strchr(path->str, '?');
 	if (query)
 		g_strdelimit(query, " ", '+');
@@ -671,7 +676,8 @@
 	request->side = side;
 	request->loop = side == HTTP_CALLERS ? worker->callers : worker->target;
 	request->connection = connection;
-	request->number = ((uint64_t)worker->index << WORKER_SHIFT) | ++worker->next_request;
+	request->number =
+		((uint64_t)worker->index << WORKER_SHIFT) | ++worker->next_request;
 	request->method = g_strdup(method);
 	request->path = rebuild_path(connection, url);
 	request->headers = headers_create();
@@ -737,8 +743,8 @@
 	if (request->discard_body)
 		return len;
 	if (request->streaming)
-		return request->call ? body_write(request->call->request_body, data, len) :
-				       len;
+		return request->call ? body_write(request->call->request_body, data, len)
+				     : len;
 	size_t room = HTTP_HEAD_BODY_BYTES - request->head_body->len;
 	size_t taken = MIN(len, room);
 	g_byte_array_append(request->head_body, (const guint8 *)data, (guint)taken);
@@ -763,8 +769,8 @@
 		*data_len -= take_upload(request, data, *data_len);
 	else
 		end_upload(request);
-	bool enough = request->body_ended ||
-		      request->head_body->len >= HTTP_HEAD_BODY_BYTES;
+	bool enough =
+		request->body_ended || request->head_body->len >= HTTP_HEAD_BODY_BYTES;
 	if (enough && !request->prepared && !request->answer_ready)
 		begin(request);
 	if (request->answer_ready && request->body_ended && !request->answer_queued)
@@ -829,8 +835,8 @@
 		return;
 	bool ran = request->call && !request->call->answered;
 	http_request_refuse(request,
-			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN :
-				  EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN
+				: EGRET__OUTCOME__OUTCOME_NOT_RUN,
 			    EGRET__REASON__REASON_CANCELLED);
 }
 
--- a/egretscaled/ingress.c
+++ b/egretscaled/ingress.c
@@ -249,7 +249,8 @@
 
 	il->worker = worker;
 	il->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
-	il->link = frame_link_accept(NULL, worker->ev, worker->node->auth, fd, &link_ops, il);
+	il->link = frame_link_accept(NULL, worker->ev, worker->node->auth, fd, &link_ops,
+				     il);
 	g_hash_table_add(worker->ingress, il);
 }
 
--- a/egretscaled/leases_io.c
+++ b/egretscaled/leases_io.c
@@ -15,6 +15,7 @@
 #define TICK (200 * USEC_PER_MSEC)
 #define PORTION_PERIOD (10 * USEC_PER_SEC)
 #define READ_BACKOFF (2 * USEC_PER_SEC)
+#define OBSERVE_PERIOD (500 * USEC_PER_MSEC)
 /* A lower portion is written only after the loans made before have ended. */
 #define PORTION_LOWER_DELAY LOAN_MARGIN(LOAN_TERM)
 
@@ -58,14 +59,15 @@
 	return g_strdup_printf("portion/%u", index);
 }
 
-static char *lease_value(const leases_io_t *io, uint64_t epoch, bool held)
+/* A released row names no holder and tells how much is lent. */
+static char *lease_value(const leases_io_t *io, uint64_t epoch, bool held, uint32_t lent)
 {
 	char id[17];
 
 	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", io->node->node_id);
-	json_t *json = json_pack("{s:s, s:s, s:I}", "holder",
+	json_t *json = json_pack("{s:s, s:s, s:I, s:i}", "holder",
 				 held ? io->node->address : "", "node", held ? id : "",
-				 "epoch", (json_int_t)epoch);
+				 "epoch", (json_int_t)epoch, "lent_milli", (int)lent);
 	char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(json);
 	return text;
@@ -126,7 +128,8 @@
 
 	pthread_mutex_lock(&node->gossip_lock);
 	zone_entry(zones, node->settings->zone);
-	LIST_FOREACH (member, directory_members(gossip_directory(node->gossip)), link) {
+	LIST_FOREACH(member, directory_members(gossip_directory(node->gossip)), link)
+	{
 		if (member->state > EGRET__MEMBER_STATE__MEMBER_SUSPECT)
 			continue;
 		note_keeper(zones, member);
@@ -149,16 +152,28 @@
 
 /* --- Reading and taking a lease ------------------------------------------ */
 
-static bool decode_lease(const char *value, uint64_t *epoch, uint64_t *holder)
+typedef struct lease_row {
+	uint64_t revision;
+	uint64_t epoch;
+	uint64_t holder; /* node id, 0 for none */
+	uint32_t lent_milli;
+} lease_row_t;
+
+/* An absent row has revision 0 and no holder. */
+static lease_row_t decode_lease(const store_row_t *rows, size_t count)
 {
-	json_t *json = value ? json_loads(value, 0, NULL) : NULL;
+	lease_row_t row = {0};
+	json_t *json =
+		count == 1 && rows[0].value ? json_loads(rows[0].value, 0, NULL) : NULL;
 	const char *id = json_string_value(json_object_get(json, "node"));
 
-	*epoch = (uint64_t)json_integer_value(json_object_get(json, "epoch"));
-	*holder = id ? g_ascii_strtoull(id, NULL, 16) : 0;
-	bool ok = id != NULL;
+	row.revision = count == 1 ? rows[0].revision : 0;
+	row.epoch = (uint64_t)json_integer_value(json_object_get(json, "epoch"));
+	row.holder = id ? g_ascii_strtoull(id, NULL, 16) : 0;
+	row.lent_milli =
+		(uint32_t)json_integer_value(json_object_get(json, "lent_milli"));
 	json_decref(json);
-	return ok;
+	return row;
 }
 
 static void handle_lease_row(void *ctx, uint64_t revision, const store_row_t *rows,
@@ -170,23 +185,20 @@
 	node_t *node = io->node;
 	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
 	usec_t now = clock_boot_usec();
-	uint64_t epoch = 0;
-	uint64_t holder = 0;
 
+	partition->next_read = now + (error ? READ_BACKOFF : OBSERVE_PERIOD);
 	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
-		partition->next_read = now + READ_BACKOFF;
 		pthread_mutex_lock(&node->account_lock);
 		if (lease->state == LEASE_READING)
 			lease_superseded(lease);
 		pthread_mutex_unlock(&node->account_lock);
 		return;
 	}
-	if (count == 1)
-		decode_lease(rows[0].value, &epoch, &holder);
+	lease_row_t row = decode_lease(rows, count);
 	pthread_mutex_lock(&node->account_lock);
-	if (lease->state == LEASE_READING)
-		lease_observed(lease, now, count == 1 ? rows[0].revision : 0, epoch,
-			       holder == 0);
+	if (lease->state == LEASE_READING || lease->state == LEASE_OBSERVING)
+		lease_observed(lease, now, row.revision, row.epoch, row.holder == 0,
+			       row.lent_milli);
 	pthread_mutex_unlock(&node->account_lock);
 }
 
@@ -228,7 +240,7 @@
 static void take_lease(partition_io_t *partition, const lease_t *lease)
 {
 	char *key = lease_key(partition->io, partition->index);
-	char *value = lease_value(partition->io, lease->epoch + 1, true);
+	char *value = lease_value(partition->io, lease->epoch + 1, true, 0);
 	store_write_t write = {
 		.key = key, .expected_revision = lease->revision, .value = value};
 
@@ -252,19 +264,16 @@
 	partition_io_t *partition = ctx;
 	leases_io_t *io = partition->io;
 	node_t *node = io->node;
-	uint64_t epoch = 0;
-	uint64_t holder = 0;
 
 	partition->rereading = false;
 	if (error && error->code != EGRET_ERROR_NOT_FOUND)
 		return;
-	if (count == 1)
-		decode_lease(rows[0].value, &epoch, &holder);
+	lease_row_t row = decode_lease(rows, count);
 	pthread_mutex_lock(&node->account_lock);
 	lease_t *lease = keeper_lease(node->accounts->keeper, partition->index);
-	bool ours = holder == node->node_id && epoch == lease->epoch;
+	bool ours = row.holder == node->node_id && row.epoch == lease->epoch;
 	if (ours)
-		lease->revision = rows[0].revision;
+		lease->revision = row.revision;
 	else
 		lease_superseded(lease);
 	if (!ours)
@@ -273,7 +282,7 @@
 	if (ours)
 		return;
 	counter_add(COUNTER_LEASES_LOST, 1);
-	log_lease(io, partition->index, "lost", epoch);
+	log_lease(io, partition->index, "lost", row.epoch);
 	io->changed = true;
 }
 
@@ -331,7 +340,7 @@
 		renewal->partitions[i] = true;
 		lease_sent(lease, now);
 		keys[count] = lease_key(io, i);
-		values[count] = lease_value(io, lease->epoch, true);
+		values[count] = lease_value(io, lease->epoch, true, 0);
 		writes[count] = (store_write_t){.key = keys[count],
 						.expected_revision = lease->revision,
 						.value = values[count]};
@@ -356,8 +365,8 @@
 	json_t *value;
 	uint32_t total = 0;
 
-	json_object_foreach((json_t *)zones, zone, value)
-		total += (uint32_t)json_integer_value(value);
+	json_object_foreach((json_t *)zones, zone, value) total +=
+		(uint32_t)json_integer_value(value);
 	return total;
 }
 
@@ -366,7 +375,8 @@
 	node_t *node = partition->io->node;
 
 	pthread_mutex_lock(&node->account_lock);
-	keeper_set_portion(node->accounts->keeper, partition->index, milli);
+	keeper_set_portion(node->accounts->keeper, partition->index, milli,
+			   clock_boot_usec());
 	pthread_mutex_unlock(&node->account_lock);
 }
 
@@ -456,8 +466,8 @@
 		partition->next_portion = clock_boot_usec() + READ_BACKOFF;
 		return;
 	}
-	json_t *json = count == 1 && rows[0].value ? json_loads(rows[0].value, 0, NULL) :
-						     NULL;
+	json_t *json =
+		count == 1 && rows[0].value ? json_loads(rows[0].value, 0, NULL) : NULL;
 	json_decref(partition->portion_zones);
 	partition->portion_zones = json_copy(json_object_get(json, "zones"));
 	if (!partition->portion_zones)
@@ -484,7 +494,8 @@
 
 /* --- The loop ------------------------------------------------------------ */
 
-static void step_partition(partition_io_t *partition, bool candidate, usec_t now, bool *due)
+static void step_partition(partition_io_t *partition, bool candidate, usec_t now,
+			   bool *due)
 {
 	node_t *node = partition->io->node;
 
@@ -495,6 +506,9 @@
 		action = LEASE_DO_NOTHING;
 	if (action == LEASE_DO_READ)
 		lease_reading(lease);
+	/* The holder may release the row while it is observed. */
+	bool again = lease->state == LEASE_OBSERVING && action == LEASE_DO_NOTHING &&
+		     now >= partition->next_read;
 	if (action == LEASE_DO_TAKE)
 		lease_sent(lease, now);
 	if (action == LEASE_DO_GIVE_UP) {
@@ -505,7 +519,9 @@
 	lease_t copy = *lease;
 	pthread_mutex_unlock(&node->account_lock);
 	*due = action == LEASE_DO_RENEW;
-	if (action == LEASE_DO_READ)
+	if (again)
+		partition->next_read = now + OBSERVE_PERIOD;
+	if (action == LEASE_DO_READ || again)
 		read_lease(partition);
 	else if (action == LEASE_DO_TAKE)
 		take_lease(partition, &copy);
@@ -581,27 +597,32 @@
 
 static void handle_released(void *ctx, uint64_t revision, const GError *error)
 {
-	(void)ctx;
+	leases_io_t *io = ctx;
+
 	(void)revision;
 	if (error)
 		log_failure("release keeper leases", error);
+	/* Only now may others know: a candidate must find the row released. */
+	node_update_member(io->node);
 }
 
 void leases_io_release(leases_io_t *io)
 {
 	node_t *node = io->node;
+	usec_t now = clock_boot_usec();
 
 	io->released = true;
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
 		pthread_mutex_lock(&node->account_lock);
 		lease_t *lease = keeper_lease(node->accounts->keeper, i);
 		lease_t copy = *lease;
+		uint32_t lent = keeper_lent_milli(node->accounts->keeper, i, now);
 		lease_superseded(lease);
 		pthread_mutex_unlock(&node->account_lock);
 		if (copy.state != LEASE_HELD)
 			continue;
 		char *key = lease_key(io, i);
-		char *value = lease_value(io, copy.epoch, false);
+		char *value = lease_value(io, copy.epoch, false, lent);
 		store_write_t write = {
 			.key = key, .expected_revision = copy.revision, .value = value};
 		store_commit(io->store, &write, 1, handle_released, io);
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -119,7 +119,8 @@
 		enter_phase(control, STOP_FINISH);
 		break;
 	case STOP_FINISH:
-		if (atomic_load(&node->requests) > 0 && elapsed < limit && !control->hurry)
+		if (atomic_load(&node->requests) > 0 && elapsed < limit &&
+		    !control->hurry)
 			return;
 		count_cut(control);
 		leave_directory(control);
@@ -240,7 +241,8 @@
 	if (!control->gossip)
 		return false;
 	control->puller = puller_create(control->ev, control->ev, node);
-	control->leases = leases_io_create(control->ev, control->ev, node, control->store);
+	control->leases =
+		leases_io_create(control->ev, control->ev, node, control->store);
 	control->poll =
 		config_poll_create(control->ev, control->ev, node, control->store);
 	control->admin = admin_create(control->ev, control->ev, node, error);
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -121,7 +121,6 @@
 	router_set_zone(node->router, record->name, record->zone.in, clock_boot_usec());
 }
 
-
 /* Zones whose record was retired count as in. */
 static void restore_zone(void *ctx, const router_instance_info_t *info)
 {
@@ -210,8 +209,8 @@
 	if (target.present) {
 		bool draining = target.draining || atomic_load(&node->draining);
 		g_strlcpy(fields.service, target.service, sizeof(fields.service));
-		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING :
-					   EGRET__TARGET_STATE__TARGET_UP;
+		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING
+					 : EGRET__TARGET_STATE__TARGET_UP;
 		fields.slots = target.slots;
 		fields.cold_slots = target.cold_slots;
 	}
@@ -238,8 +237,9 @@
 
 static bool same_announcement(const own_target_t *a, const own_target_t *b)
 {
-	return strcmp(a->service, b->service) == 0 && strcmp(a->address, b->address) == 0 &&
-	       a->slots == b->slots && a->cold_slots == b->cold_slots;
+	return strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->address, b->address) == 0 && a->slots == b->slots &&
+	       a->cold_slots == b->cold_slots;
 }
 
 void node_announce_target(node_t *node, const own_target_t *announced)
--- a/egretscaled/peer_client.c
+++ b/egretscaled/peer_client.c
@@ -83,9 +83,9 @@
 		return client->link;
 	if (!address_parse(client->address, &address, NULL))
 		return NULL;
-	client->link = frame_link_connect(NULL, client->worker->ev,
-					  client->worker->node->auth, &address, &link_ops,
-					  client, &error);
+	client->link =
+		frame_link_connect(NULL, client->worker->ev, client->worker->node->auth,
+				   &address, &link_ops, client, &error);
 	if (!client->link) {
 		log_failure("connect to a peer", error);
 		g_clear_error(&error);
@@ -117,8 +117,8 @@
 	g_hash_table_remove(pc->client->fences, &pc->attempt);
 	detach_call(pc);
 	call_refuse(call,
-		    never_started ? EGRET__OUTCOME__OUTCOME_NOT_RUN :
-				    EGRET__OUTCOME__OUTCOME_UNKNOWN,
+		    never_started ? EGRET__OUTCOME__OUTCOME_NOT_RUN
+				  : EGRET__OUTCOME__OUTCOME_UNKNOWN,
 		    EGRET__REASON__REASON_PEER_LOST);
 }
 
@@ -147,8 +147,8 @@
 	counter_add(COUNTER_FENCES_SENT, 1);
 	pc->fence_until = now + FENCE_TIMEOUT;
 	g_hash_table_insert(pc->client->fences, &pc->attempt, pc);
-	pc->fence_timer = worker_timer(pc->client->worker, FENCE_RETRY, handle_fence_timer,
-				       pc);
+	pc->fence_timer =
+		worker_timer(pc->client->worker, FENCE_RETRY, handle_fence_timer, pc);
 }
 
 /* Decides one call of a lost link. */
--- a/egretscaled/pull.c
+++ b/egretscaled/pull.c
@@ -196,8 +196,9 @@
 
 static void schedule_tick(puller_t *puller)
 {
-	puller->timer = tevent_add_timer(
-		puller->ev, puller, tevent_timeval_current_ofs(0, TICK), handle_tick, puller);
+	puller->timer =
+		tevent_add_timer(puller->ev, puller, tevent_timeval_current_ofs(0, TICK),
+				 handle_tick, puller);
 }
 
 static void handle_wake(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
@@ -276,7 +277,8 @@
 	pthread_mutex_lock(&node->gossip_lock);
 	directory_t *directory = gossip_directory(node->gossip);
 	directory_digests(directory, digests);
-	LIST_FOREACH (member, directory_members(directory), link) {
+	LIST_FOREACH(member, directory_members(directory), link)
+	{
 		uint32_t bucket = directory_bucket(member->address);
 		if (digests[bucket] == pull->bucket_digests[bucket] ||
 		    cells->len >= MEMBERS_PER_ANSWER)
--- a/egretscaled/settings.c
+++ b/egretscaled/settings.c
@@ -74,7 +74,8 @@
 			bool loopback)
 {
 	if (!address_parse(value, out, NULL))
-		refuse(key, value, "IP:PORT with an IPv4 address and a port from 1 to 65535");
+		refuse(key, value,
+		       "IP:PORT with an IPv4 address and a port from 1 to 65535");
 	if (loopback && !address_is_loopback(out))
 		refuse(key, value, "a loopback address (127.0.0.0/8)");
 }
@@ -129,7 +130,8 @@
 		set_address(key, value, &settings->admin_listen, true);
 		break;
 	case KEY_PLATFORM:
-		if (!g_str_has_prefix(value, "http://") && !g_str_has_prefix(value, "https://"))
+		if (!g_str_has_prefix(value, "http://") &&
+		    !g_str_has_prefix(value, "https://"))
 			refuse(key, value, "an http:// or https:// URL");
 		set_text(&settings->platform, value);
 		break;
@@ -175,8 +177,8 @@
 	parse_state_t *parse = state->input;
 
 	if (key == ARGP_KEY_ARG) {
-		fprintf(stderr, "egretscaled: '%s' is not allowed: there are only flags\n",
-			arg);
+		fprintf(stderr,
+			"egretscaled: '%s' is not allowed: there are only flags\n", arg);
 		exit(EXIT_USAGE);
 	}
 	if (key < KEY_ZONE || key >= KEY_END)
@@ -218,10 +220,9 @@
 
 static void require(const parse_state_t *parse)
 {
-	static const int required[] = {KEY_ZONE,	  KEY_PEER_LISTEN,
-				       KEY_CALLER_LISTEN, KEY_TARGET_LISTEN,
-				       KEY_ADMIN_LISTEN,  KEY_PLATFORM,
-				       KEY_PEER_SECRET_FILE};
+	static const int required[] = {
+		KEY_ZONE,	  KEY_PEER_LISTEN, KEY_CALLER_LISTEN,	KEY_TARGET_LISTEN,
+		KEY_ADMIN_LISTEN, KEY_PLATFORM,	   KEY_PEER_SECRET_FILE};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
 		if (!parse->given[required[i] - KEY_ZONE])
--- a/egretscaled/stream.c
+++ b/egretscaled/stream.c
@@ -24,7 +24,8 @@
 	return n;
 }
 
-static void send_data(stream_out_t *out, uint8_t *data, size_t len, bool end, bool aborted)
+static void send_data(stream_out_t *out, uint8_t *data, size_t len, bool end,
+		      bool aborted)
 {
 	Egret__Frame frame = EGRET__FRAME__INIT;
 	Egret__Data message = EGRET__DATA__INIT;
--- a/egretscaled/target_call.c
+++ b/egretscaled/target_call.c
@@ -356,8 +356,8 @@
 static void add_header(target_call_t *tc, const char *name, const char *value)
 {
 	/* curl takes "Name;" for a header without a value. */
-	char *line = *value ? g_strdup_printf("%s: %s", name, value) :
-			      g_strdup_printf("%s;", name);
+	char *line = *value ? g_strdup_printf("%s: %s", name, value)
+			    : g_strdup_printf("%s;", name);
 
 	tc->headers = curl_slist_append(tc->headers, line);
 	g_free(line);
@@ -420,7 +420,8 @@
 	curl_easy_setopt(tc->easy, CURLOPT_WRITEDATA, tc);
 	curl_easy_setopt(tc->easy, CURLOPT_BUFFERSIZE, CURL_BUFFER_BYTES);
 	curl_easy_setopt(tc->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(tc->easy, CURLOPT_TIMEOUT_MS, (long)MAX(left / USEC_PER_MSEC, 1));
+	curl_easy_setopt(tc->easy, CURLOPT_TIMEOUT_MS,
+			 (long)MAX(left / USEC_PER_MSEC, 1));
 	set_body(tc);
 	body_on_readable(call->request_body, handle_body_event, tc);
 	body_on_writable(call->reply_body, handle_body_event, tc);
@@ -473,8 +474,9 @@
 static const char *verdict_name(gate_verdict_t verdict)
 {
 	static const char *const names[] = {
-		[GATE_RUN] = "run",	    [GATE_WAIT] = "wait",   [GATE_SHED] = "shed",
-		[GATE_EXPIRED] = "expired", [GATE_CLOSED] = "closed",
+		[GATE_RUN] = "run",	  [GATE_WAIT] = "wait",
+		[GATE_SHED] = "shed",	  [GATE_EXPIRED] = "expired",
+		[GATE_CLOSED] = "closed",
 	};
 
 	return names[verdict];
@@ -537,15 +539,16 @@
 	pthread_mutex_unlock(&node->suspect_lock);
 	if (suspect) {
 		counter_add(COUNTER_SUSPECT_REFUSED, 1);
-		refuse(tc, EGRET__OUTCOME__OUTCOME_NOT_RUN, EGRET__REASON__REASON_SUSPECT);
+		refuse(tc, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+		       EGRET__REASON__REASON_SUSPECT);
 		free_target_call(tc);
 		return;
 	}
 	pthread_mutex_lock(&node->gate_lock);
-	bool served = node->target.present &&
-		      strcmp(node->target.service, call->service) == 0;
-	gate_verdict_t verdict = served ? gate_request(node->gate, &tc->ticket, now) :
-					  GATE_CLOSED;
+	bool served =
+		node->target.present && strcmp(node->target.service, call->service) == 0;
+	gate_verdict_t verdict =
+		served ? gate_request(node->gate, &tc->ticket, now) : GATE_CLOSED;
 	pthread_mutex_unlock(&node->gate_lock);
 	node_run_gate(node);
 	if (verdict == GATE_RUN)
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -92,15 +92,15 @@
 	tevent_schedule_immediate(im, worker->ev, handle_deferred, task);
 }
 
-struct tevent_timer *worker_timer(worker_t *worker, usec_t delay, tevent_timer_handler_t fn,
-				  void *ctx)
+struct tevent_timer *worker_timer(worker_t *worker, usec_t delay,
+				  tevent_timer_handler_t fn, void *ctx)
 {
 	delay = MAX(delay, 0);
-	return tevent_add_timer(worker->ev, worker->ev,
-				tevent_timeval_current_ofs(
-					(uint32_t)(delay / USEC_PER_SEC),
-					(uint32_t)(delay % USEC_PER_SEC)),
-				fn, ctx);
+	return tevent_add_timer(
+		worker->ev, worker->ev,
+		tevent_timeval_current_ofs((uint32_t)(delay / USEC_PER_SEC),
+					   (uint32_t)(delay % USEC_PER_SEC)),
+		fn, ctx);
 }
 
 static void handle_peer_accept(struct tevent_context *ev, struct tevent_fd *fde,
@@ -191,8 +191,8 @@
 	worker->ev = tevent_context_init(NULL);
 	worker->curl = curl_loop_create(worker->ev, worker->ev, CACHED_CONNECTIONS);
 	worker->store = store_http_create(worker->curl, node->settings->platform);
-	worker->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					      peer_client_destroy);
+	worker->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_client_destroy);
 	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
 	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->borrowers = accounts_io_borrowers_create();
@@ -225,7 +225,8 @@
 {
 	if (pthread_create(&worker->thread, NULL, worker_main, worker) == 0)
 		return true;
-	g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY, "cannot start a worker thread");
+	g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY,
+		    "cannot start a worker thread");
 	return false;
 }
 
--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -177,8 +177,8 @@
 }
 
 /* Refuses a second writing of the request; see NAME in the header. */
-static int before_request(void *clientp, char *remote_ip, char *local_ip,
-			  int remote_port, int local_port)
+static int before_request(void *clientp, char *remote_ip, char *local_ip, int remote_port,
+			  int local_port)
 {
 	(void)remote_ip;
 	(void)local_ip;
@@ -224,9 +224,10 @@
 
 CURL *curl_loop_take(curl_loop_t *loop)
 {
-	CURL *easy = loop->pool->len > 0 ?
-			     g_ptr_array_remove_index_fast(loop->pool, loop->pool->len - 1) :
-			     curl_easy_init();
+	CURL *easy =
+		loop->pool->len > 0
+			? g_ptr_array_remove_index_fast(loop->pool, loop->pool->len - 1)
+			: curl_easy_init();
 	transfer_t *transfer = g_new0(transfer_t, 1);
 
 	transfer->loop = loop;
--- a/http/headers.c
+++ b/http/headers.c
@@ -4,10 +4,20 @@
 #include <strings.h>
 
 static const char *const private_headers[] = {
-	"connection",	       "keep-alive", "proxy-authenticate", "proxy-authorization",
-	"proxy-connection",    "te",	     "trailer",		   "transfer-encoding",
-	"upgrade",	       "host",	     "content-length",	   "expect",
-	"authorization",       "idempotency-key",
+	"connection",
+	"keep-alive",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"proxy-connection",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"host",
+	"content-length",
+	"expect",
+	"authorization",
+	"idempotency-key",
 };
 
 static void header_free(void *data)
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -137,14 +137,14 @@
 
 	if (options->tls_cert)
 		flags |= MHD_USE_TLS;
-	return MHD_start_daemon(flags, 0, NULL, NULL, handler, ctx, MHD_OPTION_LISTEN_SOCKET,
-				fd, MHD_OPTION_NOTIFY_COMPLETED, completed, ctx,
-				MHD_OPTION_UNESCAPE_CALLBACK, keep_escaped, NULL,
-				MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_sec,
-				MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
-				MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-				(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_ARRAY,
-				options->tls_cert ? tls : none, MHD_OPTION_END);
+	return MHD_start_daemon(
+		flags, 0, NULL, NULL, handler, ctx, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, ctx, MHD_OPTION_UNESCAPE_CALLBACK,
+		keep_escaped, NULL, MHD_OPTION_CONNECTION_TIMEOUT,
+		options->idle_timeout_sec, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_ARRAY,
+		options->tls_cert ? tls : none, MHD_OPTION_END);
 }
 
 mhd_loop_t *mhd_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
@@ -170,7 +170,8 @@
 	loop->quiesced_fd = -1;
 	loop->run = tevent_create_immediate(loop);
 	int epoll_fd = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-	loop->fde = tevent_add_fd(ev, loop, epoll_fd, TEVENT_FD_READ, handle_readable, loop);
+	loop->fde =
+		tevent_add_fd(ev, loop, epoll_fd, TEVENT_FD_READ, handle_readable, loop);
 	loop->hangup_fd = epoll_create1(EPOLL_CLOEXEC);
 	loop->hangup_fde = tevent_add_fd(ev, loop, loop->hangup_fd, TEVENT_FD_READ,
 					 handle_hangup, loop);
@@ -216,8 +217,8 @@
 	return info ? info->connect_fd : -1;
 }
 
-void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection,
-		    mhd_hangup_fn fn, void *ctx)
+void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection, mhd_hangup_fn fn,
+		    void *ctx)
 {
 	int fd = connection_fd(connection);
 	struct epoll_event event = {.events = EPOLLRDHUP | EPOLLHUP | EPOLLERR,
--- a/include/accounts/keeper.h
+++ b/include/accounts/keeper.h
@@ -31,7 +31,7 @@
 lease_t *keeper_lease(keeper_t *keeper, uint32_t partition);
 
 /* The zone's part of the partition's accounts, in force from now on. */
-void keeper_set_portion(keeper_t *keeper, uint32_t partition, uint32_t milli);
+void keeper_set_portion(keeper_t *keeper, uint32_t partition, uint32_t milli, usec_t now);
 uint32_t keeper_portion(const keeper_t *keeper, uint32_t partition);
 
 /* Forgets the lenders of a partition whose lease ended. */
@@ -44,6 +44,9 @@
 /* The highest demand over rate of the partition's accounts. */
 double keeper_pressure(keeper_t *keeper, uint32_t partition, usec_t now);
 
+/* The largest part lent of any of the partition's accounts, in thousandths. */
+uint32_t keeper_lent_milli(keeper_t *keeper, uint32_t partition, usec_t now);
+
 /*
  * Another node claims the partition by an epoch. Returns the newest epoch known
  * besides, or 0 if the claim is the newest. Ends an own lease that is older.
--- a/include/accounts/lease.h
+++ b/include/accounts/lease.h
@@ -11,7 +11,9 @@
  *	A state machine without I/O over a row of the platform's table service.
  *	A lease runs for LEASE_TERM from when its renewal was sent. A candidate
  *	takes a row over only after it saw it unchanged for longer than that, and
- *	lends only after the loans of the one before have ended.
+ *	lends only after the loans of the one before have ended. A holder that
+ *	stops on purpose releases the row and writes how much it has lent, so that
+ *	its successor can lend the rest at once.
  *
  *	While the platform cannot be reached the keeper goes on by confirmation:
  *	more than half of its zone's nodes answer that they know no newer epoch.
@@ -53,9 +55,11 @@
 	usec_t renewed;	 /* when the last successful commit was sent */
 	usec_t lend_from;
 	usec_t confirmed_until;
-	bool successor;	   /* another process held the epoch before */
-	bool released;	   /* that process gave the lease up itself */
-	bool acknowledged; /* enough nodes know this epoch */
+	bool successor;	     /* another process held the epoch before */
+	bool released;	     /* that process gave the lease up itself */
+	uint32_t lent_milli; /* the most that it had lent of a capacity then */
+	usec_t loans_end;    /* until when its loans may be spent */
+	bool acknowledged;   /* enough nodes know this epoch */
 	bool committing;
 } lease_t;
 
@@ -66,7 +70,7 @@
 
 /* The row was read: revision 0 if absent; released if nobody holds it. */
 void lease_observed(lease_t *lease, usec_t now, uint64_t revision, uint64_t epoch,
-		    bool released);
+		    bool released, uint32_t lent_milli);
 
 /* A commit to take or renew was sent, and its result. */
 void lease_sent(lease_t *lease, usec_t now);
--- a/include/accounts/lender.h
+++ b/include/accounts/lender.h
@@ -20,8 +20,12 @@
 
 typedef struct lender lender_t;
 
-/* A new lender starts without tokens. */
-lender_t *lender_create(usec_t now, double rate, double capacity);
+/* A new lender has the tokens that came since `since`, when nobody else could
+ * lend for the account any more. */
+lender_t *lender_create(usec_t since, usec_t now, double rate, double capacity);
+
+/* An earlier keeper's loans still take up capacity until `until`. */
+void lender_reserve(lender_t *lender, double capacity, usec_t until, usec_t now);
 void lender_destroy(lender_t *lender);
 
 /* The account's record or the zone's portion changed. */
@@ -33,6 +37,9 @@
 /* Demand of the zone's own borrowers over the rate; 0 when idle. */
 double lender_pressure(lender_t *lender, usec_t now);
 
+/* Part of the capacity that is lent now, 0 to 1. */
+double lender_lent_share(lender_t *lender, usec_t now);
+
 /* Nothing is lent and nobody has asked for a while. */
 bool lender_is_idle(lender_t *lender, usec_t now);
 
--- a/include/admission/gate.h
+++ b/include/admission/gate.h
@@ -33,9 +33,9 @@
 typedef enum gate_verdict {
 	GATE_RUN,
 	GATE_WAIT,
-	GATE_SHED,     /* the queue is full of better calls */
-	GATE_EXPIRED,  /* the deadline cannot be met */
-	GATE_CLOSED,   /* no target, or it drains */
+	GATE_SHED,    /* the queue is full of better calls */
+	GATE_EXPIRED, /* the deadline cannot be met */
+	GATE_CLOSED,  /* no target, or it drains */
 } gate_verdict_t;
 
 typedef struct gate_ticket {
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -61,7 +61,7 @@
 #define COUNTER_ENUM(id, name, help) COUNTER_##id,
 	COUNTER_LIST(COUNTER_ENUM)
 #undef COUNTER_ENUM
-		COUNTER_COUNT,
+	COUNTER_COUNT,
 } counter_id_t;
 
 void counter_add(counter_id_t id, uint64_t n);
--- a/include/egretctl/ctl.h
+++ b/include/egretctl/ctl.h
@@ -89,7 +89,7 @@
 typedef struct change {
 	char *key;
 	uint64_t expected_revision;
-	char *value;	 /* canonical JSON, NULL to retire */
+	char *value;	  /* canonical JSON, NULL to retire */
 	const char *verb; /* create, update or retire */
 	char *old;
 } change_t;
--- a/include/egretscaled/worker.h
+++ b/include/egretscaled/worker.h
@@ -30,10 +30,10 @@
 	store_t *store;
 	mhd_loop_t *callers;
 	mhd_loop_t *target;
-	GHashTable *peers;   /* address -> peer_client_t */
-	GHashTable *ingress; /* set of ingress_link_t */
-	GHashTable *borrowers; /* account -> account_entry_t */
-	GHashTable *requests; /* request number -> http_request_t */
+	GHashTable *peers;	    /* address -> peer_client_t */
+	GHashTable *ingress;	    /* set of ingress_link_t */
+	GHashTable *borrowers;	    /* account -> account_entry_t */
+	GHashTable *requests;	    /* request number -> http_request_t */
 	struct claim_batch *claims; /* claims that wait for the next commit */
 	struct tevent_timer *tick;
 	usec_t next_sweep;
@@ -61,8 +61,8 @@
 void worker_defer(worker_t *worker, worker_task_fn fn, void *ctx);
 
 /* Starts a timer for fn; free the timer to stop it. */
-struct tevent_timer *worker_timer(worker_t *worker, usec_t delay, tevent_timer_handler_t fn,
-				  void *ctx);
+struct tevent_timer *worker_timer(worker_t *worker, usec_t delay,
+				  tevent_timer_handler_t fn, void *ctx);
 
 /* Stops taking callers and new peer links; running requests go on. */
 void worker_quiesce(worker_t *worker, void *unused);
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -43,8 +43,8 @@
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection);
 
 /* Calls fn once when the client closes; ctx identifies the watch. */
-void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection,
-		    mhd_hangup_fn fn, void *ctx);
+void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection, mhd_hangup_fn fn,
+		    void *ctx);
 void mhd_loop_unwatch(mhd_loop_t *loop, struct MHD_Connection *connection);
 
 /* Queues a whole JSON or text answer. */
--- a/membership/directory.c
+++ b/membership/directory.c
@@ -159,7 +159,8 @@
 		member_t *next = LIST_NEXT(member, link);
 		usec_t age = now - member->changed;
 
-		if (member->state == EGRET__MEMBER_STATE__MEMBER_SUSPECT && age >= timeout) {
+		if (member->state == EGRET__MEMBER_STATE__MEMBER_SUSPECT &&
+		    age >= timeout) {
 			member->state = EGRET__MEMBER_STATE__MEMBER_DEAD;
 			member->changed = now;
 			directory->live--;
@@ -191,8 +192,8 @@
 	const member_t *member;
 
 	memset(out, 0, DIRECTORY_BUCKETS * sizeof(out[0]));
-	LIST_FOREACH (member, &directory->members, link)
-		out[directory_bucket(member->address)] ^= member_digest(member);
+	LIST_FOREACH(member, &directory->members, link)
+	out[directory_bucket(member->address)] ^= member_digest(member);
 }
 
 const member_t *directory_keeper(const directory_t *directory, const char *zone,
@@ -201,7 +202,8 @@
 	const member_t *best = NULL;
 	const member_t *member;
 
-	LIST_FOREACH (member, &directory->members, link) {
+	LIST_FOREACH(member, &directory->members, link)
+	{
 		uint64_t epoch = member->keeps[partition];
 
 		if (epoch == 0 || !is_live(member) || strcmp(member->zone, zone) != 0)
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -78,7 +78,8 @@
 		gossip_add_seed(gossip, *seeds);
 	gossip->rand = g_rand_new_with_seed_array(words, 2);
 	gossip->order = g_ptr_array_new_with_free_func(g_free);
-	gossip->relays = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	gossip->relays =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	gossip->news_by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	gossip->next_sequence = random_seed;
 	TAILQ_INIT(&gossip->news);
@@ -262,7 +263,8 @@
 	const member_t *member;
 	gint32 seen = 0;
 
-	LIST_FOREACH (member, directory_members(gossip->directory), link) {
+	LIST_FOREACH(member, directory_members(gossip->directory), link)
+	{
 		if (!is_live(member) || member == directory_self(gossip->directory) ||
 		    g_strcmp0(member->address, except) == 0)
 			continue;
@@ -337,7 +339,8 @@
 
 	if ((usec_t)wire->age_ms * USEC_PER_MSEC >= SUSPICION_LIFE)
 		return;
-	TAILQ_FOREACH (news, &gossip->suspicions, link) {
+	TAILQ_FOREACH(news, &gossip->suspicions, link)
+	{
 		if (news->fingerprint == wire->fingerprint && news->crash == wire->crash)
 			return;
 	}
@@ -347,7 +350,8 @@
 	news->since = now - (usec_t)wire->age_ms * USEC_PER_MSEC;
 	news->transmissions = transmissions(gossip);
 	TAILQ_INSERT_TAIL(&gossip->suspicions, news, link);
-	gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash, wire->age_ms);
+	gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash,
+				  wire->age_ms);
 }
 
 static void relay_probe(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
@@ -359,9 +363,10 @@
 	g_strlcpy(relay->subject, message->subject, sizeof(relay->subject));
 	relay->asker_sequence = message->sequence;
 	relay->started = now;
-	g_hash_table_insert(gossip->relays, g_memdup2(&sequence, sizeof(sequence)), relay);
-	send_message(gossip, now, relay->subject, EGRET__GOSSIP_KIND__GOSSIP_PING, sequence,
-		     NULL);
+	g_hash_table_insert(gossip->relays, g_memdup2(&sequence, sizeof(sequence)),
+			    relay);
+	send_message(gossip, now, relay->subject, EGRET__GOSSIP_KIND__GOSSIP_PING,
+		     sequence, NULL);
 }
 
 static void take_ack(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
@@ -414,10 +419,12 @@
 {
 	const member_t *member;
 
-	LIST_FOREACH (member, directory_members(gossip->directory), link) {
+	LIST_FOREACH(member, directory_members(gossip->directory), link)
+	{
 		if (!is_live(member) || member == directory_self(gossip->directory))
 			continue;
-		gint32 at = g_rand_int_range(gossip->rand, 0, (gint32)gossip->order->len + 1);
+		gint32 at =
+			g_rand_int_range(gossip->rand, 0, (gint32)gossip->order->len + 1);
 		g_ptr_array_insert(gossip->order, at, g_strdup(member->address));
 	}
 }
@@ -427,8 +434,8 @@
 	if (gossip->order->len == 0)
 		refill_order(gossip);
 	while (gossip->order->len > 0) {
-		char *address = g_ptr_array_steal_index(gossip->order,
-							gossip->order->len - 1);
+		char *address =
+			g_ptr_array_steal_index(gossip->order, gossip->order->len - 1);
 		const member_t *member = directory_lookup(gossip->directory, address);
 
 		g_free(address);
@@ -495,15 +502,17 @@
 	const member_t *member;
 	gint32 seen = 0;
 
-	LIST_FOREACH (member, directory_members(gossip->directory), link) {
+	LIST_FOREACH(member, directory_members(gossip->directory), link)
+	{
 		if (member->state != EGRET__MEMBER_STATE__MEMBER_DEAD)
 			continue;
 		if (g_rand_int_range(gossip->rand, 0, ++seen) == 0)
 			chosen = member;
 	}
 	if (chosen)
-		send_message(gossip, now, chosen->address, EGRET__GOSSIP_KIND__GOSSIP_PING,
-			     ++gossip->next_sequence, NULL);
+		send_message(gossip, now, chosen->address,
+			     EGRET__GOSSIP_KIND__GOSSIP_PING, ++gossip->next_sequence,
+			     NULL);
 	if (gossip->seeds->len == 0)
 		return;
 	gint32 i = g_rand_int_range(gossip->rand, 0, (gint32)gossip->seeds->len);
@@ -526,7 +535,8 @@
 {
 	probe_t *probe = &gossip->probe;
 
-	if (probe->active && !probe->indirect && now - probe->started >= GOSSIP_ACK_TIMEOUT)
+	if (probe->active && !probe->indirect &&
+	    now - probe->started >= GOSSIP_ACK_TIMEOUT)
 		probe_indirectly(gossip, now);
 	if (now >= gossip->next_probe) {
 		finish_probe(gossip, now);
--- a/routing/router.c
+++ b/routing/router.c
@@ -35,8 +35,10 @@
 };
 
 static const char *const why_names[] = {
-	[ROUTER_OWN_ZONE] = "own-zone",		[ROUTER_SPILL] = "spill",
-	[ROUTER_LAST_RESORT] = "last-resort",	[ROUTER_NO_INSTANCE] = "no-instance",
+	[ROUTER_OWN_ZONE] = "own-zone",
+	[ROUTER_SPILL] = "spill",
+	[ROUTER_LAST_RESORT] = "last-resort",
+	[ROUTER_NO_INSTANCE] = "no-instance",
 	[ROUTER_SHED] = "shed",
 };
 
@@ -140,7 +142,8 @@
 	status->since = returns ? now : now - ROUTER_ZONE_RAMP;
 }
 
-static const zone_status_t *zone_status(const router_t *router, const instance_t *instance)
+static const zone_status_t *zone_status(const router_t *router,
+					const instance_t *instance)
 {
 	return g_hash_table_lookup(router->zones, instance->member.zone);
 }
@@ -186,7 +189,8 @@
 	double own = instance->inflight;
 	double limit = MAX(instance->report.limit, 1);
 
-	return (MAX(reported, own) + 0.01 * own) / limit / zone_ramp(router, instance, now);
+	return (MAX(reported, own) + 0.01 * own) / limit /
+	       zone_ramp(router, instance, now);
 }
 
 static bool is_excluded(const router_request_t *request, const instance_t *instance)
--- a/store/store.c
+++ b/store/store.c
@@ -86,7 +86,8 @@
 		g_error_free(unknown);
 		return;
 	}
-	if (count == 1 && rows[0].attempt && strcmp(rows[0].attempt, commit->attempt) == 0)
+	if (count == 1 && rows[0].attempt &&
+	    strcmp(rows[0].attempt, commit->attempt) == 0)
 		commit_finish(commit, rows[0].revision, NULL);
 	else
 		commit_finish(commit, 0, commit->conflict);
@@ -117,9 +118,9 @@
 		commit_send(commit);
 		return;
 	}
-	GError *unknown = g_error_new(EGRET_ERROR, EGRET_ERROR_UNKNOWN_RESULT,
-				      "commit of %s: %s", commit->writes[0].key,
-				      error->message);
+	GError *unknown =
+		g_error_new(EGRET_ERROR, EGRET_ERROR_UNKNOWN_RESULT, "commit of %s: %s",
+			    commit->writes[0].key, error->message);
 	commit_finish(commit, 0, unknown);
 	g_error_free(unknown);
 }
@@ -139,7 +140,8 @@
 	commit_t *commit = g_new0(commit_t, 1);
 
 	randombytes_buf(attempt, sizeof(attempt));
-	sodium_bin2hex(commit->attempt, sizeof(commit->attempt), attempt, sizeof(attempt));
+	sodium_bin2hex(commit->attempt, sizeof(commit->attempt), attempt,
+		       sizeof(attempt));
 	commit->store = store;
 	commit->writes = g_new0(store_write_t, count);
 	commit->count = count;
--- a/store/store_http.c
+++ b/store/store_http.c
@@ -123,8 +123,8 @@
 		op->object_done(op->ctx, op->answer->data, error ? 0 : op->answer->len,
 				error);
 	} else if (op->commit_done) {
-		uint64_t revision = (uint64_t)json_integer_value(
-			json_object_get(json, "revision"));
+		uint64_t revision =
+			(uint64_t)json_integer_value(json_object_get(json, "revision"));
 		op->commit_done(op->ctx, error ? 0 : revision, error);
 	} else if (error) {
 		op->rows_done(op->ctx, 0, NULL, 0, error);
@@ -144,13 +144,14 @@
 	if (code != CURLE_OK)
 		error = transport_error(op, code);
 	if (!error && !(op->object_done && status == 200))
-		json = json_loadb((const char *)op->answer->data, op->answer->len, 0, NULL);
+		json = json_loadb((const char *)op->answer->data, op->answer->len, 0,
+				  NULL);
 	if (!error && status != 200)
 		error = status_error(op, status, json);
 	if (!error && !op->object_done && !json)
 		error = g_error_new(EGRET_ERROR,
-				    op->commit_done ? EGRET_ERROR_UNKNOWN_RESULT :
-						      EGRET_ERROR_JSON,
+				    op->commit_done ? EGRET_ERROR_UNKNOWN_RESULT
+						    : EGRET_ERROR_JSON,
 				    "%s: the answer is not JSON", op->attempted);
 	deliver(op, json, error);
 	json_decref(json);
@@ -209,9 +210,10 @@
 
 	op->rows_done = done;
 	op->ctx = ctx;
-	operation_start(op, g_strdup_printf("/v1/changes?prefix=%s&after=%" G_GUINT64_FORMAT
-					    "&limit=%u",
-					    escaped, after, limit));
+	operation_start(op,
+			g_strdup_printf("/v1/changes?prefix=%s&after=%" G_GUINT64_FORMAT
+					"&limit=%u",
+					escaped, after, limit));
 	g_free(escaped);
 }
 
--- a/wire/frame_link.c
+++ b/wire/frame_link.c
@@ -193,8 +193,8 @@
 		return -1;
 	if (link->in->len - offset < LENGTH_BYTES + len)
 		return 0;
-	Egret__Frame *frame = egret__frame__unpack(
-		NULL, len, link->in->data + offset + LENGTH_BYTES);
+	Egret__Frame *frame =
+		egret__frame__unpack(NULL, len, link->in->data + offset + LENGTH_BYTES);
 	if (!frame)
 		return -1;
 	link->last_used = clock_boot_usec();
@@ -352,8 +352,9 @@
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	if (fd < 0 || (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 &&
-		       errno != EINPROGRESS)) {
+	if (fd < 0 ||
+	    (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 &&
+	     errno != EINPROGRESS)) {
 		g_set_error(error, EGRET_ERROR, EGRET_ERROR_IO, "connect to a peer: %s",
 			    g_strerror(errno));
 		if (fd >= 0)
