accounts: give a starved zone its portion at once; draining nodes keep nothing

Cause: a keeper that saw only its own zone at the start took the whole portion and gave back a step every 10 s; a draining node still counted as the best candidate for leases, so a successor waited until it had left.

--- a/accounts/keeper.c
+++ b/accounts/keeper.c
@@ -12,7 +12,6 @@
 #define PORTION_RAISE_PRESSURE 0.9
 #define PORTION_LOWER_PRESSURE 0.3
 #define PORTION_STEP_DIVISOR 5u
-#define PORTION_FLOOR_DIVISOR 4u
 
 typedef struct partition {
 	lease_t lease;
@@ -155,16 +154,18 @@
 	return 0;
 }
 
-uint32_t portion_plan(uint32_t own, uint32_t free, uint32_t fair, double pressure)
+uint32_t portion_plan(uint32_t own, uint32_t free, uint32_t fair, double pressure,
+		      bool starved)
 {
 	uint32_t step = MAX(fair / PORTION_STEP_DIVISOR, 1);
-	uint32_t floor = fair / PORTION_FLOOR_DIVISOR;
 
 	if (own < fair)
 		return own + MIN(fair - own, free);
+	if (starved)
+		return fair;
 	if (pressure > PORTION_RAISE_PRESSURE)
 		return own + MIN(step, free);
 	if (pressure < PORTION_LOWER_PRESSURE && own > fair + step)
 		return own - step;
-	return MAX(own, floor);
+	return own;
 }
--- a/egretscaled/leases_io.c
+++ b/egretscaled/leases_io.c
@@ -14,6 +14,7 @@
 
 #define TICK (200 * USEC_PER_MSEC)
 #define PORTION_PERIOD (10 * USEC_PER_SEC)
+#define PORTION_RETRY USEC_PER_SEC
 #define READ_BACKOFF (2 * USEC_PER_SEC)
 #define OBSERVE_PERIOD (500 * USEC_PER_MSEC)
 /* A lower portion is written only after the loans made before have ended. */
@@ -45,6 +46,7 @@
 	struct tevent_timer *timer;
 	confirm_t *confirm;
 	partition_io_t partitions[KEEPER_PARTITIONS];
+	uint32_t zones; /* with nodes, as last seen */
 	bool released;
 	bool changed; /* the member entry must tell a lease change */
 };
@@ -387,7 +389,7 @@
 
 	partition->portion_step = PORTION_IDLE;
 	partition->next_portion =
-		clock_boot_usec() + (error ? USEC_PER_SEC : PORTION_PERIOD);
+		clock_boot_usec() + (error ? PORTION_RETRY : PORTION_PERIOD);
 	if (!error)
 		set_portion(partition, partition->portion_wanted);
 }
@@ -423,6 +425,24 @@
 	return MAX(count, 1);
 }
 
+/* Whether a zone that has nodes holds less than half of an even part. */
+static bool other_zone_starves(node_t *node, const json_t *portions, uint32_t fair)
+{
+	bool starved = false;
+
+	pthread_mutex_lock(&node->account_lock);
+	for (guint i = 0; i < node->accounts->zones->len; i++) {
+		const zone_keepers_t *zone =
+			&g_array_index(node->accounts->zones, zone_keepers_t, i);
+		json_int_t milli =
+			json_integer_value(json_object_get(portions, zone->zone));
+		starved = starved || (strcmp(zone->zone, node->settings->zone) != 0 &&
+				      milli < fair / 2);
+	}
+	pthread_mutex_unlock(&node->account_lock);
+	return starved;
+}
+
 /* Decides the next portion from the row as it is. */
 static void plan_portion(partition_io_t *partition)
 {
@@ -438,7 +458,8 @@
 	pthread_mutex_lock(&node->account_lock);
 	double pressure = keeper_pressure(node->accounts->keeper, partition->index, now);
 	pthread_mutex_unlock(&node->account_lock);
-	uint32_t next = portion_plan(own, free_part, fair, pressure);
+	bool starved = other_zone_starves(node, zones, fair);
+	uint32_t next = portion_plan(own, free_part, fair, pressure, starved);
 	partition->portion_wanted = next;
 	if (next < own) {
 		set_portion(partition, next);
@@ -452,7 +473,7 @@
 		return;
 	}
 	partition->portion_step = PORTION_IDLE;
-	partition->next_portion = now + PORTION_PERIOD;
+	partition->next_portion = now + (own < fair ? PORTION_RETRY : PORTION_PERIOD);
 }
 
 static void handle_portion_row(void *ctx, uint64_t revision, const store_row_t *rows,
@@ -529,6 +550,18 @@
 		step_portion(partition, now);
 }
 
+/* A zone more or less changes what is an even part. */
+static void notice_zones(leases_io_t *io, usec_t now)
+{
+	uint32_t zones = zone_count(io->node);
+
+	if (zones == io->zones)
+		return;
+	io->zones = zones;
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
+		io->partitions[i].next_portion = now;
+}
+
 static void step(leases_io_t *io)
 {
 	bool candidate[KEEPER_PARTITIONS];
@@ -536,6 +569,7 @@
 	usec_t now = clock_boot_usec();
 
 	scan_directory(io, candidate);
+	notice_zones(io, now);
 	if (io->released || !atomic_load(&io->node->ready))
 		return;
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -204,7 +204,7 @@
 	pthread_mutex_lock(&node->gate_lock);
 	target = node->target;
 	pthread_mutex_unlock(&node->gate_lock);
-	fields.ready = atomic_load(&node->ready);
+	fields.ready = atomic_load(&node->ready) && !atomic_load(&node->draining);
 	fields.target = EGRET__TARGET_STATE__TARGET_NONE;
 	if (target.present) {
 		bool draining = target.draining || atomic_load(&node->draining);
--- a/include/accounts/keeper.h
+++ b/include/accounts/keeper.h
@@ -54,9 +54,11 @@
 uint64_t keeper_hear_epoch(keeper_t *keeper, uint32_t partition, uint64_t epoch);
 
 /*
- * A zone's next portion: `free` is what no zone holds, `fair` an even part.
- * Raises come out of the free part only. See docs/design/account-rates.md.
+ * A zone's next portion: `free` is what no zone holds, `fair` an even part;
+ * `starved` says that another zone holds much less than that. Raises come out of
+ * the free part only. See docs/design/account-rates.md.
  */
-uint32_t portion_plan(uint32_t own, uint32_t free, uint32_t fair, double pressure);
+uint32_t portion_plan(uint32_t own, uint32_t free, uint32_t fair, double pressure,
+		      bool starved);
 
 #endif
