accounts, admission: wait up to 0.5 s for a token; tell small ranks apart

Cause 1: rates divided among four zones leave small accounts buckets of 2.5 tokens; requests that met an empty one were refused though the account was within its rate. Requests wait up to 0.5 s now, one keeper is asked at a time, other zones keep a smaller reserve (50 ms of their own demand). Cause 2: shed levels counted ranks in linear buckets, so accounts far below their rate all fell into one, and levels aged too fast for the entry to shed.

--- a/accounts/borrower.c
+++ b/accounts/borrower.c
@@ -20,6 +20,7 @@
 	double filled; /* tokens after the last reply */
 	usec_t expires;
 	bool outstanding;
+	bool wants; /* the outstanding request is for waiting requests */
 	usec_t asked;
 } held_loan_t;
 
@@ -84,6 +85,21 @@
 	return borrower_take(borrower, now);
 }
 
+static bool is_pending(const held_loan_t *loan, usec_t now)
+{
+	return loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT;
+}
+
+/* One keeper at a time is asked for those that wait: two would both grant. */
+static bool asks_for_waiting(const borrower_t *borrower, usec_t now)
+{
+	for (int i = 0; i < BORROWER_LOANS; i++) {
+		if (borrower->loans[i].wants && is_pending(&borrower->loans[i], now))
+			return true;
+	}
+	return false;
+}
+
 /* The loan from a zone, or a free or lapsed place for one. */
 static held_loan_t *loan_for(borrower_t *borrower, const char *zone, usec_t now)
 {
@@ -119,7 +135,7 @@
 
 	if (!loan)
 		return false;
-	if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
+	if (is_pending(loan, now) || (want > 0 && asks_for_waiting(borrower, now)))
 		return false;
 	if (!loan->id || strcmp(loan->zone, zone) != 0) {
 		*loan = (held_loan_t){.id = fresh_loan};
@@ -128,6 +144,7 @@
 	end_lapsed(loan, now);
 	double returns = take_surplus(borrower, loan, now);
 	loan->outstanding = true;
+	loan->wants = want > 0;
 	loan->asked = now;
 	*out = (loan_request_t){
 		.loan = loan->id,
@@ -178,7 +195,7 @@
 
 		if (!loan->id || loan->filled <= 0 || now >= loan->expires)
 			continue;
-		if (loan->outstanding && now - loan->asked < BORROWER_REPLY_TIMEOUT)
+		if (is_pending(loan, now))
 			continue;
 		if (loan->expires - now < RENEW_BEFORE_END ||
 		    loan->tokens < loan->filled * LOW_SHARE)
--- a/accounts/lender.c
+++ b/accounts/lender.c
@@ -12,7 +12,7 @@
 /* Smaller loans are not worth the capacity that they take up; see loan.h. */
 #define LOAN_TOKENS_MIN 4.0
 /* Kept for the own zone when another zone asks. */
-#define OWN_RESERVE (USEC_PER_SEC / 4)
+#define OWN_RESERVE (USEC_PER_SEC / 20)
 #define IDLE_TIME (10 * USEC_PER_SEC)
 
 typedef struct loan {
--- a/admission/priority.c
+++ b/admission/priority.c
@@ -21,3 +21,11 @@
 
 	return MIN((uint32_t)rank, PRIORITY_RANK_MAX);
 }
+
+priority_t priority_level_aged(priority_t level, usec_t age)
+{
+	double left = (double)(LEVEL_LIFE - age) / (double)(LEVEL_LIFE - LEVEL_HOLD);
+	double gap = (double)(PRIORITY_LEVEL_ALL - level);
+
+	return PRIORITY_LEVEL_ALL - (priority_t)(gap * CLAMP(left, 0.0, 1.0));
+}
--- a/admission/shed_level.c
+++ b/admission/shed_level.c
@@ -4,11 +4,12 @@
 #include <string.h>
 
 #define WINDOW_USEC (100 * USEC_PER_MSEC)
-#define BUCKET_BITS 6
-#define BUCKETS_PER_IMPORTANCE (1u << BUCKET_BITS)
-#define BUCKET_SHIFT (PRIORITY_RANK_BITS - BUCKET_BITS)
+/* Ranks are counted in log-linear buckets: an account far below its rate has
+ * small ranks, and they must be told apart as well as large ones. */
+#define MANTISSA_BITS 3
+#define BUCKETS_PER_IMPORTANCE ((PRIORITY_RANK_BITS + 1) << MANTISSA_BITS)
 #define BUCKETS (10u * BUCKETS_PER_IMPORTANCE)
-#define STEP_MIN 1u
+#define STEP_MIN 4u
 
 struct shed_level {
 	usec_t window_start;
@@ -33,6 +34,35 @@
 	g_free(level);
 }
 
+static uint32_t bucket_of(priority_t priority)
+{
+	uint32_t inverse_importance = priority >> PRIORITY_RANK_BITS;
+	uint32_t rank = priority & PRIORITY_RANK_MAX;
+	uint32_t bucket = rank;
+
+	if (rank >= 1u << MANTISSA_BITS) {
+		uint32_t shift = (uint32_t)g_bit_storage(rank) - 1 - MANTISSA_BITS;
+		bucket = ((shift + 1) << MANTISSA_BITS) +
+			 ((rank >> shift) - (1u << MANTISSA_BITS));
+	}
+	return MIN(inverse_importance * BUCKETS_PER_IMPORTANCE + bucket, BUCKETS - 1);
+}
+
+/* The lowest priority of a bucket. */
+static priority_t bucket_start(uint32_t bucket)
+{
+	uint32_t within = bucket % BUCKETS_PER_IMPORTANCE;
+	uint32_t rank = within;
+
+	if (within >= 1u << MANTISSA_BITS) {
+		uint32_t shift = (within >> MANTISSA_BITS) - 1;
+		uint32_t mantissa = within & ((1u << MANTISSA_BITS) - 1);
+		rank = (mantissa + (1u << MANTISSA_BITS)) << shift;
+	}
+	rank = MIN(rank, PRIORITY_RANK_MAX);
+	return (bucket / BUCKETS_PER_IMPORTANCE << PRIORITY_RANK_BITS) + rank;
+}
+
 /* First bucket boundary below which `wanted` arrivals lie. */
 static uint32_t boundary_for(const shed_level_t *level, uint32_t wanted)
 {
@@ -80,7 +110,7 @@
 void shed_level_arrival(shed_level_t *level, usec_t now, priority_t priority)
 {
 	advance(level, now);
-	level->arrivals[MIN(priority >> BUCKET_SHIFT, BUCKETS - 1)]++;
+	level->arrivals[bucket_of(priority)]++;
 	level->arrived++;
 }
 
@@ -92,5 +122,5 @@
 priority_t shed_level_value(shed_level_t *level, usec_t now)
 {
 	advance(level, now);
-	return level->level << BUCKET_SHIFT;
+	return bucket_start(level->level);
 }
--- a/egretscaled/accounts_io.c
+++ b/egretscaled/accounts_io.c
@@ -8,21 +8,21 @@
 #include <string.h>
 
 #define MILLI 1000.0
-/* How long a request waits for a token: while the account is within its rate,
- * and while no keeper answers. */
-#define WAIT_FOR_TOKEN (60 * USEC_PER_MSEC)
-#define WAIT_FOR_KEEPER (500 * USEC_PER_MSEC)
+/* How long a request waits for a token, or for a keeper to answer. */
+#define WAIT_MAX (500 * USEC_PER_MSEC)
 #define ASK_PERIOD (20 * USEC_PER_MSEC)
 #define FOREIGN_ASKS_MAX 2
 /* After a fruitless round, misses are refused for so long without asking. */
 #define SHORT_BACKOFF (10 * USEC_PER_MSEC)
 #define WAITING_MAX 10000
+/* Demand over rate from which on an account does not wait for tokens: well above
+ * 1, since the demand of a small account is known only roughly. */
+#define OVER_RATE_PRESSURE 1.5
 
 typedef struct waiting {
 	TAILQ_ENTRY(waiting) link;
 	admit_fn fn;
 	void *ctx;
-	usec_t arrived;
 	usec_t until;
 	uint32_t foreign_asks;
 } waiting_t;
@@ -309,7 +309,6 @@
 
 	while (waiting) {
 		waiting_t *next = TAILQ_NEXT(waiting, link);
-		waiting->until = MIN(waiting->until, waiting->arrived + WAIT_FOR_TOKEN);
 		if (waiting->foreign_asks++ < FOREIGN_ASKS_MAX)
 			asking++;
 		else if (over_rate)
@@ -333,7 +332,7 @@
 	if (TAILQ_EMPTY(&entry->waiting) || entry->replying || !reply->granted)
 		return;
 	entry->replying = true;
-	continue_waiting(entry, borrower_pressure(entry->borrower) > 1.0);
+	continue_waiting(entry, borrower_pressure(entry->borrower) > OVER_RATE_PRESSURE);
 	entry->replying = false;
 }
 
@@ -373,8 +372,7 @@
 	waiting_t *waiting = g_new0(waiting_t, 1);
 	waiting->fn = fn;
 	waiting->ctx = ctx;
-	waiting->arrived = now;
-	waiting->until = now + WAIT_FOR_KEEPER;
+	waiting->until = now + WAIT_MAX;
 	TAILQ_INSERT_TAIL(&entry->waiting, waiting, link);
 	entry->waiting_count++;
 	if (entry->waiting_count == 1 && !ask_own(entry, entry->waiting_count))
--- a/include/admission/priority.h
+++ b/include/admission/priority.h
@@ -1,6 +1,8 @@
 #ifndef EGRET_ADMISSION_PRIORITY_H
 #define EGRET_ADMISSION_PRIORITY_H
 
+#include "common/clock.h"
+
 #include <stdint.h>
 
 /*
@@ -25,6 +27,12 @@
 
 priority_t priority_make(uint32_t importance, uint32_t rank);
 
+/* A level that was told `age` ago: in force for LEVEL_HOLD, then rising to ALL by
+ * LEVEL_LIFE, so that a path without traffic is tried again within a second. */
+#define LEVEL_HOLD (300 * USEC_PER_MSEC)
+#define LEVEL_LIFE USEC_PER_SEC
+priority_t priority_level_aged(priority_t level, usec_t age);
+
 /* Derives the shed rank from the request id and the account's demand ratio. */
 uint32_t priority_rank(const uint8_t request_id[16], double demand_ratio);
 
--- a/include/routing/backpressure.h
+++ b/include/routing/backpressure.h
@@ -11,15 +11,13 @@
  * DESCRIPTION
  *	A state machine without I/O. Each answer carries the lowest shed level of
  *	the services below the one that answered. The levels are smoothed for
- *	each key (a route or a service with a path) and rise to PRIORITY_LEVEL_ALL
- *	within BACKPRESSURE_LIFE when no new answer confirms them.
+ *	each key (a route or a service with a path) and age when no new answer
+ *	confirms them, see priority_level_aged().
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
  */
 
-#define BACKPRESSURE_LIFE USEC_PER_SEC
-
 typedef struct backpressure backpressure_t;
 
 backpressure_t *backpressure_create(void);
--- a/routing/backpressure.c
+++ b/routing/backpressure.c
@@ -33,10 +33,7 @@
 
 static double present_level(const entry_t *entry, usec_t now)
 {
-	double age = (double)(now - entry->noted) / (double)BACKPRESSURE_LIFE;
-	double weight = CLAMP(1.0 - age, 0.0, 1.0);
-
-	return PRIORITY_LEVEL_ALL - (PRIORITY_LEVEL_ALL - entry->level) * weight;
+	return priority_level_aged((priority_t)entry->level, now - entry->noted);
 }
 
 void backpressure_note(backpressure_t *backpressure, const char *key, priority_t below,
--- a/routing/router.c
+++ b/routing/router.c
@@ -175,10 +175,7 @@
 
 static priority_t effective_level(const instance_t *instance, usec_t now)
 {
-	double weight = report_weight(instance, now);
-	double gap = (double)(PRIORITY_LEVEL_ALL - instance->report.level);
-
-	return PRIORITY_LEVEL_ALL - (priority_t)(gap * weight);
+	return priority_level_aged(instance->report.level, now - instance->reported);
 }
 
 /* Load over capacity; 1 is saturated. */
--- a/tests/unit/world.c
+++ b/tests/unit/world.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 #define ACCOUNT "a"
-#define TICK (50 * USEC_PER_MSEC)
-#define WAIT (60 * USEC_PER_MSEC)
+#define TICK (20 * USEC_PER_MSEC)
+#define WAIT (500 * USEC_PER_MSEC)
 #define DETECTION (3 * USEC_PER_SEC)
 #define EPSILON 1e-6
 /* Share of look-ups that see the present keepers. */
@@ -74,6 +74,7 @@
 	uint32_t row_lent[WORLD_ZONES_MAX];
 	uint64_t revision;
 	bucket_t bound;
+	bucket_t ideal;
 	bool broken;
 	world_counts_t counts;
 	usec_t next_fault;
@@ -285,11 +286,18 @@
 		ask_foreign(node, node->waiting.length);
 }
 
+static void ask_any(node_t *node)
+{
+	if (!ask(node, node->zone_index, node->waiting.length))
+		ask_foreign(node, node->waiting.length);
+}
+
 static void arrive(node_t *node)
 {
 	world_t *world = node->world;
 
 	world->counts.arrived++;
+	world->counts.over_rate += !bucket_take(&world->ideal, world->now, 1.0);
 	if (borrower_arrival(node->borrower, world->now)) {
 		const char *low = borrower_renewal(node->borrower, world->now);
 		admit(node);
@@ -299,8 +307,8 @@
 	}
 	usec_t until = world->now + WAIT;
 	g_queue_push_tail(&node->waiting, g_memdup2(&until, sizeof(until)));
-	if (!ask(node, node->zone_index, node->waiting.length))
-		ask_foreign(node, node->waiting.length);
+	if (node->waiting.length == 1)
+		ask_any(node);
 }
 
 static void expire_waiting(node_t *node)
@@ -505,7 +513,10 @@
 	const char *zone = borrower_renewal(node->borrower, node->world->now);
 
 	push(node->world, node->world->now + TICK, node, handle_tick);
+	serve_waiting(node, 0);
 	expire_waiting(node);
+	if (!g_queue_is_empty(&node->waiting))
+		ask_any(node);
 	step_lease(node);
 	if (zone)
 		ask(node, (uint32_t)(zone[1] - '0'), 0);
@@ -682,6 +693,7 @@
 	world->next_fault = world->now + USEC_PER_SEC;
 	world->bound =
 		(bucket_t){options->rate, options->burst, options->burst, world->now};
+	world->ideal = world->bound;
 	world->node_count = options->zones * options->nodes_per_zone;
 	for (uint32_t i = 0; i < world->node_count; i++) {
 		node_t *node = &world->nodes[i];
--- a/tests/unit/world.h
+++ b/tests/unit/world.h
@@ -51,6 +51,7 @@
 	uint64_t arrived;
 	uint64_t admitted;
 	uint64_t refused;
+	uint64_t over_rate; /* what one bucket for all would refuse */
 	uint64_t messages;
 } world_counts_t;
 
