daemon: renew the callers' certificate on SIGHUP; refuse after a pause at once

Cause: certificates could not be renewed; a worker that was stopped could admit requests before the control thread noticed the pause. A new libmicrohttpd daemon shares the listening socket and the old one keeps its open connections; a first try with a second socket (SO_REUSEPORT) reset connections that waited on the old one (e2e tls failed) and was given up.

--- a/egretctl/apply.c
+++ b/egretctl/apply.c
@@ -66,44 +66,31 @@
 	return status;
 }
 
-static int apply_files(ctl_t *ctl, platform_t *platform, const GPtrArray *files)
+static int apply_files(ctl_t *ctl, platform_t *platform, GHashTable *rows, void *ctx)
 {
-	GError *error = NULL;
-	GHashTable *rows = platform_records(platform, &error);
+	const GPtrArray *files = ctx;
+	int status = CTL_OK;
 
-	if (!rows) {
-		int status = ctl_fail("read the records", error);
-		g_clear_error(&error);
-		return status;
-	}
-	int status = CTL_INVALID;
-	if (references_hold(files, rows)) {
-		GPtrArray *changes = changes_plan(files, rows);
-		changes_print(ctl, changes);
-		if (changes->len == 0)
-			fprintf(stderr, "nothing to change\n");
-		status = changes->len == 0 || ctl->dry_run ? CTL_OK
-							   : commit(platform, changes);
-		g_ptr_array_free(changes, TRUE);
-	}
-	g_hash_table_destroy(rows);
+	if (!references_hold(files, rows))
+		return CTL_INVALID;
+	GPtrArray *changes = changes_plan(files, rows);
+	changes_print(ctl, changes);
+	if (changes->len == 0)
+		fprintf(stderr, "nothing to change\n");
+	else if (!ctl->dry_run)
+		status = commit(platform, changes);
+	g_ptr_array_free(changes, TRUE);
 	return status;
 }
 
 int ctl_apply(ctl_t *ctl)
 {
-	GError *error = NULL;
-
 	if (ctl->files->len == 0 || ctl->argc > 0)
 		return ctl_usage("apply -f FILE|DIR [--dry-run]");
 	GPtrArray *files = record_files_load(ctl->files);
 	if (!files)
 		return CTL_INVALID;
-	platform_t *platform = platform_open(ctl->platform, &error);
-	int status = platform ? apply_files(ctl, platform, files)
-			      : ctl_fail("open the platform", error);
-	g_clear_error(&error);
-	platform_close(platform);
+	int status = ctl_with_records(ctl, apply_files, files);
 	g_ptr_array_free(files, TRUE);
 	return status;
 }
--- a/egretctl/diff.c
+++ b/egretctl/diff.c
@@ -1,29 +1,25 @@
 #include "egretctl/ctl.h"
 
+static int show_changes(ctl_t *ctl, platform_t *platform, GHashTable *rows, void *ctx)
+{
+	(void)platform;
+	GPtrArray *changes = changes_plan(ctx, rows);
+	int status = changes->len > 0 ? CTL_FAILED : CTL_OK;
+
+	changes_print(ctl, changes);
+	g_ptr_array_free(changes, TRUE);
+	return status;
+}
+
 /* Exit status 1 if there are differences, as diff(1) does. */
 int ctl_diff(ctl_t *ctl)
 {
-	GError *error = NULL;
-
 	if (ctl->files->len == 0 || ctl->argc > 0)
 		return ctl_usage("diff -f FILE|DIR");
 	GPtrArray *files = record_files_load(ctl->files);
 	if (!files)
 		return CTL_INVALID;
-	platform_t *platform = platform_open(ctl->platform, &error);
-	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
-	int status = CTL_OK;
-	if (rows) {
-		GPtrArray *changes = changes_plan(files, rows);
-		changes_print(ctl, changes);
-		status = changes->len > 0 ? CTL_FAILED : CTL_OK;
-		g_ptr_array_free(changes, TRUE);
-		g_hash_table_destroy(rows);
-	} else {
-		status = ctl_fail("read the records", error);
-	}
-	g_clear_error(&error);
-	platform_close(platform);
+	int status = ctl_with_records(ctl, show_changes, files);
 	g_ptr_array_free(files, TRUE);
 	return status;
 }
--- a/egretctl/get.c
+++ b/egretctl/get.c
@@ -4,8 +4,11 @@
 #include <string.h>
 
 /* Prints every live schema version of the record. */
-static int print_versions(GHashTable *rows, const char *prefix)
+static int print_versions(ctl_t *ctl, platform_t *platform, GHashTable *rows, void *ctx)
 {
+	(void)ctl;
+	(void)platform;
+	const char *prefix = ctx;
 	GHashTableIter iter;
 	void *value;
 	bool found = false;
@@ -28,25 +31,11 @@
 
 int ctl_get(ctl_t *ctl)
 {
-	record_kind_t kind;
-	GError *error = NULL;
+	char *prefix = ctl_record_prefix(ctl);
 
-	if (ctl->argc != 2 || !record_kind_parse(ctl->argv[0], &kind) ||
-	    !record_name_valid(ctl->argv[1]))
+	if (!prefix)
 		return ctl_usage("get KIND NAME");
-	platform_t *platform = platform_open(ctl->platform, &error);
-	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
-	int status;
-	if (rows) {
-		char *prefix =
-			g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
-		status = print_versions(rows, prefix);
-		g_free(prefix);
-		g_hash_table_destroy(rows);
-	} else {
-		status = ctl_fail("read the records", error);
-	}
-	g_clear_error(&error);
-	platform_close(platform);
+	int status = ctl_with_records(ctl, print_versions, prefix);
+	g_free(prefix);
 	return status;
 }
--- a/egretctl/list.c
+++ b/egretctl/list.c
@@ -45,29 +45,25 @@
 	json_decref(array);
 }
 
+static int list_rows(ctl_t *ctl, platform_t *platform, GHashTable *rows, void *ctx)
+{
+	(void)platform;
+	GPtrArray *list = live_rows(rows, ctx);
+
+	print_rows(ctl, list);
+	g_ptr_array_free(list, TRUE);
+	return CTL_OK;
+}
+
 int ctl_list(ctl_t *ctl)
 {
 	record_kind_t kind;
-	GError *error = NULL;
 
 	if (ctl->argc > 1 || (ctl->argc == 1 && !record_kind_parse(ctl->argv[0], &kind)))
 		return ctl_usage("list [KIND]");
-	platform_t *platform = platform_open(ctl->platform, &error);
-	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
-	int status = CTL_OK;
-	if (rows) {
-		char *prefix = ctl->argc == 1
-				       ? g_strdup_printf("record/%s/", ctl->argv[0])
-				       : g_strdup("record/");
-		GPtrArray *list = live_rows(rows, prefix);
-		print_rows(ctl, list);
-		g_ptr_array_free(list, TRUE);
-		g_free(prefix);
-		g_hash_table_destroy(rows);
-	} else {
-		status = ctl_fail("read the records", error);
-	}
-	g_clear_error(&error);
-	platform_close(platform);
+	char *prefix = ctl->argc == 1 ? g_strdup_printf("record/%s/", ctl->argv[0])
+				      : g_strdup("record/");
+	int status = ctl_with_records(ctl, list_rows, prefix);
+	g_free(prefix);
 	return status;
 }
--- a/egretctl/platform.c
+++ b/egretctl/platform.c
@@ -122,6 +122,34 @@
 	return wait_done(platform, error) ? platform->revision : 0;
 }
 
+int ctl_with_records(ctl_t *ctl, ctl_records_fn fn, void *ctx)
+{
+	GError *error = NULL;
+	platform_t *platform = platform_open(ctl->platform, &error);
+	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
+	int status;
+
+	if (rows) {
+		status = fn(ctl, platform, rows, ctx);
+		g_hash_table_destroy(rows);
+	} else {
+		status = ctl_fail("read the records", error);
+	}
+	g_clear_error(&error);
+	platform_close(platform);
+	return status;
+}
+
+char *ctl_record_prefix(const ctl_t *ctl)
+{
+	record_kind_t kind;
+
+	if (ctl->argc != 2 || !record_kind_parse(ctl->argv[0], &kind) ||
+	    !record_name_valid(ctl->argv[1]))
+		return NULL;
+	return g_strdup_printf(RECORD_PREFIX "%s/%s@", ctl->argv[0], ctl->argv[1]);
+}
+
 typedef struct admin_answer {
 	bool done;
 	CURLcode code;
--- a/egretctl/retire.c
+++ b/egretctl/retire.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 /* Leaves a tombstone for every live schema version of the record. */
-static int retire_versions(platform_t *platform, GHashTable *rows, const char *prefix,
-			   bool dry_run)
+static int retire_versions(ctl_t *ctl, platform_t *platform, GHashTable *rows, void *ctx)
 {
+	const char *prefix = ctx;
 	GArray *writes = g_array_new(FALSE, TRUE, sizeof(store_write_t));
 	GHashTableIter iter;
 	void *value;
@@ -25,7 +25,7 @@
 	}
 	if (writes->len == 0) {
 		fprintf(stderr, "nothing to change\n");
-	} else if (!dry_run &&
+	} else if (!ctl->dry_run &&
 		   platform_commit(platform, (store_write_t *)(void *)writes->data,
 				   writes->len, &error) == 0) {
 		status = ctl_fail("retire", error);
@@ -37,25 +37,11 @@
 
 int ctl_retire(ctl_t *ctl)
 {
-	record_kind_t kind;
-	GError *error = NULL;
+	char *prefix = ctl_record_prefix(ctl);
 
-	if (ctl->argc != 2 || !record_kind_parse(ctl->argv[0], &kind) ||
-	    !record_name_valid(ctl->argv[1]))
+	if (!prefix)
 		return ctl_usage("retire KIND NAME [--dry-run]");
-	platform_t *platform = platform_open(ctl->platform, &error);
-	GHashTable *rows = platform ? platform_records(platform, &error) : NULL;
-	int status;
-	if (rows) {
-		char *prefix =
-			g_strdup_printf("record/%s/%s@", ctl->argv[0], ctl->argv[1]);
-		status = retire_versions(platform, rows, prefix, ctl->dry_run);
-		g_free(prefix);
-		g_hash_table_destroy(rows);
-	} else {
-		status = ctl_fail("read the records", error);
-	}
-	g_clear_error(&error);
-	platform_close(platform);
+	int status = ctl_with_records(ctl, retire_versions, prefix);
+	g_free(prefix);
 	return status;
 }
--- a/egretscaled/claims_io.c
+++ b/egretscaled/claims_io.c
@@ -2,7 +2,7 @@
 
 #include "common/counters.h"
 #include "common/error.h"
-#include "common/log.h"
+#include "egretscaled/claim_handle.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,23 +11,6 @@
 #define RELEASE_TRIES 8
 #define RELEASE_WAIT (500 * USEC_PER_MSEC)
 
-struct claim_handle {
-	worker_t *worker;
-	uint64_t request; /* number of the HTTP request, 0 once it is gone */
-	char *row_key;
-	uint64_t fingerprint;
-	uint64_t owner;
-	uint64_t revision; /* of our row; 0 until claimed */
-	uint64_t expected; /* what the claim is conditional on */
-	bool claimed;
-	bool settled; /* the row needs nothing more from us */
-	call_t *call; /* adopted from a request whose caller is gone */
-	GByteArray *answer;
-	call_reply_t reply; /* head of the answer, with a reference on its headers */
-	int release_tries;
-	int references;
-};
-
 struct claim_batch {
 	worker_t *worker;
 	GQueue waiting; /* of claim_handle_t */
@@ -57,7 +40,7 @@
 	g_free(batch);
 }
 
-static void release_handle(claim_handle_t *handle)
+void claim_handle_unref(claim_handle_t *handle)
 {
 	if (--handle->references > 0)
 		return;
@@ -71,7 +54,7 @@
 	g_free(handle);
 }
 
-static http_request_t *request_of(const claim_handle_t *handle)
+http_request_t *claim_handle_request(const claim_handle_t *handle)
 {
 	return handle->request ? http_request_find(handle->worker, handle->request)
 			       : NULL;
@@ -79,7 +62,7 @@
 
 static void refuse(const claim_handle_t *handle, Egret__Reason reason)
 {
-	http_request_t *request = request_of(handle);
+	http_request_t *request = claim_handle_request(handle);
 
 	if (request)
 		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN, reason);
@@ -101,7 +84,7 @@
 static void release_again(claim_handle_t *handle)
 {
 	if (++handle->release_tries >= RELEASE_TRIES) {
-		release_handle(handle);
+		claim_handle_unref(handle);
 		return;
 	}
 	worker_timer(handle->worker, RELEASE_WAIT << handle->release_tries,
@@ -117,7 +100,7 @@
 		release_again(handle);
 		return;
 	}
-	release_handle(handle);
+	claim_handle_unref(handle);
 }
 
 static void handle_release_read(void *ctx, uint64_t revision, const store_row_t *rows,
@@ -132,13 +115,13 @@
 		return;
 	}
 	if (count == 0 || !rows[0].value || !claim_row_decode(rows[0].value, &row)) {
-		release_handle(handle);
+		claim_handle_unref(handle);
 		return;
 	}
 	bool ours = row.owner == handle->owner && row.state == CLAIM_RUNNING;
 	claim_row_clear(&row);
 	if (!ours) {
-		release_handle(handle);
+		claim_handle_unref(handle);
 		return;
 	}
 	store_write_t write = {.key = handle->row_key,
@@ -152,7 +135,7 @@
 	store_get(handle->worker->store, handle->row_key, handle_release_read, handle);
 }
 
-static void release_claim(claim_handle_t *handle)
+void claim_handle_release_row(claim_handle_t *handle)
 {
 	if (handle->settled)
 		return;
@@ -174,12 +157,12 @@
 {
 	(void)revision;
 	claim_handle_t *handle = ctx;
-	http_request_t *request = request_of(handle);
+	http_request_t *request = claim_handle_request(handle);
 	claim_row_t row = {0};
 
 	if (!request || error || count != 1) {
 		refuse(handle, EGRET__REASON__REASON_CLAIM_STORE);
-		release_handle(handle);
+		claim_handle_unref(handle);
 		return;
 	}
 	if (!rows[0].value) {
@@ -191,7 +174,7 @@
 	}
 	if (!claim_row_decode(rows[0].value, &row)) {
 		refuse(handle, EGRET__REASON__REASON_CLAIM_STORE);
-		release_handle(handle);
+		claim_handle_unref(handle);
 		return;
 	}
 	switch (claim_judge(&row, handle->fingerprint)) {
@@ -217,13 +200,13 @@
 		break;
 	}
 	claim_row_clear(&row);
-	release_handle(handle);
+	claim_handle_unref(handle);
 }
 
 static void handle_object(void *ctx, const uint8_t *data, size_t len, const GError *error)
 {
 	claim_handle_t *handle = ctx;
-	http_request_t *request = request_of(handle);
+	http_request_t *request = claim_handle_request(handle);
 
 	if (error || !request) {
 		refuse(handle, EGRET__REASON__REASON_CLAIM_STORE);
@@ -234,7 +217,7 @@
 				    g_ptr_array_ref(handle->reply.headers), body);
 		g_bytes_unref(body);
 	}
-	release_handle(handle);
+	claim_handle_unref(handle);
 }
 
 static void meet_conflict(claim_handle_t *handle)
@@ -244,7 +227,7 @@
 
 static void go_on(claim_handle_t *handle, uint64_t revision)
 {
-	http_request_t *request = request_of(handle);
+	http_request_t *request = claim_handle_request(handle);
 
 	handle->claimed = true;
 	handle->revision = revision;
@@ -252,8 +235,8 @@
 	if (request && !request->answer_ready && !request->gone)
 		http_request_dispatch(request);
 	else
-		release_claim(handle);
-	release_handle(handle);
+		claim_handle_release_row(handle);
+	claim_handle_unref(handle);
 }
 
 static void handle_single(void *ctx, uint64_t revision, const GError *error)
@@ -267,9 +250,9 @@
 	} else {
 		/* The row may have been written all the same. */
 		if (error->code == EGRET_ERROR_UNKNOWN_RESULT)
-			release_claim(handle);
+			claim_handle_release_row(handle);
 		refuse(handle, EGRET__REASON__REASON_CLAIM_STORE);
-		release_handle(handle);
+		claim_handle_unref(handle);
 	}
 }
 
@@ -364,215 +347,13 @@
 	send_batch(request->worker->claims);
 }
 
-/* --- Keeping the answer ------------------------------------------------- */
-
-/* Ends the use of a call that was taken over from a request. */
-static void end_adoption(claim_handle_t *handle)
-{
-	if (handle->call)
-		release_handle(handle);
-}
-
-static void deliver_kept(claim_handle_t *handle)
-{
-	http_request_t *request = request_of(handle);
-
-	if (!request)
-		return;
-	GBytes *body = g_bytes_new(handle->answer->data, handle->answer->len);
-	GPtrArray *headers = handle->reply.headers
-				     ? g_ptr_array_ref(handle->reply.headers)
-				     : headers_create();
-	http_request_replay(request, handle->reply.status, headers, body);
-	g_bytes_unref(body);
-}
-
-static void handle_kept(void *ctx, uint64_t revision, const GError *error)
-{
-	(void)revision;
-	claim_handle_t *handle = ctx;
-
-	if (error)
-		log_failure("keep the answer of an idempotency key", error);
-	deliver_kept(handle);
-	end_adoption(handle);
-	release_handle(handle);
-}
-
-static void commit_answer(claim_handle_t *handle, const char *object)
-{
-	claim_row_t row = {.state = CLAIM_DONE,
-			   .fingerprint = handle->fingerprint,
-			   .owner = handle->owner,
-			   .status = handle->reply.status,
-			   .headers = handle->reply.headers,
-			   .object = (char *)object};
-
-	if (!object)
-		row.body = g_bytes_new(handle->answer->data, handle->answer->len);
-	char *value = claim_row_encode(&row);
-	store_write_t write = {.key = handle->row_key,
-			       .expected_revision = handle->revision,
-			       .value = value};
-	store_commit(handle->worker->store, &write, 1, handle_kept, handle);
-	free(value);
-	if (row.body)
-		g_bytes_unref(row.body);
-}
-
-static char *object_name(const claim_handle_t *handle)
-{
-	return g_strdup_printf("claim-%016" G_GINT64_MODIFIER "x", handle->owner);
-}
-
-static void handle_object_put(void *ctx, const uint8_t *data, size_t len,
-			      const GError *error)
-{
-	(void)data;
-	(void)len;
-	claim_handle_t *handle = ctx;
-
-	if (error) {
-		handle_kept(handle, 0, error);
-		return;
-	}
-	char *name = object_name(handle);
-	commit_answer(handle, name);
-	g_free(name);
-}
-
-/* The answer is whole: keep it, then give it to the caller. */
-static void keep(claim_handle_t *handle)
-{
-	handle->settled = true;
-	handle->references++;
-	if (handle->answer->len <= CLAIM_INLINE_MAX_BYTES) {
-		commit_answer(handle, NULL);
-		return;
-	}
-	char *name = object_name(handle);
-	store_object_put(handle->worker->store, name, handle->answer->data,
-			 handle->answer->len, handle_object_put, handle);
-	g_free(name);
-}
-
-static call_t *call_of(const claim_handle_t *handle)
-{
-	http_request_t *request = request_of(handle);
-
-	if (handle->call)
-		return handle->call;
-	return request ? request->call : NULL;
-}
-
-static void handle_answer_cut(worker_t *worker, void *ctx)
-{
-	(void)worker;
-	claim_handle_t *handle = ctx;
-	http_request_t *request = request_of(handle);
-
-	if (request)
-		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_UNKNOWN,
-				    EGRET__REASON__REASON_TARGET_LOST);
-	end_adoption(handle);
-	release_handle(handle);
-}
-
-static void collect(void *ctx)
-{
-	claim_handle_t *handle = ctx;
-	call_t *call = call_of(handle);
-	uint8_t buffer[16384];
-	size_t n;
-
-	if (!call || handle->settled)
-		return;
-	while ((n = body_read(call->reply_body, buffer, sizeof(buffer))) > 0)
-		g_byte_array_append(handle->answer, buffer, (guint)n);
-	if (handle->answer->len > CLAIM_ANSWER_MAX_BYTES ||
-	    body_aborted(call->reply_body)) {
-		/* The row stays: it ran, and its answer is not known. */
-		handle->settled = true;
-		handle->references++;
-		worker_defer(handle->worker, handle_answer_cut, handle);
-	} else if (body_finished(call->reply_body)) {
-		keep(handle);
-	}
-}
-
-static void start_collecting(claim_handle_t *handle, call_t *call)
-{
-	handle->reply = call->reply;
-	if (handle->reply.headers)
-		g_ptr_array_ref(handle->reply.headers);
-	handle->answer = g_byte_array_new();
-	body_on_readable(call->reply_body, collect, handle);
-	collect(handle);
-}
-
-bool claims_io_keep_answer(http_request_t *request)
-{
-	claim_handle_t *handle = request->claim;
-
-	if (!handle || !handle->claimed)
-		return false;
-	start_collecting(handle, request->call);
-	return true;
-}
-
 void claims_io_finish(http_request_t *request)
 {
 	claim_handle_t *handle = request->claim;
 
 	if (handle && handle->claimed &&
 	    request->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
-		release_claim(handle);
-}
-
-/* --- A caller that goes away -------------------------------------------- */
-
-static void handle_adopted_answer(worker_t *worker, void *ctx)
-{
-	(void)worker;
-	claim_handle_t *handle = ctx;
-
-	if (handle->call->reply.outcome == EGRET__OUTCOME__OUTCOME_ANSWERED) {
-		start_collecting(handle, handle->call);
-		return;
-	}
-	if (handle->call->reply.outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
-		release_claim(handle);
-	release_handle(handle);
-}
-
-static void handle_answered(call_t *call, void *ctx)
-{
-	(void)call;
-	claim_handle_t *handle = ctx;
-
-	worker_defer(handle->worker, handle_adopted_answer, handle);
-}
-
-void claims_io_adopt(http_request_t *request)
-{
-	claim_handle_t *handle = request->claim;
-
-	if (!handle || !handle->claimed || handle->settled || !request->call ||
-	    request->answer_ready)
-		return;
-	/* This reference ends with the adopted call. */
-	handle->references++;
-	handle->call = request->call;
-	handle->request = 0;
-	request->call = NULL;
-	if (handle->answer) {
-		body_on_readable(handle->call->reply_body, collect, handle);
-	} else if (handle->call->answered) {
-		worker_defer(handle->worker, handle_adopted_answer, handle);
-	} else {
-		handle->call->on_answered = handle_answered;
-		handle->call->on_answered_ctx = handle;
-	}
+		claim_handle_release_row(handle);
 }
 
 void claims_io_abandon(http_request_t *request)
@@ -583,5 +364,5 @@
 		return;
 	request->claim = NULL;
 	handle->request = 0;
-	release_handle(handle);
+	claim_handle_unref(handle);
 }
--- a/egretscaled/entry.c
+++ b/egretscaled/entry.c
@@ -152,7 +152,8 @@
 	counter_add(COUNTER_REQUESTS, 1);
 	if (!head_is_valid(request))
 		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
-	if (!atomic_load(&node->ready))
+	if (!atomic_load(&node->ready) ||
+	    worker_was_paused(request->worker, request->arrived))
 		return refuse(request, EGRET__REASON__REASON_NOT_READY);
 	config_t *config = node_config(node);
 	bool ok = fill_from_route(request, config);
--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -373,7 +373,8 @@
 
 	request->worker = worker;
 	request->side = side;
-	request->loop = side == HTTP_CALLERS ? worker->callers : worker->target;
+	request->loop = side == HTTP_CALLERS ? worker_caller_loop(worker, connection)
+					     : worker->target;
 	request->connection = connection;
 	request->number =
 		((uint64_t)worker->index << WORKER_SHIFT) | ++worker->next_request;
--- a/egretscaled/leases_io.c
+++ b/egretscaled/leases_io.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "egretscaled/accounts_io.h"
 #include "egretscaled/confirm.h"
+#include "egretscaled/portions_io.h"
 
 #include <jansson.h>
 #include <math.h>
@@ -13,29 +14,13 @@
 #include <xxhash.h>
 
 #define TICK (200 * USEC_PER_MSEC)
-#define PORTION_PERIOD (10 * USEC_PER_SEC)
-#define PORTION_RETRY USEC_PER_SEC
 #define READ_BACKOFF (2 * USEC_PER_SEC)
 #define OBSERVE_PERIOD (500 * USEC_PER_MSEC)
-/* A lower portion is written only after the loans made before have ended. */
-#define PORTION_LOWER_DELAY LOAN_MARGIN(LOAN_TERM)
-
-typedef enum portion_step {
-	PORTION_IDLE,
-	PORTION_BUSY,
-	PORTION_LOWERING, /* in force here, not yet written */
-} portion_step_t;
 
 typedef struct partition_io {
 	leases_io_t *io;
 	uint32_t index;
 	usec_t next_read;
-	usec_t next_portion;
-	portion_step_t portion_step;
-	uint64_t portion_revision;
-	json_t *portion_zones;
-	uint32_t portion_wanted;
-	usec_t portion_write_at;
 	bool rereading;
 } partition_io_t;
 
@@ -45,8 +30,8 @@
 	struct tevent_context *ev;
 	struct tevent_timer *timer;
 	confirm_t *confirm;
+	portions_io_t *portions;
 	partition_io_t partitions[KEEPER_PARTITIONS];
-	uint32_t zones; /* with nodes, as last seen */
 	bool released;
 	bool changed; /* the member entry must tell a lease change */
 };
@@ -56,11 +41,6 @@
 	return g_strdup_printf("lease/%s/%u", io->node->settings->zone, index);
 }
 
-static char *portion_key(uint32_t index)
-{
-	return g_strdup_printf("portion/%u", index);
-}
-
 /* A released row names no holder and tells how much is lent. */
 static char *lease_value(const leases_io_t *io, uint64_t epoch, bool held, uint32_t lent)
 {
@@ -235,7 +215,7 @@
 		return;
 	counter_add(COUNTER_LEASES_WON, 1);
 	log_lease(io, partition->index, "taken", epoch);
-	partition->next_portion = now;
+	portions_io_hurry(io->portions, partition->index, now);
 	io->changed = true;
 }
 
@@ -359,160 +339,6 @@
 	}
 }
 
-/* --- Portions ------------------------------------------------------------ */
-
-static uint32_t held_in_total(const json_t *zones)
-{
-	const char *zone;
-	json_t *value;
-	uint32_t total = 0;
-
-	json_object_foreach((json_t *)zones, zone, value) total +=
-		(uint32_t)json_integer_value(value);
-	return total;
-}
-
-static void set_portion(partition_io_t *partition, uint32_t milli)
-{
-	node_t *node = partition->io->node;
-
-	pthread_mutex_lock(&node->account_lock);
-	keeper_set_portion(node->accounts->keeper, partition->index, milli,
-			   clock_boot_usec());
-	pthread_mutex_unlock(&node->account_lock);
-}
-
-static void handle_portion_written(void *ctx, uint64_t revision, const GError *error)
-{
-	(void)revision;
-	partition_io_t *partition = ctx;
-
-	partition->portion_step = PORTION_IDLE;
-	partition->next_portion =
-		clock_boot_usec() + (error ? PORTION_RETRY : PORTION_PERIOD);
-	if (!error)
-		set_portion(partition, partition->portion_wanted);
-}
-
-static void write_portion(partition_io_t *partition)
-{
-	char *key = portion_key(partition->index);
-	json_t *json = json_object();
-
-	partition->portion_step = PORTION_BUSY;
-	json_object_set_new(partition->portion_zones, partition->io->node->settings->zone,
-			    json_integer(partition->portion_wanted));
-	json_object_set(json, "zones", partition->portion_zones);
-	char *value = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
-	store_write_t write = {.key = key,
-			       .expected_revision = partition->portion_revision,
-			       .value = value};
-	store_commit(partition->io->store, &write, 1, handle_portion_written, partition);
-	free(value);
-	json_decref(json);
-	g_free(key);
-}
-
-static uint32_t zone_count(node_t *node)
-{
-	config_t *config = node_config(node);
-	uint32_t count = config_zone_count(config);
-
-	config_unref(config);
-	pthread_mutex_lock(&node->account_lock);
-	count = MAX(count, node->accounts->zones->len);
-	pthread_mutex_unlock(&node->account_lock);
-	return MAX(count, 1);
-}
-
-/* Whether a zone that has nodes holds less than half of an even part. */
-static bool other_zone_starves(node_t *node, const json_t *portions, uint32_t fair)
-{
-	bool starved = false;
-
-	pthread_mutex_lock(&node->account_lock);
-	for (guint i = 0; i < node->accounts->zones->len; i++) {
-		const zone_keepers_t *zone =
-			&g_array_index(node->accounts->zones, zone_keepers_t, i);
-		json_int_t milli =
-			json_integer_value(json_object_get(portions, zone->zone));
-		starved = starved || (strcmp(zone->zone, node->settings->zone) != 0 &&
-				      milli < fair / 2);
-	}
-	pthread_mutex_unlock(&node->account_lock);
-	return starved;
-}
-
-/* Decides the next portion from the row as it is. */
-static void plan_portion(partition_io_t *partition)
-{
-	node_t *node = partition->io->node;
-	json_t *zones = partition->portion_zones;
-	uint32_t fair = PORTION_WHOLE / zone_count(node);
-	json_t *entry = json_object_get(zones, node->settings->zone);
-	uint32_t own = (uint32_t)json_integer_value(entry);
-	uint32_t total = held_in_total(zones);
-	uint32_t free_part = total < PORTION_WHOLE ? PORTION_WHOLE - total : 0;
-	usec_t now = clock_boot_usec();
-
-	pthread_mutex_lock(&node->account_lock);
-	double pressure = keeper_pressure(node->accounts->keeper, partition->index, now);
-	pthread_mutex_unlock(&node->account_lock);
-	bool starved = other_zone_starves(node, zones, fair);
-	uint32_t next = portion_plan(own, free_part, fair, pressure, starved);
-	partition->portion_wanted = next;
-	if (next < own) {
-		set_portion(partition, next);
-		partition->portion_step = PORTION_LOWERING;
-		partition->portion_write_at = now + PORTION_LOWER_DELAY;
-		return;
-	}
-	set_portion(partition, own);
-	if (next > own) {
-		write_portion(partition);
-		return;
-	}
-	partition->portion_step = PORTION_IDLE;
-	partition->next_portion = now + (own < fair ? PORTION_RETRY : PORTION_PERIOD);
-}
-
-static void handle_portion_row(void *ctx, uint64_t revision, const store_row_t *rows,
-			       size_t count, const GError *error)
-{
-	(void)revision;
-	partition_io_t *partition = ctx;
-
-	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
-		partition->portion_step = PORTION_IDLE;
-		partition->next_portion = clock_boot_usec() + READ_BACKOFF;
-		return;
-	}
-	json_t *json =
-		count == 1 && rows[0].value ? json_loads(rows[0].value, 0, NULL) : NULL;
-	json_decref(partition->portion_zones);
-	partition->portion_zones = json_copy(json_object_get(json, "zones"));
-	if (!partition->portion_zones)
-		partition->portion_zones = json_object();
-	partition->portion_revision = count == 1 ? rows[0].revision : 0;
-	json_decref(json);
-	plan_portion(partition);
-}
-
-static void step_portion(partition_io_t *partition, usec_t now)
-{
-	if (partition->portion_step == PORTION_LOWERING) {
-		if (now >= partition->portion_write_at)
-			write_portion(partition);
-		return;
-	}
-	if (partition->portion_step != PORTION_IDLE || now < partition->next_portion)
-		return;
-	partition->portion_step = PORTION_BUSY;
-	char *key = portion_key(partition->index);
-	store_get(partition->io->store, key, handle_portion_row, partition);
-	g_free(key);
-}
-
 /* --- The loop ------------------------------------------------------------ */
 
 static void step_partition(partition_io_t *partition, bool candidate, usec_t now,
@@ -548,19 +374,7 @@
 	else if (action == LEASE_DO_TAKE)
 		take_lease(partition, &copy);
 	if (copy.state == LEASE_HELD)
-		step_portion(partition, now);
-}
-
-/* A zone more or less changes what is an even part. */
-static void notice_zones(leases_io_t *io, usec_t now)
-{
-	uint32_t zones = zone_count(io->node);
-
-	if (zones == io->zones)
-		return;
-	io->zones = zones;
-	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
-		io->partitions[i].next_portion = now;
+		portions_io_step(partition->io->portions, partition->index, now);
 }
 
 static void step(leases_io_t *io)
@@ -570,7 +384,7 @@
 	usec_t now = clock_boot_usec();
 
 	scan_directory(io, candidate);
-	notice_zones(io, now);
+	portions_io_notice(io->portions, now);
 	if (io->released || !atomic_load(&io->node->ready))
 		return;
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
@@ -612,6 +426,7 @@
 	io->store = store;
 	io->ev = ev;
 	io->confirm = confirm_create(io, ev, node);
+	io->portions = portions_io_create(io, node, store);
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
 		io->partitions[i].io = io;
 		io->partitions[i].index = i;
@@ -624,8 +439,7 @@
 {
 	if (!io)
 		return;
-	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
-		json_decref(io->partitions[i].portion_zones);
+	portions_io_destroy(io->portions);
 	confirm_destroy(io->confirm);
 	talloc_free(io);
 }
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -21,8 +21,6 @@
 /* Peers learn of a drain within this time, before the gate closes. */
 #define DRAIN_NOTICE (1 * USEC_PER_SEC)
 #define FAREWELL (300 * USEC_PER_MSEC)
-/* Shorter than any pause after which loans or leases could matter. */
-#define PAUSE_MIN (3 * USEC_PER_SEC)
 
 typedef enum stop_phase {
 	STOP_NOT,
@@ -142,7 +140,7 @@
 	log_rec_t rec;
 
 	control->last_tick = now;
-	if (gap < PAUSE_MIN)
+	if (gap < NODE_PAUSE_MIN)
 		return;
 	log_begin(&rec, LOG_LEVEL_WARN, "pause");
 	log_int(&rec, "usec", gap);
@@ -186,6 +184,29 @@
 	begin_stop(private_data);
 }
 
+/* Reads certificate and key; on an error the ones in use stay. */
+static bool load_certificate(node_t *node, GError **error)
+{
+	const settings_t *settings = node->settings;
+	char *cert = NULL;
+	char *key = NULL;
+
+	if (!settings->caller_cert)
+		return true;
+	if (!g_file_get_contents(settings->caller_cert, &cert, NULL, error) ||
+	    !g_file_get_contents(settings->caller_key, &key, NULL, error)) {
+		g_free(cert);
+		return false;
+	}
+	pthread_mutex_lock(&node->config_lock);
+	g_free(node->tls_cert);
+	g_free(node->tls_key);
+	node->tls_cert = cert;
+	node->tls_key = key;
+	pthread_mutex_unlock(&node->config_lock);
+	return true;
+}
+
 static void handle_hup(struct tevent_context *ev, struct tevent_signal *se, int number,
 		       int count, void *info, void *private_data)
 {
@@ -195,12 +216,22 @@
 	(void)count;
 	(void)info;
 	control_t *control = private_data;
+	node_t *node = control->node;
 	GError *error = NULL;
 
-	if (peer_auth_reload(control->node->auth, &error))
+	if (!peer_auth_reload(node->auth, &error)) {
+		log_failure("read the peer secrets again", error);
+		g_clear_error(&error);
+	}
+	if (!node->settings->caller_cert)
+		return;
+	if (!load_certificate(node, &error)) {
+		log_failure("read the certificate again", error);
+		g_clear_error(&error);
 		return;
-	log_failure("reload the peer secrets", error);
-	g_clear_error(&error);
+	}
+	for (uint32_t i = 0; i < node->worker_count; i++)
+		worker_post(node->workers[i], worker_renew_certificate, NULL);
 }
 
 static bool start_workers(node_t *node, GError **error)
@@ -221,16 +252,6 @@
 	return true;
 }
 
-static bool load_certificate(node_t *node, GError **error)
-{
-	const settings_t *settings = node->settings;
-
-	if (!settings->caller_cert)
-		return true;
-	return g_file_get_contents(settings->caller_cert, &node->tls_cert, NULL, error) &&
-	       g_file_get_contents(settings->caller_key, &node->tls_key, NULL, error);
-}
-
 static bool start_control(control_t *control, GError **error)
 {
 	node_t *node = control->node;
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -92,6 +92,8 @@
 	suspects_destroy(node->suspects);
 	peer_auth_destroy(node->auth);
 	g_free(node->workers);
+	g_free(node->tls_cert);
+	g_free(node->tls_key);
 	g_free(node);
 }
 
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -132,23 +132,38 @@
 	return true;
 }
 
-static bool listen_for_http(worker_t *worker, GError **error)
+static mhd_loop_t *listen_for_callers(worker_t *worker, const mhd_loop_t *share,
+				      GError **error)
 {
-	const settings_t *settings = worker->node->settings;
-	mhd_loop_options_t callers = {
-		.address = settings->caller_listen,
-		.tls_cert = worker->node->tls_cert,
-		.tls_key = worker->node->tls_key,
+	node_t *node = worker->node;
+
+	pthread_mutex_lock(&node->config_lock);
+	char *cert = g_strdup(node->tls_cert);
+	char *key = g_strdup(node->tls_key);
+	pthread_mutex_unlock(&node->config_lock);
+	mhd_loop_options_t options = {
+		.address = node->settings->caller_listen,
+		.tls_cert = cert,
+		.tls_key = key,
 		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
+		.share = share,
 	};
+	mhd_loop_t *loop = mhd_loop_create(worker->ev, worker->ev, &options,
+					   http_request_handle_caller,
+					   http_request_completed, worker, error);
+	g_free(cert);
+	g_free(key);
+	return loop;
+}
+
+static bool listen_for_http(worker_t *worker, GError **error)
+{
 	mhd_loop_options_t target = {
-		.address = settings->target_listen,
+		.address = worker->node->settings->target_listen,
 		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
 	};
 
-	worker->callers = mhd_loop_create(worker->ev, worker->ev, &callers,
-					  http_request_handle_caller,
-					  http_request_completed, worker, error);
+	worker->callers = listen_for_callers(worker, NULL, error);
 	if (!worker->callers)
 		return false;
 	worker->target = mhd_loop_create(worker->ev, worker->ev, &target,
@@ -157,6 +172,48 @@
 	return worker->target != NULL;
 }
 
+void worker_renew_certificate(worker_t *worker, void *unused)
+{
+	(void)unused;
+	GError *error = NULL;
+	mhd_loop_t *fresh = listen_for_callers(worker, worker->callers, &error);
+
+	if (!fresh) {
+		log_failure("take callers with the new certificate", error);
+		g_clear_error(&error);
+		return;
+	}
+	mhd_loop_quiesce(worker->callers);
+	g_ptr_array_add(worker->old_callers, worker->callers);
+	worker->callers = fresh;
+}
+
+mhd_loop_t *worker_caller_loop(worker_t *worker, struct MHD_Connection *connection)
+{
+	for (guint i = 0; i < worker->old_callers->len; i++) {
+		if (mhd_loop_owns(worker->old_callers->pdata[i], connection))
+			return worker->old_callers->pdata[i];
+	}
+	return worker->callers;
+}
+
+/* Frees loops with an earlier certificate once their connections are closed. */
+static void sweep_old_callers(worker_t *worker)
+{
+	for (guint i = worker->old_callers->len; i > 0; i--) {
+		mhd_loop_t *loop = worker->old_callers->pdata[i - 1];
+		if (mhd_loop_connections(loop) > 0)
+			continue;
+		g_ptr_array_remove_index_fast(worker->old_callers, i - 1);
+		mhd_loop_destroy(loop);
+	}
+}
+
+bool worker_was_paused(const worker_t *worker, usec_t now)
+{
+	return now - worker->last_tick >= NODE_PAUSE_MIN;
+}
+
 static void schedule_tick(worker_t *worker);
 
 static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
@@ -168,11 +225,15 @@
 	worker_t *worker = private_data;
 	usec_t now = clock_boot_usec();
 
+	if (worker_was_paused(worker, now))
+		atomic_store(&worker->node->ready, false);
+	worker->last_tick = now;
 	accounts_io_tick(worker, now);
 	node_run_gate(worker->node);
 	if (now >= worker->next_sweep) {
 		worker->next_sweep = now + SWEEP_PERIOD;
 		peer_clients_sweep(worker, now);
+		sweep_old_callers(worker);
 	}
 	schedule_tick(worker);
 }
@@ -197,11 +258,13 @@
 	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->borrowers = accounts_io_borrowers_create();
 	worker->claims = claim_batch_create(worker);
+	worker->old_callers = g_ptr_array_new();
 	pthread_mutex_init(&worker->inbox_lock, NULL);
 	g_queue_init(&worker->inbox);
 	worker->inbox_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	worker->inbox_fde = tevent_add_fd(worker->ev, worker->ev, worker->inbox_fd,
 					  TEVENT_FD_READ, handle_inbox, worker);
+	worker->last_tick = clock_boot_usec();
 	schedule_tick(worker);
 	if (!listen_for_peers(worker, error) || !listen_for_http(worker, error)) {
 		worker_destroy(worker);
@@ -252,6 +315,9 @@
 {
 	if (!worker)
 		return;
+	for (guint i = 0; i < worker->old_callers->len; i++)
+		mhd_loop_destroy(worker->old_callers->pdata[i]);
+	g_ptr_array_free(worker->old_callers, TRUE);
 	mhd_loop_destroy(worker->callers);
 	mhd_loop_destroy(worker->target);
 	g_hash_table_destroy(worker->ingress);
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -3,6 +3,7 @@
 #include "common/address.h"
 #include "common/error.h"
 
+#include <fcntl.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -20,7 +21,7 @@
 	struct tevent_immediate *run;
 	bool run_scheduled;
 	int hangup_fd;
-	int quiesced_fd;
+	int listen_fd;	     /* libmicrohttpd's until it is quiesced */
 	GHashTable *watches; /* fd -> watch_t */
 };
 
@@ -153,7 +154,8 @@
 			    MHD_RequestCompletedCallback completed, void *ctx,
 			    GError **error)
 {
-	int fd = address_listen(&options->address, error);
+	int fd = options->share ? fcntl(options->share->listen_fd, F_DUPFD_CLOEXEC, 0)
+				: address_listen(&options->address, error);
 
 	if (fd < 0)
 		return NULL;
@@ -167,7 +169,7 @@
 	mhd_loop_t *loop = talloc_zero(parent, mhd_loop_t);
 	loop->ev = ev;
 	loop->daemon = daemon;
-	loop->quiesced_fd = -1;
+	loop->listen_fd = fd;
 	loop->run = tevent_create_immediate(loop);
 	int epoll_fd = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
 	loop->fde =
@@ -186,8 +188,6 @@
 	TALLOC_FREE(loop->fde);
 	TALLOC_FREE(loop->hangup_fde);
 	MHD_stop_daemon(loop->daemon);
-	if (loop->quiesced_fd >= 0)
-		close(loop->quiesced_fd);
 	close(loop->hangup_fd);
 	g_hash_table_destroy(loop->watches);
 	talloc_free(loop);
@@ -195,12 +195,29 @@
 
 void mhd_loop_quiesce(mhd_loop_t *loop)
 {
-	if (loop->quiesced_fd < 0)
-		loop->quiesced_fd = MHD_quiesce_daemon(loop->daemon);
-	if (loop->quiesced_fd >= 0) {
-		close(loop->quiesced_fd);
-		loop->quiesced_fd = -1;
-	}
+	/* Takes the connections that wait already. */
+	MHD_run(loop->daemon);
+	int fd = MHD_quiesce_daemon(loop->daemon);
+
+	if (fd >= 0)
+		close(fd);
+	loop->listen_fd = -1;
+}
+
+bool mhd_loop_owns(const mhd_loop_t *loop, struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_DAEMON);
+
+	return info && info->daemon == loop->daemon;
+}
+
+unsigned int mhd_loop_connections(const mhd_loop_t *loop)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(loop->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info ? info->num_connections : 0;
 }
 
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection)
--- a/include/egretctl/ctl.h
+++ b/include/egretctl/ctl.h
@@ -80,6 +80,14 @@
 uint64_t platform_commit(platform_t *platform, const store_write_t *writes, size_t count,
 			 GError **error);
 
+/* Opens the platform, reads all records and runs fn with them. */
+typedef int (*ctl_records_fn)(ctl_t *ctl, platform_t *platform, GHashTable *rows,
+			      void *ctx);
+int ctl_with_records(ctl_t *ctl, ctl_records_fn fn, void *ctx);
+
+/* KIND and NAME of the arguments as a prefix of row keys; NULL if they are wrong. */
+char *ctl_record_prefix(const ctl_t *ctl);
+
 /* One HTTP request to a node's admin address; NULL with error set on failure. */
 char *admin_request(const char *address, const char *method, const char *path,
 		    GError **error);
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node.h
@@ -27,6 +27,10 @@
 
 typedef struct worker worker_t;
 
+/* A thread whose clock jumped by this much was stopped: what the node knew may be
+ * out of date. */
+#define NODE_PAUSE_MIN (3 * USEC_PER_SEC)
+
 /* The own target's announcement; guarded by gate_lock. */
 typedef struct own_target {
 	bool present;
@@ -42,7 +46,7 @@
 typedef struct node {
 	settings_t *settings;
 	peer_auth_t *auth;
-	char *tls_cert; /* PEM text, or NULL */
+	char *tls_cert; /* PEM text, or NULL; guarded by config_lock */
 	char *tls_key;
 	char address[ADDRESS_TEXT_BYTES];
 	uint64_t node_id;
--- a/include/egretscaled/worker.h
+++ b/include/egretscaled/worker.h
@@ -29,6 +29,7 @@
 	curl_loop_t *curl;
 	store_t *store;
 	mhd_loop_t *callers;
+	GPtrArray *old_callers; /* of mhd_loop_t with an earlier certificate */
 	mhd_loop_t *target;
 	GHashTable *peers;	    /* address -> peer_client_t */
 	GHashTable *ingress;	    /* set of ingress_link_t */
@@ -37,6 +38,7 @@
 	struct claim_batch *claims; /* claims that wait for the next commit */
 	struct tevent_timer *tick;
 	usec_t next_sweep;
+	usec_t last_tick;
 	struct tevent_fd *peer_listener;
 	int peer_listener_fd;
 	struct tevent_fd *inbox_fde;
@@ -54,6 +56,9 @@
 void worker_stop(worker_t *worker);
 void worker_destroy(worker_t *worker);
 
+/* Whether the worker was stopped and has not caught up yet. */
+bool worker_was_paused(const worker_t *worker, usec_t now);
+
 /* Runs fn on the worker's thread. Any thread. */
 void worker_post(worker_t *worker, worker_task_fn fn, void *ctx);
 
@@ -64,6 +69,13 @@
 struct tevent_timer *worker_timer(worker_t *worker, usec_t delay,
 				  tevent_timer_handler_t fn, void *ctx);
 
+/* Takes new callers with the node's present certificate; open connections go on
+ * with the one they started with. */
+void worker_renew_certificate(worker_t *worker, void *unused);
+
+/* The caller loop that a connection came in through. */
+mhd_loop_t *worker_caller_loop(worker_t *worker, struct MHD_Connection *connection);
+
 /* Stops taking callers and new peer links; running requests go on. */
 void worker_quiesce(worker_t *worker, void *unused);
 
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -25,6 +25,9 @@
 	const char *tls_cert; /* PEM text, or NULL for plain HTTP */
 	const char *tls_key;
 	unsigned int idle_timeout_sec;
+	/* Listens on this loop's socket instead of opening one, so that no waiting
+	 * connection is lost when the one loop takes the other's place. */
+	const mhd_loop_t *share;
 } mhd_loop_options_t;
 
 typedef void (*mhd_hangup_fn)(void *ctx);
@@ -39,6 +42,12 @@
 /* Stops taking new connections; open ones go on. */
 void mhd_loop_quiesce(mhd_loop_t *loop);
 
+/* Whether the connection came in through this loop's daemon. */
+bool mhd_loop_owns(const mhd_loop_t *loop, struct MHD_Connection *connection);
+
+/* Connections that are open now. */
+unsigned int mhd_loop_connections(const mhd_loop_t *loop);
+
 /* Resumes a suspended connection and runs the daemon soon. */
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection);
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -9,6 +9,8 @@
 import os
 import signal
 import socket
+import ssl
+import subprocess
 import sys
 import threading
 import time
@@ -394,6 +396,26 @@
         assert "wonders" in d.ctl("get", "client_account", "a").stdout
 
 
+def case_pause():
+    """A node that was stopped while a key was withdrawn admits nothing with it."""
+    with started() as d:
+        node = d.nodes[0]
+        callers = [http.client.HTTPConnection(node.address["caller"], timeout=20)
+                   for _ in range(8)]
+        for caller in callers:
+            caller.request("GET", "/back/x", headers=KEY)
+            assert caller.getresponse().read()
+        node.process.send_signal(signal.SIGSTOP)
+        d.ctl("retire", "key", "a-1")
+        time.sleep(IN_FORCE_SEC + 1.5)
+        for caller in callers:  # wait in the socket until the node goes on
+            caller.request("GET", "/back/x", headers=KEY)
+        node.process.send_signal(signal.SIGCONT)
+        answers = [caller.getresponse().status for caller in callers]
+        assert set(answers) <= {401, 503}, answers
+        eventually(lambda: get(d, "/open/x", 0, {})[0] == 200, 5, "it serves again")
+
+
 def case_operators_race():
     """Of two conflicting writes the second fails; apply is atomic and safe to repeat."""
     with started(LONE) as d:
@@ -496,6 +518,40 @@
         assert d.nodes[0].process.wait(timeout=15) == 0
 
 
+def case_tls():
+    """TLS towards callers; SIGHUP renews the certificate and cuts no connection."""
+    def make(d, name):
+        subprocess.run(["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2",
+                        "-subj", f"/CN={name}", "-keyout", d.path("tls.key"), "-out",
+                        d.path("tls.crt")], check=True, capture_output=True)
+    context = ssl._create_unverified_context()  # pylint: disable=protected-access
+
+    def connect(node):
+        caller = http.client.HTTPSConnection(node.address["caller"], timeout=5, context=context)
+        caller.connect()
+        return caller, caller.sock.getpeercert(binary_form=True)
+
+    def ask(caller):
+        caller.request("GET", "/back/x", headers=KEY)
+        answer = caller.getresponse()
+        answer.read()
+        return answer.status
+    with started(LONE) as d:
+        make(d, "first")
+        node = d.nodes[0]
+        node.process.terminate()
+        assert node.process.wait(timeout=15) == 0
+        node.start(extra=[f"--caller-cert={d.path('tls.crt')}",
+                          f"--caller-key={d.path('tls.key')}"])
+        eventually(node.ready, 5, "the node")
+        old, first = connect(node)
+        eventually(lambda: ask(old) == 200, 5, "an answer over TLS")
+        make(d, "second")
+        node.process.send_signal(signal.SIGHUP)
+        eventually(lambda: connect(node)[1] != first, 3, "the new certificate")
+        assert ask(old) == 200 and ask(connect(node)[0]) == 200
+
+
 def case_usage():
     """Bad settings: one line that names the flag, the value and what is allowed; status 2."""
     with Deployment(LONE) as d:
