--- a/admission/gate.c
+++ b/admission/gate.c
@@ -126,6 +126,7 @@
 		shed(gate);
 		return GATE_EXPIRED;
 	}
+	shed_level_wait(gate->level);
 	return GATE_WAIT;
 }
 
--- a/admission/shed_level.c
+++ b/admission/shed_level.c
@@ -9,6 +9,9 @@
 #define MANTISSA_BITS 3
 #define BUCKETS_PER_IMPORTANCE ((PRIORITY_RANK_BITS + 1) << MANTISSA_BITS)
 #define BUCKETS (10u * BUCKETS_PER_IMPORTANCE)
+/* While calls wait at the gate the level rises by single buckets; without any
+ * waiting the steps double. */
+#define STEP_BUSY 1u
 #define STEP_MIN 4u
 
 struct shed_level {
@@ -16,6 +19,7 @@
 	uint32_t arrivals[BUCKETS];
 	uint32_t arrived;
 	uint32_t shed;
+	uint32_t waited;
 	uint32_t level; /* in buckets; BUCKETS admits all */
 	uint32_t step;
 };
@@ -84,6 +88,9 @@
 
 		level->level = MAX(next, 1);
 		level->step = STEP_MIN;
+	} else if (level->waited > 0) {
+		level->level = MIN(level->level + STEP_BUSY, BUCKETS);
+		level->step = STEP_MIN;
 	} else if (level->level < BUCKETS) {
 		level->level = MIN(level->level + level->step, BUCKETS);
 		level->step *= 2;
@@ -91,6 +98,7 @@
 	memset(level->arrivals, 0, sizeof(level->arrivals));
 	level->arrived = 0;
 	level->shed = 0;
+	level->waited = 0;
 	level->window_start = now;
 }
 
@@ -119,6 +127,11 @@
 	level->shed++;
 }
 
+void shed_level_wait(shed_level_t *level)
+{
+	level->waited++;
+}
+
 priority_t shed_level_value(shed_level_t *level, usec_t now)
 {
 	advance(level, now);
--- a/common/address.c
+++ b/common/address.c
@@ -51,6 +51,25 @@
 	g_snprintf(out, ADDRESS_TEXT_BYTES, "%s:%u", host, ntohs(address->sin_port));
 }
 
+bool address_check_free(const struct sockaddr_in *address, GError **error)
+{
+	char text[ADDRESS_TEXT_BYTES];
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool free_now = fd >= 0 &&
+			setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+			bind(fd, (const struct sockaddr *)address, sizeof(*address)) == 0;
+
+	if (!free_now) {
+		address_format(address, text);
+		g_set_error(error, EGRET_ERROR, EGRET_ERROR_IO, "cannot listen on %s: %s",
+			    text, g_strerror(errno));
+	}
+	if (fd >= 0)
+		close(fd);
+	return free_now;
+}
+
 int address_listen(const struct sockaddr_in *address, GError **error)
 {
 	char text[ADDRESS_TEXT_BYTES];
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -1,3 +1,4 @@
+#include "common/address.h"
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -234,10 +235,21 @@
 		worker_post(node->workers[i], worker_renew_certificate, NULL);
 }
 
+static bool addresses_free(const settings_t *settings, GError **error)
+{
+	return address_check_free(&settings->peer_listen, error) &&
+	       address_check_free(&settings->caller_listen, error) &&
+	       address_check_free(&settings->target_listen, error) &&
+	       address_check_free(&settings->admin_listen, error);
+}
+
 static bool start_workers(node_t *node, GError **error)
 {
 	uint32_t wanted = node->settings->workers;
 
+	if (!addresses_free(node->settings, error))
+		return false;
+
 	node->workers = g_new0(worker_t *, wanted);
 	for (uint32_t i = 0; i < wanted; i++) {
 		node->workers[i] = worker_create(node, error);
--- a/include/admission/shed_level.h
+++ b/include/admission/shed_level.h
@@ -13,7 +13,8 @@
  * DESCRIPTION
  *	In each window the arrivals' priorities are counted. If some were shed,
  *	the level is set so that as many arrivals lie below it as were served; if
- *	none were, it rises step by step, the steps doubling, so that an end of
+ *	none were, it rises: by single buckets while calls wait at the gate, which
+ *	is then at its capacity, and otherwise in doubling steps, so that an end of
  *	overload is noticed within a second.
  */
 
@@ -25,6 +26,8 @@
 /* A request arrived; the gate will either serve or shed it. */
 void shed_level_arrival(shed_level_t *level, usec_t now, priority_t priority);
 void shed_level_shed(shed_level_t *level);
+/* A request had to wait at the gate. */
+void shed_level_wait(shed_level_t *level);
 
 /* The present level: priorities below it are admitted. */
 priority_t shed_level_value(shed_level_t *level, usec_t now);
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -19,6 +19,9 @@
 bool address_is_loopback(const struct sockaddr_in *address);
 void address_format(const struct sockaddr_in *address, char out[ADDRESS_TEXT_BYTES]);
 
+/* Fails if another process listens there: the shared port would hide it. */
+bool address_check_free(const struct sockaddr_in *address, GError **error);
+
 /*
  * Opens a non-blocking listening TCP socket that shares its port with the
  * process's other workers. Returns the descriptor, or -1 with error set.
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -8,6 +8,8 @@
 #define PUSHES_PER_SECOND 20
 #define HEAL_PERIOD (5 * USEC_PER_SEC)
 #define TRANSMISSIONS_PER_DOUBLING 3
+/* Transmissions that one duplicate received saves. */
+#define DUPLICATE_WEIGHT 2
 /* Probes and acks stay within this, so that a burst of news does not exceed the
  * bytes that a node may spend on control. */
 #define PROBE_BYTES 600
@@ -327,12 +329,29 @@
 	gossip_push(gossip, now);
 }
 
+/* Others know this entry already: tell it less often. */
+static void lose_interest(gossip_t *gossip, const member_t *member)
+{
+	news_t *news = g_hash_table_lookup(gossip->news_by_address, member->address);
+	const member_t *known = directory_lookup(gossip->directory, member->address);
+
+	if (!news || !known || known->generation != member->generation ||
+	    known->incarnation != member->incarnation || known->state != member->state)
+		return;
+	if (news->transmissions <= DUPLICATE_WEIGHT)
+		drop_news(gossip, news);
+	else
+		news->transmissions -= DUPLICATE_WEIGHT;
+}
+
 void gossip_merge(gossip_t *gossip, usec_t now, const member_t *member)
 {
 	directory_result_t result = directory_merge(gossip->directory, member, now);
 
-	if (result == DIRECTORY_STALE)
+	if (result == DIRECTORY_STALE) {
+		lose_interest(gossip, member);
 		return;
+	}
 	queue_news(gossip, member->address);
 	gossip->ops->on_member(gossip->ctx,
 			       directory_lookup(gossip->directory, member->address));
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -563,6 +563,10 @@
             name, value = flag.split("=")
             text = open(d.logs[good.name], encoding="utf-8").read().splitlines()[-1]
             assert name in text and value in text and "must be" in text, text
+        taken = good.address["caller"].split(":")
+        with socket.create_server((taken[0], int(taken[1])), reuse_port=True):
+            good.start()
+            assert good.process.wait(timeout=5) == 1, "a port in use was shared"
 
 
 def case_planted_faults():
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -353,6 +353,10 @@
 						 (GDestroyNotify)g_bytes_unref);
 	platform.rand = g_rand_new_with_seed(1);
 	platform.ev = tevent_context_init(NULL);
+	if (!address_check_free(&options.address, &error)) {
+		fprintf(stderr, "platform: %s\n", error->message);
+		return 1;
+	}
 	platform.loop = mhd_loop_create(platform.ev, platform.ev, &options, handle,
 					completed, NULL, &error);
 	if (!platform.loop) {
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -155,6 +155,39 @@
 	{"nothing is shed", 100, 100, 100},
 };
 
+typedef struct rise_case {
+	const char *name;
+	bool waits; /* calls wait in every window after the shedding */
+	uint32_t windows;
+	bool all; /* whether the level then admits everything */
+} rise_case_t;
+
+static void test_level_rise(void **state)
+{
+	const rise_case_t *c = *state;
+	shed_level_t *level = shed_level_create();
+	usec_t now = START;
+
+	for (uint32_t i = 0; i < 100; i++) {
+		shed_level_arrival(level, now, priority_make(5, i));
+		if (i >= 50)
+			shed_level_shed(level);
+	}
+	for (uint32_t window = 0; window < c->windows; window++) {
+		now += 100 * MSEC;
+		shed_level_arrival(level, now, priority_make(5, 0));
+		if (c->waits)
+			shed_level_wait(level);
+	}
+	assert_int_equal(shed_level_value(level, now) == PRIORITY_LEVEL_ALL, c->all);
+	shed_level_destroy(level);
+}
+
+static const rise_case_t rise_cases[] = {
+	{"an idle gate admits all within a second", false, 10, true},
+	{"a busy gate rises slowly", true, 10, false},
+};
+
 /* --- gate ------------------------------------------------------------------- */
 
 #define TICKETS 12
@@ -380,6 +413,7 @@
 	failed += RUN_CASES("limit", limit_cases, test_limit_converges);
 	failed += RUN_CASES("limit_reset", reset_cases, test_limit_reset);
 	failed += RUN_CASES("shed_level", level_cases, test_level);
+	failed += RUN_CASES("shed_level_rise", rise_cases, test_level_rise);
 	failed += RUN_CASES("gate", gate_cases, test_gate);
 	failed += RUN_CASES("gate_order", order_cases, test_order);
 	return failed;
