backpressure: pass on what the egress itself refuses for; crash marks stay after refusals

Cause 1: an onward call refused by the egress's own backpressure told its parent only the next service's gate level, so the entry never learnt of a service three hops below. Cause 2: a target's own not-run refusal counted as a completed run and cleared the marks of a crashing request. Conclusion: kept; 4 is still above the 2 of the design: instances that crash within the same moments do not know of each other yet.

--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -170,10 +170,12 @@
 	if (!*request->parent)
 		return;
 	priority_t below = request->below;
-	if (request->service) {
+	if (request->route) {
 		pthread_mutex_lock(&node->router_lock);
 		below = MIN(below,
 			    router_service_level(node->router, request->service, now));
+		below = MIN(below,
+			    backpressure_level(node->backpressure, request->route, now));
 		pthread_mutex_unlock(&node->router_lock);
 	}
 	pthread_mutex_lock(&node->live_lock);
--- a/egretscaled/target_call.c
+++ b/egretscaled/target_call.c
@@ -324,7 +324,7 @@
 	end_live(tc, now, &summary);
 	if (crashed)
 		note_crash(tc, now);
-	else if (code == CURLE_OK)
+	else if (code == CURLE_OK && !refused)
 		note_success(tc, now);
 	leave_gate(tc, now, own_latency(tc, now, summary.onward_time),
 		   code == CURLE_OK ? outcome : LIMIT_IGNORED, crashed);
