tests: let a node close a bad connection before the client ends its side

Cause: e2e strangers failed in a fresh clone with ENOTCONN from the test's own shutdown(2): the node had closed the malformed connection already, which is right.

--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -206,12 +206,12 @@
         for trick in tricks:
             with socket.create_connection((address[0], int(address[1])), timeout=5) as caller:
                 caller.sendall(trick)
-                caller.shutdown(socket.SHUT_WR)
                 answer = b""
-                try:
+                try:  # the node may close before it read everything
+                    caller.shutdown(socket.SHUT_WR)
                     while chunk := caller.recv(4096):
                         answer += chunk
-                except ConnectionError:
+                except OSError:
                     pass
                 assert b" 200 " not in answer.split(b"\r\n")[0], (trick[:40], answer[:80])
         assert get(d, "/back/x")[0] == 200
