--- a/admission/gate.c
+++ b/admission/gate.c
@@ -1,11 +1,13 @@
 #include "admission/gate.h"
 
+#include "admission/pace.h"
 #include "admission/shed_level.h"
 #include "common/counters.h"
 
 struct gate {
 	limit_t *limit;
 	shed_level_t *level;
+	pace_t *pace;
 	GSequence *queue; /* of gate_ticket_t, best first */
 	GQueue shed;	  /* of gate_ticket_t, to be yielded as GATE_SHED */
 	uint32_t inflight;
@@ -19,6 +21,7 @@
 
 	gate->limit = limit_create(algorithm);
 	gate->level = shed_level_create();
+	gate->pace = pace_create();
 	gate->queue = g_sequence_new(NULL);
 	g_queue_init(&gate->shed);
 	return gate;
@@ -30,6 +33,7 @@
 		return;
 	limit_destroy(gate->limit);
 	shed_level_destroy(gate->level);
+	pace_destroy(gate->pace);
 	g_sequence_free(gate->queue);
 	g_queue_clear(&gate->shed);
 	g_free(gate);
@@ -46,6 +50,11 @@
 	gate->open = true;
 }
 
+void gate_set_cold(gate_t *gate, uint32_t per_second, usec_t until)
+{
+	pace_set(gate->pace, per_second, until);
+}
+
 void gate_close(gate_t *gate)
 {
 	gate->open = false;
@@ -71,9 +80,15 @@
 	ticket->running = TRUE;
 	ticket->started = now;
 	gate->inflight++;
+	pace_start(gate->pace, now);
 	counter_add(COUNTER_GATE_ADMITTED, 1);
 }
 
+static bool has_room(const gate_t *gate, usec_t now)
+{
+	return gate->inflight < limit_value(gate->limit) && pace_allows(gate->pace, now);
+}
+
 static void shed(gate_t *gate)
 {
 	shed_level_shed(gate->level);
@@ -144,8 +159,7 @@
 			return GATE_EXPIRED;
 		}
 	}
-	if (gate->inflight < limit_value(gate->limit) &&
-	    g_sequence_is_empty(gate->queue)) {
+	if (has_room(gate, now) && g_sequence_is_empty(gate->queue)) {
 		run(gate, ticket, now);
 		return GATE_RUN;
 	}
@@ -197,7 +211,7 @@
 		*verdict = GATE_EXPIRED;
 		return ticket;
 	}
-	if (gate->inflight >= limit_value(gate->limit))
+	if (!has_room(gate, now))
 		return NULL;
 	unqueue(ticket);
 	run(gate, ticket, now);
@@ -205,11 +219,23 @@
 	return ticket;
 }
 
+/* Calls that can run at once; while cold, as many as the pace keeps busy. */
+static uint32_t present_capacity(const gate_t *gate, usec_t now)
+{
+	uint32_t limit = limit_value(gate->limit);
+
+	if (!pace_is_on(gate->pace, now))
+		return limit;
+	double busy = (double)pace_per_second(gate->pace) *
+		      (double)limit_latency(gate->limit) / USEC_PER_SEC;
+	return CLAMP((uint32_t)busy, 1, limit);
+}
+
 void gate_load(gate_t *gate, usec_t now, gate_load_t *out)
 {
 	out->level = shed_level_value(gate->level, now);
-	out->limit = limit_value(gate->limit);
+	out->limit = present_capacity(gate, now);
 	out->inflight = gate->inflight;
 	out->queued = (uint32_t)g_sequence_get_length(gate->queue);
-	out->cold = limit_is_cold(gate->limit);
+	out->cold = limit_is_cold(gate->limit) || pace_is_on(gate->pace, now);
 }
--- a/admission/limit.c
+++ b/admission/limit.c
@@ -12,6 +12,8 @@
 #define COLD_GROWTH_PER_SUCCESS 0.25
 #define LATENCY_EWMA_WEIGHT 0.1
 /* The base latency rises slowly so that a changed workload is learnt. */
+/* Targets slow down when nearly all slots are taken; probes need one besides. */
+#define SLOTS_SHARE 0.94
 #define BASE_RISE_PER_WINDOW 1.0005
 #define CLIFF_FACTOR 8.0
 #define CLIFF_LATENCY_MIN (20 * USEC_PER_MSEC)
@@ -67,12 +69,16 @@
 	limit->slots = MAX(slots, 1);
 	limit->cold_slots = CLAMP(cold_slots, 1, limit->slots);
 	limit->value = MIN(limit->value, limit->slots);
+	if (limit->algorithm == LIMIT_SLOTS)
+		limit->value = MAX(floor(limit->slots * SLOTS_SHARE), 1);
 }
 
 void limit_reset(limit_t *limit, usec_t now)
 {
 	limit->value = limit->cold_slots;
-	limit->cold = true;
+	limit->cold = limit->algorithm != LIMIT_SLOTS;
+	if (limit->algorithm == LIMIT_SLOTS)
+		limit->value = MAX(floor(limit->slots * SLOTS_SHARE), 1);
 	limit->slow_windows = 0;
 	start_window(limit, now);
 }
@@ -135,6 +141,10 @@
 	double average = limit->samples ? limit->latency_sum / limit->samples : 0;
 	bool cliff = false;
 
+	if (limit->algorithm == LIMIT_SLOTS) {
+		start_window(limit, now);
+		return false;
+	}
 	if (limit->refusals > 0) {
 		limit->cold = false;
 		limit->value *= AIMD_BACKOFF;
--- a/admission/priority.c
+++ b/admission/priority.c
@@ -13,9 +13,9 @@
 	return ((IMPORTANCE_MAX - importance) << PRIORITY_RANK_BITS) | rank;
 }
 
-uint32_t priority_rank(const uint8_t request_id[16], double demand_ratio)
+uint32_t priority_rank(const char *request_id, double demand_ratio)
 {
-	uint64_t hash = XXH64(request_id, 16, RANK_HASH_SEED);
+	uint64_t hash = XXH64(request_id, strlen(request_id), RANK_HASH_SEED);
 	double h = (double)(hash >> 11) / (double)(1ull << 53);
 	double rank = CLAMP(demand_ratio, 0.0, 4.0) * h * RANK_PER_UNIT;
 
--- a/config/config.c
+++ b/config/config.c
@@ -3,14 +3,18 @@
 #include <stdatomic.h>
 #include <string.h>
 
+#define ZONE_ROW_PREFIX "record/availability_zone/"
+
 struct config_log {
 	GHashTable *rows; /* key -> config_row_t */
 	uint64_t revision;
+	uint64_t snapshot; /* records older than this are void */
 };
 
 struct config {
 	atomic_int refs;
 	uint64_t revision;
+	uint64_t snapshot;
 	GHashTable *records[RECORD_KIND_COUNT]; /* name -> record_t */
 	GHashTable *digests;			/* digest -> record_t of kind key */
 	GPtrArray *routes;			/* record_t, longest prefix first */
@@ -41,13 +45,28 @@
 	g_free(log);
 }
 
+static bool is_void(const config_log_t *log, const char *key, uint64_t revision)
+{
+	return revision < log->snapshot && strcmp(key, CONFIG_SNAPSHOT_KEY) != 0 &&
+	       !g_str_has_prefix(key, ZONE_ROW_PREFIX);
+}
+
+static gboolean row_is_void(void *key, void *value, void *ctx)
+{
+	return is_void(ctx, key, ((const config_row_t *)value)->revision);
+}
+
 bool config_log_merge(config_log_t *log, const char *key, uint64_t revision,
 		      const char *value)
 {
 	config_row_t *known = g_hash_table_lookup(log->rows, key);
 
-	if (known && known->revision >= revision)
+	if ((known && known->revision >= revision) || is_void(log, key, revision))
 		return false;
+	if (strcmp(key, CONFIG_SNAPSHOT_KEY) == 0) {
+		log->snapshot = revision;
+		g_hash_table_foreach_remove(log->rows, row_is_void, log);
+	}
 	config_row_t *row = g_new0(config_row_t, 1);
 	row->key = g_strdup(key);
 	row->revision = revision;
@@ -184,6 +203,7 @@
 
 	atomic_init(&config->refs, 1);
 	config->revision = log->revision;
+	config->snapshot = log->snapshot;
 	for (int i = 0; i < RECORD_KIND_COUNT; i++)
 		config->records[i] = g_hash_table_new_full(
 			g_str_hash, g_str_equal, NULL, (GDestroyNotify)record_destroy);
@@ -218,6 +238,11 @@
 	return config->revision;
 }
 
+uint64_t config_snapshot(const config_t *config)
+{
+	return config->snapshot;
+}
+
 const char *config_account_for_digest(const config_t *config, const char *digest)
 {
 	const record_t *record = g_hash_table_lookup(config->digests, digest);
@@ -267,16 +292,41 @@
 	return false;
 }
 
-const record_t *config_route(const config_t *config, const char *method, const char *path)
+static bool host_matches(const route_t *route, const char *host)
+{
+	return !route->host || (host && g_ascii_strcasecmp(route->host, host) == 0);
+}
+
+const record_t *config_route(const config_t *config, const char *host, const char *method,
+			     const char *path)
 {
 	for (guint i = 0; i < config->routes->len; i++) {
 		const record_t *record = config->routes->pdata[i];
-		if (route_matches(&record->route, method, path))
+		if (host_matches(&record->route, host) &&
+		    route_matches(&record->route, method, path))
 			return record;
 	}
 	return NULL;
 }
 
+const char *route_service(const route_t *route, uint32_t draw)
+{
+	uint64_t total = 0;
+
+	if (route->backends->len == 0)
+		return route->service;
+	for (guint i = 0; i < route->backends->len; i++)
+		total += g_array_index(route->backends, backend_t, i).weight;
+	uint64_t point = (total * draw) >> 32;
+	for (guint i = 0; i < route->backends->len; i++) {
+		const backend_t *backend = &g_array_index(route->backends, backend_t, i);
+		if (point < backend->weight)
+			return backend->service;
+		point -= backend->weight;
+	}
+	return g_array_index(route->backends, backend_t, 0).service;
+}
+
 uint32_t config_zone_count(const config_t *config)
 {
 	return g_hash_table_size(config->records[RECORD_AVAILABILITY_ZONE]);
--- a/config/record.c
+++ b/config/record.c
@@ -10,6 +10,7 @@
 #define RETRIES_MAX 10
 #define RETRIES_DEFAULT 2
 #define RATE_MAX 1e6
+#define WEIGHT_MAX 1000000
 #define SLOTS_MAX 100000
 #define QUEUE_SLOTS_DEFAULT 0 /* as many as the target's slots */
 #define RETRY_RATIO_DEFAULT 0.1
@@ -115,11 +116,19 @@
 
 static void parse_client_account(parse_t *p, record_t *r)
 {
-	static const char *const known[] = {"rate", "burst", NULL};
+	static const char *const known[] = {"rate", "burst", "importance", NULL};
 
 	check_fields(p, known);
-	r->client_account.rate = take_number(p, "rate", 0.001, RATE_MAX, -1,
-					     "requests a second, 0.001 to 1000000");
+	r->client_account.importance = IMPORTANCE_NONE;
+	if (json_object_get(p->json, "importance"))
+		r->client_account.importance = (int)take_integer(
+			p, "importance", 0, IMPORTANCE_LEVELS - 1, -1, "0 to 9");
+	const json_t *rate = json_object_get(p->json, "rate");
+	if (json_is_null(rate))
+		return;
+	r->client_account.rate =
+		take_number(p, "rate", 0.001, RATE_MAX, -1,
+			    "requests a second, 0.001 to 1000000, or null for no limit");
 	r->client_account.burst =
 		take_number(p, "burst", 1, RATE_MAX, -1, "requests, 1 to 1000000");
 }
@@ -168,17 +177,62 @@
 	}
 }
 
+static void parse_backends(parse_t *p, route_t *route)
+{
+	static const char allowed[] = "a list of 1 to 8 objects with service and weight, "
+				      "0 to 1000000, not all 0";
+	const json_t *list = json_object_get(p->json, "backends");
+	uint64_t total = 0;
+	size_t i;
+	json_t *value;
+
+	if (!list)
+		return;
+	bool ok = json_array_size(list) >= 1 && json_array_size(list) <= BACKENDS_MAX &&
+		  !json_object_get(p->json, "service");
+	json_array_foreach(list, i, value)
+	{
+		const char *service =
+			json_string_value(json_object_get(value, "service"));
+		const json_t *weight = json_object_get(value, "weight");
+		json_int_t number = json_integer_value(weight);
+
+		ok = ok && service && record_name_valid(service) &&
+		     json_is_integer(weight) && number >= 0 && number <= WEIGHT_MAX;
+		if (!ok)
+			break;
+		backend_t backend = {g_strdup(service), (uint32_t)number};
+		g_array_append_val(route->backends, backend);
+		total += backend.weight;
+	}
+	if (!ok || total == 0)
+		report(p, "backends", allowed);
+}
+
+static char *take_host(parse_t *p)
+{
+	if (!json_object_get(p->json, "host"))
+		return NULL;
+	return take_string(p, "host", "the authority that requests name");
+}
+
 static void parse_route(parse_t *p, record_t *r)
 {
-	static const char *const known[] = {"prefix",  "methods",    "service",
-					    "open",    "importance", "idempotent",
-					    "retries", "timeout_ms", NULL};
+	static const char *const known[] = {"host",	  "prefix",	  "methods",
+					    "service",	  "backends",	  "open",
+					    "importance", "idempotent",	  "retries",
+					    "timeout_ms", "objective_ms", NULL};
 
 	check_fields(p, known);
 	r->route.prefix = take_string(p, "prefix", "a path that starts with /");
 	if (r->route.prefix && r->route.prefix[0] != '/')
 		report(p, "prefix", "a path that starts with /");
-	r->route.service = take_name(p, "service");
+	r->route.host = take_host(p);
+	parse_backends(p, &r->route);
+	if (r->route.backends->len == 0)
+		r->route.service = take_name(p, "service");
+	r->route.objective_ms = take_integer(p, "objective_ms", 0, TIMEOUT_MAX_MS, 0,
+					     "milliseconds, 0 to 600000");
 	r->route.importance =
 		take_integer(p, "importance", 0, IMPORTANCE_LEVELS - 1, -1, "0 to 9");
 	r->route.idempotent = take_bool(p, "idempotent", false);
@@ -206,6 +260,7 @@
 static void parse_service(parse_t *p, record_t *r)
 {
 	static const char *const known[] = {"cold_slots", "queue_slots", "retry_ratio",
+					    "cold_rate",  "cold_ms",	 "connections",
 					    NULL};
 
 	check_fields(p, known);
@@ -215,6 +270,12 @@
 					      QUEUE_SLOTS_DEFAULT, "slots, 0 to 100000");
 	r->service.retry_ratio =
 		take_number(p, "retry_ratio", 0, 1, RETRY_RATIO_DEFAULT, "0 to 1");
+	r->service.cold_rate = take_number(p, "cold_rate", 0, RATE_MAX, 0,
+					   "requests a second, 0 to 1000000");
+	r->service.cold_ms = take_integer(p, "cold_ms", 0, TIMEOUT_MAX_MS, 0,
+					  "milliseconds, 0 to 600000");
+	r->service.connections = take_integer(p, "connections", 0, SLOTS_MAX, 0,
+					      "connections, 0 to 100000");
 }
 
 static void (*const parsers[RECORD_KIND_COUNT])(parse_t *, record_t *) = {
@@ -235,6 +296,11 @@
 	return false;
 }
 
+static void clear_backend(void *data)
+{
+	g_free(((backend_t *)data)->service);
+}
+
 record_t *record_parse(const json_t *json, record_fault_fn fault, void *ctx)
 {
 	parse_t p = {.json = json, .fault = fault, .ctx = ctx};
@@ -248,8 +314,11 @@
 		return NULL;
 	record_t *record = g_new0(record_t, 1);
 	record->kind = kind;
-	if (kind == RECORD_ROUTE)
+	if (kind == RECORD_ROUTE) {
 		record->route.methods = g_ptr_array_new_with_free_func(g_free);
+		record->route.backends = g_array_new(FALSE, TRUE, sizeof(backend_t));
+		g_array_set_clear_func(record->route.backends, clear_backend);
+	}
 	record->name = take_name(&p, "name");
 	record->schema_version = take_integer(&p, "schema_version", 1, G_MAXINT32, -1,
 					      "a whole number from 1");
@@ -271,7 +340,9 @@
 		g_free(record->key.digest);
 		g_free(record->key.account);
 	} else if (record->kind == RECORD_ROUTE) {
+		g_free(record->route.host);
 		g_free(record->route.prefix);
+		g_array_free(record->route.backends, TRUE);
 		g_free(record->route.service);
 		g_ptr_array_free(record->route.methods, TRUE);
 	}
--- a/egretctl/platform.c
+++ b/egretctl/platform.c
@@ -1,11 +1,10 @@
 #include "common/error.h"
 #include "egretctl/ctl.h"
-#include "store/store_http.h"
+#include "platform/store.h"
 
 #include <string.h>
 
 #define RECORD_PREFIX "record/"
-#define PAGE_ROWS 500
 #define CACHED_CONNECTIONS 2L
 #define ADMIN_TIMEOUT_MS 5000L
 
@@ -17,7 +16,6 @@
 	bool done;
 	uint64_t revision;
 	GHashTable *rows;
-	size_t count;
 	GError *error;
 };
 
@@ -32,7 +30,8 @@
 	platform_t *platform = g_new0(platform_t, 1);
 	platform->ev = tevent_context_init(NULL);
 	platform->curl = curl_loop_create(platform->ev, platform->ev, CACHED_CONNECTIONS);
-	platform->store = store_http_create(platform->curl, url);
+	platform->store =
+		platform_store_create(platform->curl, url, PLATFORM_RECORDS_OWN, NULL);
 	return platform;
 }
 
@@ -76,7 +75,6 @@
 
 	platform->done = true;
 	platform->revision = revision;
-	platform->count = count;
 	if (error)
 		platform->error = g_error_copy(error);
 	for (size_t i = 0; i < count; i++) {
@@ -90,19 +88,12 @@
 
 GHashTable *platform_records(platform_t *platform, GError **error)
 {
-	uint64_t after = 0;
-
 	platform->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
-	do {
-		store_changes(platform->store, RECORD_PREFIX, after, PAGE_ROWS,
-			      handle_rows, platform);
-		if (!wait_done(platform, error)) {
-			g_hash_table_destroy(platform->rows);
-			return NULL;
-		}
-		after = platform->revision;
-	} while (platform->count >= PAGE_ROWS);
-	return platform->rows;
+	store_changes(platform->store, RECORD_PREFIX, 0, handle_rows, platform);
+	if (wait_done(platform, error))
+		return platform->rows;
+	g_hash_table_destroy(platform->rows);
+	return NULL;
 }
 
 static void handle_commit(void *ctx, uint64_t revision, const GError *error)
--- a/egretscaled/admin.c
+++ b/egretscaled/admin.c
@@ -35,7 +35,7 @@
 	return resident * sysconf(_SC_PAGESIZE);
 }
 
-static void read_load(node_t *node, gate_load_t *load, own_target_t *target)
+static void read_load(node_t *node, gate_load_t *load, target_t *target)
 {
 	pthread_mutex_lock(&node->gate_lock);
 	gate_load(node->gate, clock_boot_usec(), load);
@@ -64,7 +64,7 @@
 {
 	GString *out = g_string_new(NULL);
 	gate_load_t load;
-	own_target_t target;
+	target_t target;
 
 	read_load(node, &load, &target);
 	counters_render(out);
@@ -80,12 +80,12 @@
 	return g_string_free(out, FALSE);
 }
 
-static json_t *gate_status(const gate_load_t *load, const own_target_t *target)
+static json_t *gate_status(const gate_load_t *load, const target_t *target)
 {
 	return json_pack("{s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:i, s:i, s:b}", "service",
-			 target->service, "address", target->address, "present",
+			 target->last.service, "address", target->last.address, "present",
 			 target->present, "draining", target->draining, "slots",
-			 (int)target->slots, "limit", (int)load->limit, "inflight",
+			 (int)target->last.slots, "limit", (int)load->limit, "inflight",
 			 (int)load->inflight, "queued", (int)load->queued, "shed_level",
 			 (int)load->level, "cold", load->cold);
 }
@@ -154,7 +154,7 @@
 static char *render_status(node_t *node)
 {
 	gate_load_t load;
-	own_target_t target;
+	target_t target;
 	char id[17];
 
 	read_load(node, &load, &target);
@@ -182,6 +182,28 @@
 	return result;
 }
 
+static enum MHD_Result answer_readiness(node_t *node, struct MHD_Connection *connection)
+{
+	bool ok = atomic_load(&node->ready) && !atomic_load(&node->draining);
+
+	return mhd_answer_text(connection, ok ? 200 : 503, "text/plain",
+			       ok ? "ok\n" : "not ready\n");
+}
+
+static enum MHD_Result handle_readiness(void *ctx, struct MHD_Connection *connection,
+					const char *url, const char *method,
+					const char *version, const char *data,
+					size_t *data_len, void **state)
+{
+	(void)url;
+	(void)method;
+	(void)version;
+	(void)data;
+	(void)state;
+	*data_len = 0;
+	return answer_readiness(ctx, connection);
+}
+
 static enum MHD_Result handle_request(void *ctx, struct MHD_Connection *connection,
 				      const char *url, const char *method,
 				      const char *version, const char *data,
@@ -203,12 +225,10 @@
 	if (get && strcmp(url, "/status") == 0)
 		return answer_owned(connection, 200, "application/json",
 				    render_status(node));
-	if (get && strcmp(url, "/healthz") == 0) {
-		bool ok = atomic_load(&node->ready) && !atomic_load(&node->draining);
-		return mhd_answer_text(connection, ok ? 200 : 503, "text/plain",
-				       ok ? "ok\n" : "not ready\n");
-	}
-	if (strcmp(method, "POST") == 0 && strcmp(url, "/drain") == 0) {
+	if (get && strcmp(url, "/healthz") == 0)
+		return answer_readiness(node, connection);
+	if (strcmp(method, "POST") == 0 && strcmp(url, "/drain") == 0 &&
+	    address_is_loopback(&node->settings->admin_listen)) {
 		kill(getpid(), SIGTERM);
 		return mhd_answer_text(connection, 200, "application/json", "{}\n");
 	}
@@ -235,3 +255,15 @@
 	return mhd_loop_create(parent, ev, &options, handle_request, handle_completed,
 			       node, error);
 }
+
+mhd_loop_t *readiness_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node,
+			     GError **error)
+{
+	mhd_loop_options_t options = {
+		.address = node->settings->readiness_listen,
+		.idle_timeout_sec = ADMIN_IDLE_TIMEOUT_SEC,
+	};
+
+	return mhd_loop_create(parent, ev, &options, handle_readiness, handle_completed,
+			       node, error);
+}
--- a/egretscaled/announce.c
+++ b/egretscaled/announce.c
@@ -1,44 +1,10 @@
 #include "egretscaled/announce.h"
 
-#include "common/address.h"
+#include "common/error.h"
+#include "common/log.h"
 
-#include <jansson.h>
 #include <string.h>
 
-#define SLOTS_MAX 100000
-
-static bool take_count(const json_t *json, const char *field, uint32_t absent,
-		       uint32_t *out)
-{
-	const json_t *value = json_object_get(json, field);
-
-	*out = absent;
-	if (!value)
-		return absent > 0;
-	json_int_t number = json_integer_value(value);
-	if (!json_is_integer(value) || number < 1 || number > SLOTS_MAX)
-		return false;
-	*out = (uint32_t)number;
-	return true;
-}
-
-static bool decode(const json_t *json, own_target_t *out)
-{
-	const char *service = json_string_value(json_object_get(json, "service"));
-	const char *address = json_string_value(json_object_get(json, "address"));
-	struct sockaddr_in parsed;
-
-	memset(out, 0, sizeof(*out));
-	if (!service || !record_name_valid(service) || !address ||
-	    !address_parse(address, &parsed, NULL))
-		return false;
-	g_strlcpy(out->service, service, sizeof(out->service));
-	address_format(&parsed, out->address);
-	return take_count(json, "slots", 0, &out->slots) &&
-	       take_count(json, "connections", out->slots, &out->connections) &&
-	       take_count(json, "cold_slots", 1, &out->cold_slots);
-}
-
 static void answer_done(http_request_t *request)
 {
 	static const char text[] = "{}\n";
@@ -50,37 +16,69 @@
 	g_bytes_unref(body);
 }
 
-static void refuse(http_request_t *request, Egret__Reason reason)
+/* A leave may name the target only; the rest is what it last said. Returns false if
+ * another target is meant. */
+static bool complete_leave(node_t *node, target_report_t *report)
+{
+	target_report_t last;
+
+	node_leave_report(node, &last);
+	if (*report->id && strcmp(report->id, last.id) != 0)
+		return false;
+	*report = last;
+	return true;
+}
+
+/* On the platform the settings name the own target; others are none of this node's. */
+static bool is_own(const node_t *node, const target_report_t *report)
 {
-	http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN, reason);
+	const settings_t *settings = node->settings;
+	char address[ADDRESS_TEXT_BYTES];
+
+	if (!settings->on_platform)
+		return true;
+	address_format(&settings->target_address, address);
+	return strcmp(report->address, address) == 0 &&
+	       strcmp(report->service, settings->service) == 0;
 }
 
-static void take_announcement(http_request_t *request)
+static bool read_report(http_request_t *request, target_report_t *out, GError **error)
 {
-	own_target_t target;
-	json_t *json = json_loadb((const char *)request->head_body->data,
-				  request->head_body->len, 0, NULL);
-	bool ok = decode(json, &target);
+	node_t *node = request->worker->node;
 
-	json_decref(json);
-	if (!ok) {
-		refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
-		return;
-	}
-	node_announce_target(request->worker->node, &target);
-	answer_done(request);
+	if (!node->settings->dialect->read_report(request->method, request->path,
+						  request->head_body->data,
+						  request->head_body->len, out, error))
+		return false;
+	if (out->leaves && !*out->address)
+		return true;
+	if (is_own(node, out))
+		return true;
+	g_set_error(error, EGRET_ERROR, EGRET_ERROR_JSON,
+		    "a target's report: %s at %s is not the own target", out->service,
+		    out->address);
+	return false;
 }
 
 void announce_begin(http_request_t *request)
 {
-	if (strcmp(request->path, "/v1/target") == 0 &&
-	    strcmp(request->method, "PUT") == 0) {
-		take_announcement(request);
-	} else if (strcmp(request->path, "/v1/target/leave") == 0 &&
-		   strcmp(request->method, "POST") == 0) {
-		node_target_leaves(request->worker->node);
+	node_t *node = request->worker->node;
+	target_report_t report;
+	GError *error = NULL;
+
+	if (!read_report(request, &report, &error)) {
+		log_failure("take a report of the own target", error);
+		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+				    error->code == EGRET_ERROR_NOT_FOUND
+					    ? EGRET__REASON__REASON_NO_ROUTE
+					    : EGRET__REASON__REASON_BAD_REQUEST);
+		g_clear_error(&error);
+		return;
+	}
+	if ((report.leaves && !*report.address && !complete_leave(node, &report))) {
 		answer_done(request);
-	} else {
-		refuse(request, EGRET__REASON__REASON_NO_ROUTE);
+		return;
 	}
+	node_take_report(node, &report);
+	answer_done(request);
 }
--- a/egretscaled/call.c
+++ b/egretscaled/call.c
@@ -3,11 +3,13 @@
 void request_context_copy(request_context_t *out, const request_context_t *from)
 {
 	*out = *from;
+	out->request_id = g_strdup(from->request_id);
 	out->account = g_strdup(from->account);
 }
 
 void request_context_clear(request_context_t *context)
 {
+	g_clear_pointer(&context->request_id, g_free);
 	g_clear_pointer(&context->account, g_free);
 }
 
--- a/egretscaled/call_codec.c
+++ b/egretscaled/call_codec.c
@@ -10,7 +10,8 @@
 
 static bool context_valid(const Egret__Context *wire)
 {
-	return wire && wire->request_id.len == REQUEST_ID_BYTES &&
+	return wire && wire->request_id.len > 0 &&
+	       wire->request_id.len <= REQUEST_ID_MAX_BYTES &&
 	       wire->importance < IMPORTANCE_LEVELS && wire->depth <= DEPTH_MAX &&
 	       wire->time_left_ms <= TIMEOUT_MAX_MS && wire->retries_left <= RETRIES_MAX;
 }
@@ -67,9 +68,11 @@
 		.idempotent = from->idempotent,
 		.fingerprint = from->fingerprint,
 	};
-	memcpy(context.request_id, from->request_id.data, REQUEST_ID_BYTES);
+	context.request_id =
+		g_strndup((const char *)from->request_id.data, from->request_id.len);
 	call_t *call = call_create(&context, wire->attempt, wire->service, wire->method,
 				   wire->path);
+	g_free(context.request_id);
 	call->content_length = wire->content_length;
 	decode_headers(wire->headers, wire->n_headers, call->headers);
 	return call;
@@ -84,7 +87,7 @@
 	egret__call__init(wire);
 	egret__context__init(context);
 	context->request_id.data = (uint8_t *)from->request_id;
-	context->request_id.len = REQUEST_ID_BYTES;
+	context->request_id.len = strlen(from->request_id);
 	context->account = from->account;
 	context->importance = from->importance;
 	context->rank = from->rank;
--- a/egretscaled/config_poll.c
+++ b/egretscaled/config_poll.c
@@ -10,7 +10,9 @@
 
 #define RECORD_PREFIX "record/"
 #define NODE_PREFIX "node/"
-#define PAGE_ROWS 500
+/* Nodes of a zone that watch at any time. */
+#define ZONE_WATCHERS 32
+#define WATCH_PAUSE (10 * USEC_PER_MSEC)
 #define START_POLL (200 * USEC_PER_MSEC)
 #define BACKOFF_BASE (500 * USEC_PER_MSEC)
 #define BACKOFF_MAX (8 * USEC_PER_SEC)
@@ -24,7 +26,8 @@
 	struct tevent_timer *timer;
 	uint32_t failures;
 	usec_t next_seeds;
-	uint64_t row_revision;
+	uint64_t cursor;     /* of the watch; 0 to read all */
+	uint32_t generation; /* of the newest watch; earlier ones end by themselves */
 	bool row_written;
 };
 
@@ -48,7 +51,9 @@
 	return MAX(count, 1);
 }
 
-/* Exponential waits make the zone's polls a Poisson process. */
+/* In a small zone every node watches all the time, so that each learns of changes
+ * also while it is cut off from its peers. In larger ones the watches begin as a
+ * Poisson process, and peers tell the others. */
 static usec_t next_wait(config_poll_t *poll)
 {
 	if (poll->failures > 0) {
@@ -57,41 +62,63 @@
 	}
 	if (!atomic_load(&poll->node->ready))
 		return START_POLL;
-	double mean = (double)zone_nodes(poll->node) / ZONE_POLLS_PER_SECOND;
+	uint32_t nodes = zone_nodes(poll->node);
+	if (nodes <= ZONE_WATCHERS)
+		return WATCH_PAUSE;
+	double mean = (double)(nodes - ZONE_WATCHERS) / ZONE_POLLS_PER_SECOND;
 	double wait = MIN(-log(1.0 - uniform()), 3.0) * mean;
-	return (usec_t)(wait * USEC_PER_SEC) + 10 * USEC_PER_MSEC;
+	return (usec_t)(wait * USEC_PER_SEC) + WATCH_PAUSE;
 }
 
-static void become_ready(node_t *node)
-{
-	if (atomic_exchange(&node->ready, true))
-		return;
-	node_update_member(node);
-}
+typedef struct watch {
+	config_poll_t *poll;
+	uint32_t generation;
+} watch_t;
 
-static void handle_changes(void *ctx, uint64_t revision, const store_row_t *rows,
-			   size_t count, const GError *error)
+static void take_rows(config_poll_t *poll, uint64_t revision, const store_row_t *rows,
+		      size_t count)
 {
-	config_poll_t *poll = ctx;
-
-	if (error) {
-		if (poll->failures++ == 0)
-			log_failure("poll the platform for records", error);
-		schedule(poll, next_wait(poll));
-		return;
-	}
-	poll->failures = 0;
 	node_row_t *taken = g_new0(node_row_t, count + 1);
+
 	for (size_t i = 0; i < count; i++)
 		taken[i] = (node_row_t){rows[i].key, rows[i].revision, rows[i].value};
 	if (count > 0)
 		node_take_config(poll->node, taken, count, revision, "platform");
 	g_free(taken);
-	if (count >= PAGE_ROWS) {
-		schedule(poll, 0);
+}
+
+static void note_store(config_poll_t *poll, const GError *error)
+{
+	log_rec_t rec;
+
+	if (error && poll->failures++ == 0)
+		log_failure("watch the platform for records", error);
+	if (error || poll->failures == 0)
 		return;
+	log_begin(&rec, LOG_LEVEL_INFO, "store");
+	log_str(&rec, "change", "regained");
+	log_int(&rec, "failures", poll->failures);
+	log_end(&rec);
+	poll->failures = 0;
+}
+
+static void handle_changes(void *ctx, uint64_t revision, const store_row_t *rows,
+			   size_t count, const GError *error)
+{
+	watch_t *watch = ctx;
+	config_poll_t *poll = watch->poll;
+	bool newest = watch->generation == poll->generation;
+
+	talloc_free(watch);
+	if (!error)
+		take_rows(poll, revision, rows, count);
+	if (!newest)
+		return;
+	note_store(poll, error);
+	if (!error) {
+		poll->cursor = MAX(poll->cursor, revision);
+		node_become_ready(poll->node);
 	}
-	become_ready(poll->node);
 	schedule(poll, next_wait(poll));
 }
 
@@ -120,6 +147,9 @@
 
 	(void)revision;
 	poll->row_written = !error;
+	/* Read after the own row is there: of two nodes that start together, the one
+	 * that wrote last finds the other. */
+	store_changes(poll->store, NODE_PREFIX, 0, handle_seeds, poll);
 }
 
 static void handle_row_read(void *ctx, uint64_t revision, const store_row_t *rows,
@@ -150,12 +180,13 @@
 	if (now < poll->next_seeds)
 		return;
 	poll->next_seeds = now + SEED_RETRY;
-	if (!poll->row_written) {
-		char *key = g_strconcat(NODE_PREFIX, poll->node->address, NULL);
-		store_get(poll->store, key, handle_row_read, poll);
-		g_free(key);
+	if (poll->row_written) {
+		store_changes(poll->store, NODE_PREFIX, 0, handle_seeds, poll);
+		return;
 	}
-	store_changes(poll->store, NODE_PREFIX, 0, PAGE_ROWS, handle_seeds, poll);
+	char *key = g_strconcat(NODE_PREFIX, poll->node->address, NULL);
+	store_get(poll->store, key, handle_row_read, poll);
+	g_free(key);
 }
 
 static void handle_time(struct tevent_context *ev, struct tevent_timer *te,
@@ -165,14 +196,13 @@
 	(void)te;
 	(void)when;
 	config_poll_t *poll = private_data;
-	node_t *node = poll->node;
+	watch_t *watch = talloc_zero(poll, watch_t);
 
 	poll->timer = NULL;
-	pthread_mutex_lock(&node->config_lock);
-	uint64_t after = config_log_revision(node->config_log);
-	pthread_mutex_unlock(&node->config_lock);
+	watch->poll = poll;
+	watch->generation = ++poll->generation;
 	exchange_seeds(poll);
-	store_changes(poll->store, RECORD_PREFIX, after, PAGE_ROWS, handle_changes, poll);
+	store_watch(poll->store, RECORD_PREFIX, poll->cursor, handle_changes, watch);
 }
 
 static void schedule(config_poll_t *poll, usec_t wait)
@@ -199,6 +229,7 @@
 
 void config_poll_hurry(config_poll_t *poll)
 {
+	poll->cursor = 0;
 	schedule(poll, 0);
 }
 
--- /dev/null
+++ b/egretscaled/dialect_own.c
@@ -0,0 +1,225 @@
+#include "egretscaled/dialect.h"
+
+#include "common/error.h"
+#include "config/record.h"
+
+#include <jansson.h>
+#include <microhttpd.h>
+#include <string.h>
+
+#define BEARER "Bearer "
+#define TIMEOUT_MAX_MS 600000
+#define STATUS_DEFAULT 502
+#define SLOTS_MAX 100000
+
+typedef struct reason_row {
+	const char *word;
+	uint32_t status;
+} reason_row_t;
+
+static const reason_row_t reasons[] = {
+	[EGRET__REASON__REASON_NONE] = {"none", 502},
+	[EGRET__REASON__REASON_BAD_REQUEST] = {"bad-request", 400},
+	[EGRET__REASON__REASON_KEY] = {"key", 401},
+	[EGRET__REASON__REASON_NO_ROUTE] = {"no-route", 404},
+	[EGRET__REASON__REASON_RATE] = {"rate", 429},
+	[EGRET__REASON__REASON_SHED] = {"shed", 503},
+	[EGRET__REASON__REASON_NO_INSTANCE] = {"no-instance", 503},
+	[EGRET__REASON__REASON_DEADLINE] = {"deadline", 504},
+	[EGRET__REASON__REASON_TARGET_REFUSED] = {"target-refused", 503},
+	[EGRET__REASON__REASON_TARGET_UNREACHABLE] = {"target-unreachable", 503},
+	[EGRET__REASON__REASON_TARGET_LOST] = {"target-lost", 502},
+	[EGRET__REASON__REASON_PEER_LOST] = {"peer-lost", 503},
+	[EGRET__REASON__REASON_CANCELLED] = {"cancelled", 503},
+	[EGRET__REASON__REASON_DRAINING] = {"draining", 503},
+	[EGRET__REASON__REASON_SUSPECT] = {"suspect", 503},
+	[EGRET__REASON__REASON_CLAIM_RUNNING] = {"claim-running", 409},
+	[EGRET__REASON__REASON_CLAIM_UNKNOWN] = {"claim-unknown", 409},
+	[EGRET__REASON__REASON_CLAIM_STORE] = {"claim-store", 503},
+	[EGRET__REASON__REASON_TOO_LARGE] = {"too-large", 413},
+	[EGRET__REASON__REASON_NOT_READY] = {"not-ready", 503},
+	[EGRET__REASON__REASON_CLAIM_MISMATCH] = {"claim-mismatch", 409},
+};
+
+const char *reason_word(Egret__Reason reason)
+{
+	return reason < G_N_ELEMENTS(reasons) ? reasons[reason].word : "none";
+}
+
+uint32_t reason_status(Egret__Outcome outcome, Egret__Reason reason)
+{
+	if (reason >= G_N_ELEMENTS(reasons))
+		return STATUS_DEFAULT;
+	if (outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN && reasons[reason].status == 503)
+		return STATUS_DEFAULT;
+	return reasons[reason].status;
+}
+
+const char *outcome_word(Egret__Outcome outcome)
+{
+	switch (outcome) {
+	case EGRET__OUTCOME__OUTCOME_ANSWERED:
+		return "answered";
+	case EGRET__OUTCOME__OUTCOME_NOT_RUN:
+		return "not-run";
+	default:
+		return "unknown";
+	}
+}
+
+static bool read_timeout(const char *text, uint32_t *out)
+{
+	char *end = NULL;
+
+	*out = 0;
+	if (!text)
+		return true;
+	guint64 value = g_ascii_strtoull(text, &end, 10);
+	if (!g_ascii_isdigit(text[0]) || *end || value == 0 || value > TIMEOUT_MAX_MS)
+		return false;
+	*out = (uint32_t)value;
+	return true;
+}
+
+static bool own_read_head(head_lookup_fn lookup, void *ctx, request_head_t *out)
+{
+	const char *authorization = lookup(ctx, MHD_HTTP_HEADER_AUTHORIZATION);
+
+	*out = (request_head_t){
+		.idempotency_key = lookup(ctx, "Idempotency-Key"),
+		.parent = lookup(ctx, "Egret-Context"),
+	};
+	if (authorization && g_str_has_prefix(authorization, BEARER))
+		out->key = authorization + strlen(BEARER);
+	return read_timeout(lookup(ctx, "Egret-Timeout-Ms"), &out->timeout_ms);
+}
+
+static bool own_owns_request_header(const char *name)
+{
+	return g_ascii_strcasecmp(name, MHD_HTTP_HEADER_HOST) == 0;
+}
+
+static void own_add_origin(const origin_t *origin, add_header_fn add, void *ctx)
+{
+	(void)origin;
+	(void)add;
+	(void)ctx;
+}
+
+static void own_add_attempt(const attempt_head_t *attempt, add_header_fn add, void *ctx)
+{
+	char text[32];
+
+	add(ctx, "Egret-Context", attempt->token);
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+		   attempt->left / USEC_PER_MSEC);
+	add(ctx, "Egret-Timeout-Ms", text);
+}
+
+static bool own_read_answer(const char *name, const char *value, uint32_t status,
+			    const char *request_id, answer_head_t *out)
+{
+	(void)status;
+	(void)request_id;
+	if (g_ascii_strcasecmp(name, "egret-outcome") == 0 &&
+	    strcmp(value, "not-run") == 0)
+		out->not_run = true;
+	return true;
+}
+
+static void own_add_outcome(Egret__Outcome outcome, add_header_fn add, void *ctx)
+{
+	add(ctx, "Egret-Outcome", outcome_word(outcome));
+}
+
+static bool take_count(const json_t *json, const char *field, uint32_t absent,
+		       uint32_t *out)
+{
+	const json_t *value = json_object_get(json, field);
+
+	*out = absent;
+	if (!value)
+		return absent > 0;
+	json_int_t number = json_integer_value(value);
+	if (!json_is_integer(value) || number < 1 || number > SLOTS_MAX)
+		return false;
+	*out = (uint32_t)number;
+	return true;
+}
+
+static bool decode_announcement(const json_t *json, target_report_t *out)
+{
+	const char *service = json_string_value(json_object_get(json, "service"));
+	const char *address = json_string_value(json_object_get(json, "address"));
+	struct sockaddr_in parsed;
+
+	if (!service || !record_name_valid(service) || !address ||
+	    !address_parse(address, &parsed, NULL))
+		return false;
+	g_strlcpy(out->service, service, sizeof(out->service));
+	address_format(&parsed, out->address);
+	return take_count(json, "slots", 0, &out->slots) &&
+	       take_count(json, "connections", out->slots, &out->connections) &&
+	       take_count(json, "cold_slots", 1, &out->cold_slots);
+}
+
+/* PUT /v1/target, POST /v1/target/leave */
+static bool own_read_report(const char *method, const char *path, const uint8_t *body,
+			    size_t len, target_report_t *out, GError **error)
+{
+	*out = (target_report_t){0};
+	out->leaves =
+		strcmp(path, "/v1/target/leave") == 0 && strcmp(method, "POST") == 0;
+	if (out->leaves)
+		return true;
+	if (strcmp(path, "/v1/target") != 0 || strcmp(method, "PUT") != 0) {
+		g_set_error(error, EGRET_ERROR, EGRET_ERROR_NOT_FOUND,
+			    "%s %s is no report of a target", method, path);
+		return false;
+	}
+	json_t *json = json_loadb((const char *)body, len, 0, NULL);
+	bool ok = decode_announcement(json, out);
+	json_decref(json);
+	if (!ok)
+		g_set_error(error, EGRET_ERROR, EGRET_ERROR_JSON,
+			    "a target's announcement cannot be read");
+	return ok;
+}
+
+static uint32_t own_refusal_status(const refusal_t *refusal)
+{
+	return reason_status(refusal->outcome, refusal->reason);
+}
+
+static void own_add_refusal(const refusal_t *refusal, add_header_fn add, void *ctx)
+{
+	uint32_t status = own_refusal_status(refusal);
+	char text[32];
+
+	add(ctx, "Egret-Reason", reason_word(refusal->reason));
+	if (status == 429 || status == 503) {
+		g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+			   MAX(refusal->retry_after / USEC_PER_SEC, 1));
+		add(ctx, "Retry-After", text);
+	}
+	if (status == 401)
+		add(ctx, "WWW-Authenticate", "Bearer");
+}
+
+const dialect_t *dialect_own(void)
+{
+	static const dialect_t own = {
+		.name = "own",
+		.read_head = own_read_head,
+		.owns_request_header = own_owns_request_header,
+		.add_origin = own_add_origin,
+		.add_attempt = own_add_attempt,
+		.read_answer = own_read_answer,
+		.add_outcome = own_add_outcome,
+		.read_report = own_read_report,
+		.refusal_status = own_refusal_status,
+		.add_refusal = own_add_refusal,
+	};
+
+	return &own;
+}
--- a/egretscaled/entry.c
+++ b/egretscaled/entry.c
@@ -11,7 +11,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BEARER "Bearer "
 #define CALL_PREFIX "/call/"
 #define ONWARD_TIMEOUT_MS 10000
 #define TIMEOUT_MAX_MS 600000
@@ -78,28 +77,21 @@
 		 request_header(request, "Transfer-Encoding"));
 }
 
-/* The request's own timeout: at most `limit_ms`; 0 if the header is malformed. */
+/* The request's own timeout: at most `limit_ms`. */
 static uint32_t request_timeout(const http_request_t *request, uint32_t limit_ms)
 {
-	const char *text = request_header(request, "Egret-Timeout-Ms");
-	char *end = NULL;
-
-	if (!text)
-		return limit_ms;
-	guint64 value = g_ascii_strtoull(text, &end, 10);
-	if (!g_ascii_isdigit(text[0]) || *end || value == 0 || value > TIMEOUT_MAX_MS)
-		return 0;
-	return MIN((uint32_t)value, limit_ms);
+	uint32_t asked = request->head.timeout_ms;
+
+	return asked ? MIN(asked, limit_ms) : limit_ms;
 }
 
-static char *account_of_key(const config_t *config, const char *authorization)
+static char *account_of_key(const config_t *config, const char *key)
 {
 	uint8_t digest[crypto_hash_sha256_BYTES];
 	char hex[KEY_DIGEST_HEX_BYTES + 1];
 
-	if (!authorization || !g_str_has_prefix(authorization, BEARER))
+	if (!key)
 		return NULL;
-	const char *key = authorization + strlen(BEARER);
 	crypto_hash_sha256(digest, (const unsigned char *)key, strlen(key));
 	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
 	const char *account = config_account_for_digest(config, hex);
@@ -108,40 +100,88 @@
 	return g_strdup(account);
 }
 
+/* Where the own target's calls come in like those of callers: they carry no key and
+ * come from the target's address. */
+static bool is_call_of_target(const http_request_t *request)
+{
+	const settings_t *settings = request->worker->node->settings;
+
+	if (!settings->dialect->target_calls_as_caller || request->head.key)
+		return false;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		request->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *from =
+		info ? (const struct sockaddr_in *)(const void *)info->client_addr : NULL;
+	return from && from->sin_family == AF_INET &&
+	       from->sin_addr.s_addr == settings->target_address.sin_addr.s_addr;
+}
+
 static bool refuse(http_request_t *request, Egret__Reason reason)
 {
 	http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN, reason);
 	return false;
 }
 
+static char *account_of(const http_request_t *request, const config_t *config,
+			const route_t *route)
+{
+	char *account = account_of_key(config, request->head.key);
+
+	if (account)
+		return account;
+	return route->open || is_call_of_target(request) ? g_strdup("") : NULL;
+}
+
+static uint32_t importance_of(const config_t *config, const char *account,
+			      const route_t *route)
+{
+	const client_account_t *record = config_client_account(config, account);
+
+	if (!record || record->importance == IMPORTANCE_NONE)
+		return route->importance;
+	return (uint32_t)record->importance;
+}
+
+static void add_header(void *ctx, const char *name, const char *value)
+{
+	headers_add(ctx, name, value);
+}
+
+static void add_origin(http_request_t *request)
+{
+	const settings_t *settings = request->worker->node->settings;
+	origin_t origin = {
+		.account = request->context.account,
+		.caller_service = settings->service,
+		.host = request->host,
+	};
+
+	settings->dialect->add_origin(&origin, add_header, request->headers);
+}
+
 static bool fill_from_route(http_request_t *request, const config_t *config)
 {
-	const record_t *record = config_route(config, request->method, request->path);
+	const record_t *record =
+		config_route(config, request->host, request->method, request->path);
 
 	if (!record)
 		return refuse(request, EGRET__REASON__REASON_NO_ROUTE);
 	const route_t *route = &record->route;
 	request_context_t *context = &request->context;
-	if (route->open)
-		context->account = g_strdup("");
-	else
-		context->account = account_of_key(
-			config, request_header(request, MHD_HTTP_HEADER_AUTHORIZATION));
+	context->account = account_of(request, config, route);
 	if (!context->account) {
 		counter_add(COUNTER_REFUSED_KEY, 1);
 		return refuse(request, EGRET__REASON__REASON_KEY);
 	}
 	uint32_t timeout_ms = request_timeout(request, route->timeout_ms);
-	if (timeout_ms == 0)
-		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
-	randombytes_buf(context->request_id, sizeof(context->request_id));
-	context->importance = route->importance;
+	context->importance = importance_of(config, context->account, route);
 	context->idempotent = route->idempotent;
 	context->deadline = request->arrived + (usec_t)timeout_ms * USEC_PER_MSEC;
 	request->retries.left = route->retries;
-	request->service = g_strdup(route->service);
+	request->service = g_strdup(route_service(route, (uint32_t)node_random_id()));
 	request->target_path = g_strdup(request->path);
 	request->route = g_strdup(record->name);
+	add_origin(request);
 	return true;
 }
 
@@ -150,7 +190,7 @@
 	node_t *node = request->worker->node;
 
 	counter_add(COUNTER_REQUESTS, 1);
-	if (!head_is_valid(request))
+	if (!request->head_ok || !head_is_valid(request))
 		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
 	if (!atomic_load(&node->ready) ||
 	    worker_was_paused(request->worker, request->arrived))
@@ -204,7 +244,7 @@
 	counter_add(COUNTER_REFUSED_SHED, 1);
 	log_rec_t rec;
 	log_begin(&rec, LOG_LEVEL_INFO, "shed");
-	log_hex(&rec, "request", request->context.request_id, REQUEST_ID_BYTES);
+	log_str(&rec, "request", request->context.request_id);
 	log_str(&rec, "account", request->context.account);
 	log_str(&rec, "route", request->route);
 	log_int(&rec, "importance", request->context.importance);
@@ -216,7 +256,7 @@
 
 static void continue_with_claim(http_request_t *request)
 {
-	const char *key = request_header(request, "Idempotency-Key");
+	const char *key = request->head.idempotency_key;
 
 	if (!key || !*request->context.account) {
 		http_request_dispatch(request);
@@ -238,10 +278,21 @@
 	refuse(request, EGRET__REASON__REASON_RATE);
 }
 
+static bool is_limited(const http_request_t *request)
+{
+	config_t *config = node_config(request->worker->node);
+	const client_account_t *account =
+		config_client_account(config, request->context.account);
+	bool limited = !account || account->rate > 0;
+
+	config_unref(config);
+	return limited;
+}
+
 void entry_begin(http_request_t *request)
 {
 	const char *account = request->context.account;
-	double pressure = accounts_io_pressure(request->worker, account);
+	double pressure = *account ? accounts_io_pressure(request->worker, account) : 0;
 
 	set_fingerprint(request);
 	request->context.rank = priority_rank(request->context.request_id,
@@ -254,7 +305,7 @@
 		refuse(request, EGRET__REASON__REASON_SHED);
 		return;
 	}
-	if (!*account) {
+	if (!*account || !is_limited(request)) {
 		continue_with_claim(request);
 		return;
 	}
@@ -290,8 +341,8 @@
 static bool onward_is_idempotent(const http_request_t *request)
 {
 	config_t *config = node_config(request->worker->node);
-	const record_t *record =
-		config_route(config, request->method, request->target_path);
+	const record_t *record = config_route(config, request->host, request->method,
+					      request->target_path);
 	bool idempotent = method_is_safe(request->method);
 
 	if (record && strcmp(record->route.service, request->service) == 0)
@@ -305,7 +356,6 @@
 {
 	request_context_t *context = &request->context;
 
-	randombytes_buf(context->request_id, sizeof(context->request_id));
 	context->account = g_strdup("");
 	context->rank = PRIORITY_RANK_MAX;
 	context->deadline = request->arrived + ONWARD_TIMEOUT_MS * USEC_PER_MSEC;
@@ -314,7 +364,7 @@
 static bool fill_from_parent(http_request_t *request)
 {
 	node_t *node = request->worker->node;
-	const char *token = request_header(request, "Egret-Context");
+	const char *token = request->head.parent;
 
 	if (!token || strlen(token) + 1 != LIVE_TOKEN_TEXT_BYTES)
 		return false;
@@ -337,7 +387,7 @@
 		return true;
 	}
 	counter_add(COUNTER_ONWARD, 1);
-	if (!head_is_valid(request) || !split_call_path(request))
+	if (!request->head_ok || !head_is_valid(request) || !split_call_path(request))
 		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
 	if (!atomic_load(&request->worker->node->ready))
 		return refuse(request, EGRET__REASON__REASON_NOT_READY);
@@ -346,8 +396,6 @@
 	if (request->context.depth > DEPTH_MAX)
 		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
 	uint32_t timeout_ms = request_timeout(request, TIMEOUT_MAX_MS);
-	if (timeout_ms == 0)
-		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
 	usec_t asked = request->arrived + (usec_t)timeout_ms * USEC_PER_MSEC;
 	request->context.deadline = MIN(request->context.deadline, asked);
 	request->context.idempotent = onward_is_idempotent(request);
--- a/egretscaled/http_attempt.c
+++ b/egretscaled/http_attempt.c
@@ -17,7 +17,7 @@
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "route");
-	log_hex(&rec, "request", request->context.request_id, REQUEST_ID_BYTES);
+	log_str(&rec, "request", request->context.request_id);
 	log_str(&rec, "account", request->context.account);
 	log_str(&rec, "service", request->service);
 	log_str(&rec, "instance", choice->address);
--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -8,68 +8,14 @@
 #include "egretscaled/entry.h"
 #include "egretscaled/http_attempt.h"
 
-#include <inttypes.h>
-#include <stdlib.h>
+#include <sodium.h>
 #include <string.h>
 
 #define WORKER_SHIFT 56
+#define RANDOM_ID_BYTES 16
 #define REPLY_BLOCK_BYTES (32u << 10)
-#define RETRY_AFTER_SEC "1"
-
-typedef struct reason_row {
-	const char *word;
-	uint32_t status;
-} reason_row_t;
-
-static const reason_row_t reasons[] = {
-	[EGRET__REASON__REASON_NONE] = {"none", 502},
-	[EGRET__REASON__REASON_BAD_REQUEST] = {"bad-request", 400},
-	[EGRET__REASON__REASON_KEY] = {"key", 401},
-	[EGRET__REASON__REASON_NO_ROUTE] = {"no-route", 404},
-	[EGRET__REASON__REASON_RATE] = {"rate", 429},
-	[EGRET__REASON__REASON_SHED] = {"shed", 503},
-	[EGRET__REASON__REASON_NO_INSTANCE] = {"no-instance", 503},
-	[EGRET__REASON__REASON_DEADLINE] = {"deadline", 504},
-	[EGRET__REASON__REASON_TARGET_REFUSED] = {"target-refused", 503},
-	[EGRET__REASON__REASON_TARGET_UNREACHABLE] = {"target-unreachable", 503},
-	[EGRET__REASON__REASON_TARGET_LOST] = {"target-lost", 502},
-	[EGRET__REASON__REASON_PEER_LOST] = {"peer-lost", 503},
-	[EGRET__REASON__REASON_CANCELLED] = {"cancelled", 503},
-	[EGRET__REASON__REASON_DRAINING] = {"draining", 503},
-	[EGRET__REASON__REASON_SUSPECT] = {"suspect", 503},
-	[EGRET__REASON__REASON_CLAIM_RUNNING] = {"claim-running", 409},
-	[EGRET__REASON__REASON_CLAIM_UNKNOWN] = {"claim-unknown", 409},
-	[EGRET__REASON__REASON_CLAIM_STORE] = {"claim-store", 503},
-	[EGRET__REASON__REASON_TOO_LARGE] = {"too-large", 413},
-	[EGRET__REASON__REASON_NOT_READY] = {"not-ready", 503},
-	[EGRET__REASON__REASON_CLAIM_MISMATCH] = {"claim-mismatch", 409},
-};
-
-const char *reason_word(Egret__Reason reason)
-{
-	return reason < G_N_ELEMENTS(reasons) ? reasons[reason].word : "none";
-}
-
-uint32_t reason_status(Egret__Outcome outcome, Egret__Reason reason)
-{
-	if (reason >= G_N_ELEMENTS(reasons))
-		return 502;
-	if (outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN && reasons[reason].status == 503)
-		return 502;
-	return reasons[reason].status;
-}
-
-static const char *outcome_word(Egret__Outcome outcome)
-{
-	switch (outcome) {
-	case EGRET__OUTCOME__OUTCOME_ANSWERED:
-		return "answered";
-	case EGRET__OUTCOME__OUTCOME_NOT_RUN:
-		return "not-run";
-	default:
-		return "unknown";
-	}
-}
+/* When a refused client may come back. */
+#define RETRY_AFTER (150 * USEC_PER_MSEC)
 
 http_request_t *http_request_find(worker_t *worker, uint64_t number)
 {
@@ -150,7 +96,7 @@
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "outcome");
-	log_hex(&rec, "request", request->context.request_id, REQUEST_ID_BYTES);
+	log_str(&rec, "request", request->context.request_id);
 	log_str(&rec, "account", request->context.account);
 	log_str(&rec, "service", request->service);
 	log_str(&rec, "outcome", outcome_word(request->outcome));
@@ -200,6 +146,21 @@
 	http_request_wake(request);
 }
 
+static const dialect_t *dialect_of(const http_request_t *request)
+{
+	return request->worker->node->settings->dialect;
+}
+
+static refusal_t refusal_of(const http_request_t *request)
+{
+	return (refusal_t){
+		.outcome = request->outcome,
+		.reason = request->reason,
+		.request_id = request->context.request_id,
+		.retry_after = RETRY_AFTER,
+	};
+}
+
 void http_request_refuse(http_request_t *request, Egret__Outcome outcome,
 			 Egret__Reason reason)
 {
@@ -211,7 +172,8 @@
 	}
 	request->outcome = outcome;
 	request->reason = reason;
-	request->status = reason_status(outcome, reason);
+	refusal_t refusal = refusal_of(request);
+	request->status = dialect_of(request)->refusal_status(&refusal);
 	http_request_ready(request);
 }
 
@@ -278,18 +240,20 @@
 	}
 }
 
+static void add_response_header(void *ctx, const char *name, const char *value)
+{
+	MHD_add_response_header(ctx, name, value);
+}
+
 static struct MHD_Response *refusal_response(const http_request_t *request)
 {
+	refusal_t refusal = refusal_of(request);
 	char text[64];
 
 	g_snprintf(text, sizeof(text), "%s\n", reason_word(request->reason));
 	struct MHD_Response *response = buffer_response((uint8_t *)text, strlen(text));
 	MHD_add_response_header(response, "Content-Type", "text/plain");
-	MHD_add_response_header(response, "Egret-Reason", reason_word(request->reason));
-	if (request->status == 429 || request->status == 503)
-		MHD_add_response_header(response, "Retry-After", RETRY_AFTER_SEC);
-	if (request->status == 401)
-		MHD_add_response_header(response, "WWW-Authenticate", "Bearer");
+	dialect_of(request)->add_refusal(&refusal, add_response_header, response);
 	return response;
 }
 
@@ -308,8 +272,7 @@
 	} else {
 		response = refusal_response(request);
 	}
-	MHD_add_response_header(response, "Egret-Outcome",
-				outcome_word(request->outcome));
+	dialect_of(request)->add_outcome(request->outcome, add_response_header, response);
 	request->answer_queued = true;
 	enum MHD_Result result =
 		MHD_queue_response(request->connection, request->status, response);
@@ -323,11 +286,18 @@
 				      const char *name, const char *value)
 {
 	(void)kind;
-	if (!header_is_private(name))
-		headers_add(ctx, name, value ? value : "");
+	http_request_t *request = ctx;
+
+	if (!header_is_private(name) && !dialect_of(request)->owns_request_header(name))
+		headers_add(request->headers, name, value ? value : "");
 	return MHD_YES;
 }
 
+static const char *lookup_header(void *ctx, const char *name)
+{
+	return MHD_lookup_connection_value(ctx, MHD_HEADER_KIND, name);
+}
+
 static enum MHD_Result collect_argument(void *ctx, enum MHD_ValueKind kind,
 					const char *name, const char *value)
 {
@@ -367,6 +337,29 @@
 	return 0;
 }
 
+/* The client's own id, or a random one. */
+static void set_id(http_request_t *request)
+{
+	uint8_t bytes[RANDOM_ID_BYTES];
+	char text[2 * RANDOM_ID_BYTES + 1];
+
+	if (request->head_ok && request->head.id) {
+		request->context.request_id = g_strdup(request->head.id);
+		return;
+	}
+	randombytes_buf(bytes, sizeof(bytes));
+	request->context.request_id =
+		g_strdup(sodium_bin2hex(text, sizeof(text), bytes, sizeof(bytes)));
+}
+
+static mhd_loop_t *loop_of(worker_t *worker, http_side_t side,
+			   struct MHD_Connection *connection)
+{
+	if (side == HTTP_CALLERS)
+		return worker_caller_loop(worker, connection);
+	return side == HTTP_TARGET ? worker->target : worker->reports;
+}
+
 static http_request_t *create_request(worker_t *worker, http_side_t side,
 				      struct MHD_Connection *connection, const char *url,
 				      const char *method)
@@ -375,16 +368,18 @@
 
 	request->worker = worker;
 	request->side = side;
-	request->loop = side == HTTP_CALLERS ? worker_caller_loop(worker, connection)
-					     : worker->target;
+	request->loop = loop_of(worker, side, connection);
 	request->connection = connection;
 	request->number =
 		((uint64_t)worker->index << WORKER_SHIFT) | ++worker->next_request;
 	request->method = g_strdup(method);
 	request->path = rebuild_path(connection, url);
 	request->headers = headers_create();
-	MHD_get_connection_values(connection, MHD_HEADER_KIND, collect_header,
-				  request->headers);
+	MHD_get_connection_values(connection, MHD_HEADER_KIND, collect_header, request);
+	request->host = g_strdup(lookup_header(connection, MHD_HTTP_HEADER_HOST));
+	request->head_ok =
+		dialect_of(request)->read_head(lookup_header, connection, &request->head);
+	set_id(request);
 	request->content_length = announced_length(connection);
 	request->head_body = g_byte_array_new();
 	request->arrived = clock_boot_usec();
@@ -421,6 +416,7 @@
 	g_free(request->excluded);
 	g_free(request->method);
 	g_free(request->path);
+	g_free(request->host);
 	g_free(request->service);
 	g_free(request->target_path);
 	g_free(request->route);
@@ -493,8 +489,9 @@
 		return continue_request(request, data, data_len);
 	request = create_request(worker, side, connection, url, method);
 	*state = request;
-	bool ok = side == HTTP_CALLERS ? entry_check(request) : egress_check(request);
-	if (!ok)
+	if (side == HTTP_REPORTS)
+		request->announcement = true;
+	else if (!(side == HTTP_CALLERS ? entry_check(request) : egress_check(request)))
 		return queue_answer(request);
 	return MHD_YES;
 }
@@ -517,6 +514,15 @@
 	return handle(ctx, HTTP_TARGET, connection, url, method, data, data_len, state);
 }
 
+enum MHD_Result http_request_handle_report(void *ctx, struct MHD_Connection *connection,
+					   const char *url, const char *method,
+					   const char *version, const char *data,
+					   size_t *data_len, void **state)
+{
+	(void)version;
+	return handle(ctx, HTTP_REPORTS, connection, url, method, data, data_len, state);
+}
+
 void http_request_completed(void *ctx, struct MHD_Connection *connection, void **state,
 			    enum MHD_RequestTerminationCode code)
 {
--- a/egretscaled/live.c
+++ b/egretscaled/live.c
@@ -97,6 +97,7 @@
 	if (live->children->len == 0)
 		live->onward_since = now;
 	g_array_append_val(live->children, child);
+	request_context_clear(out);
 	request_context_copy(out, &live->context);
 	out->retries = retry_lend(&live->retries);
 	out->depth++;
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -8,7 +8,6 @@
 #include "egretscaled/leases_io.h"
 #include "egretscaled/pull.h"
 #include "egretscaled/worker.h"
-#include "store/store_http.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -41,6 +40,7 @@
 	config_poll_t *poll;
 	leases_io_t *leases;
 	mhd_loop_t *admin;
+	mhd_loop_t *readiness; /* on the platform */
 	struct tevent_timer *timer;
 	stop_phase_t phase;
 	usec_t phase_started;
@@ -237,9 +237,13 @@
 
 static bool addresses_free(const settings_t *settings, GError **error)
 {
+	const struct sockaddr_in *target = settings->on_platform
+						   ? &settings->report_listen
+						   : &settings->target_listen;
+
 	return address_check_free(&settings->peer_listen, error) &&
 	       address_check_free(&settings->caller_listen, error) &&
-	       address_check_free(&settings->target_listen, error) &&
+	       address_check_free(target, error) &&
 	       address_check_free(&settings->admin_listen, error);
 }
 
@@ -269,7 +273,7 @@
 	node_t *node = control->node;
 
 	control->curl = curl_loop_create(control->ev, control->ev, CACHED_CONNECTIONS);
-	control->store = store_http_create(control->curl, node->settings->platform);
+	control->store = node_store_create(node, control->curl);
 	control->gossip = gossip_io_create(control->ev, control->ev, node, error);
 	if (!control->gossip)
 		return false;
@@ -281,6 +285,12 @@
 	control->admin = admin_create(control->ev, control->ev, node, error);
 	if (!control->admin)
 		return false;
+	if (node->settings->on_platform) {
+		control->readiness =
+			readiness_create(control->ev, control->ev, node, error);
+		if (!control->readiness)
+			return false;
+	}
 	control->last_tick = clock_boot_usec();
 	schedule(control);
 	tevent_add_signal(control->ev, control->ev, SIGTERM, 0, handle_term, control);
@@ -292,6 +302,7 @@
 static void stop_control(control_t *control)
 {
 	mhd_loop_destroy(control->admin);
+	mhd_loop_destroy(control->readiness);
 	config_poll_destroy(control->poll);
 	store_destroy(control->store);
 	leases_io_destroy(control->leases);
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -7,6 +7,8 @@
 #include "egretscaled/gossip_io.h"
 #include "egretscaled/target_call.h"
 
+#include "platform/store.h"
+
 #include <sodium.h>
 #include <string.h>
 
@@ -24,6 +26,16 @@
 	return id;
 }
 
+store_t *node_store_create(const node_t *node, curl_loop_t *loop)
+{
+	const settings_t *settings = node->settings;
+
+	return platform_store_create(loop, settings->platform,
+				     settings->on_platform ? PLATFORM_RECORDS_OPERATOR
+							   : PLATFORM_RECORDS_OWN,
+				     (const char *const *)settings->zones);
+}
+
 static void init_locks(node_t *node)
 {
 	pthread_mutex_init(&node->gossip_lock, NULL);
@@ -47,7 +59,10 @@
 
 node_t *node_create(settings_t *settings, GError **error)
 {
-	peer_auth_t *auth = peer_auth_create(settings->peer_secret_file, error);
+	peer_auth_t *auth =
+		settings->peer_secret_file
+			? peer_auth_create(settings->peer_secret_file, error)
+			: peer_auth_create_fixed(settings->peer_secret, error);
 	member_t self;
 
 	if (!auth)
@@ -65,7 +80,7 @@
 	node->config_log = config_log_create();
 	node->config = config_build(node->config_log);
 	node->accounts = accounts_create();
-	node->gate = gate_create(LIMIT_GRADIENT);
+	node->gate = gate_create(settings->on_platform ? LIMIT_SLOTS : LIMIT_GRADIENT);
 	node->live = live_table_create();
 	node->attempts = attempts_create();
 	node->router = router_create(settings->zone, node_random_id());
@@ -148,13 +163,26 @@
 	g_ptr_array_free(out, TRUE);
 }
 
+/* Opens the gate for what was reported. Under gate_lock. */
+static void open_gate(node_t *node, const service_record_t *service, usec_t now,
+		      bool fresh)
+{
+	const target_report_t *last = &node->target.last;
+	uint32_t cold_slots = last->slots;
+
+	if (last->cold_slots)
+		cold_slots = service ? service->cold_slots : last->cold_slots;
+	gate_open(node->gate, now, last->slots, cold_slots,
+		  service ? service->queue_slots : 0, fresh);
+}
+
 static void apply_service(node_t *node, const config_t *config)
 {
 	pthread_mutex_lock(&node->gate_lock);
-	const service_record_t *service = config_service(config, node->target.service);
+	const service_record_t *service =
+		config_service(config, node->target.last.service);
 	if (node->target.present && !node->target.draining && service)
-		gate_open(node->gate, clock_boot_usec(), node->target.slots,
-			  service->cold_slots, service->queue_slots, false);
+		open_gate(node, service, clock_boot_usec(), false);
 	pthread_mutex_unlock(&node->gate_lock);
 }
 
@@ -190,10 +218,20 @@
 	pthread_mutex_unlock(&node->gossip_lock);
 }
 
+void node_become_ready(node_t *node)
+{
+	config_t *config = node_config(node);
+	bool whole = !node->settings->on_platform || config_snapshot(config) > 0;
+
+	config_unref(config);
+	if (whole && !atomic_exchange(&node->ready, true))
+		node_update_member(node);
+}
+
 void node_update_member(node_t *node)
 {
 	usec_t now = clock_boot_usec();
-	own_target_t target;
+	target_t target;
 
 	pthread_mutex_lock(&node->gossip_lock);
 	member_t fields = *directory_self(gossip_directory(node->gossip));
@@ -210,11 +248,12 @@
 	fields.target = EGRET__TARGET_STATE__TARGET_NONE;
 	if (target.present) {
 		bool draining = target.draining || atomic_load(&node->draining);
-		g_strlcpy(fields.service, target.service, sizeof(fields.service));
+		g_strlcpy(fields.service, target.last.service, sizeof(fields.service));
 		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING
 					 : EGRET__TARGET_STATE__TARGET_UP;
-		fields.slots = target.slots;
-		fields.cold_slots = target.cold_slots;
+		fields.slots = target.last.slots;
+		fields.cold_slots =
+			target.last.cold_slots ? target.last.cold_slots : fields.slots;
 	}
 	gossip_update_self(node->gossip, now, &fields);
 	const member_t *self = directory_self(gossip_directory(node->gossip));
@@ -224,72 +263,71 @@
 	pthread_mutex_unlock(&node->gossip_lock);
 }
 
-static void log_target(const own_target_t *target, const char *change)
+static void log_target(const target_t *target, const char *change)
 {
+	const target_report_t *last = &target->last;
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "target");
 	log_str(&rec, "change", change);
-	log_str(&rec, "service", target->service);
-	log_str(&rec, "address", target->address);
-	log_int(&rec, "slots", target->slots);
-	log_int(&rec, "cold_slots", target->cold_slots);
+	log_str(&rec, "id", last->id);
+	log_int(&rec, "born", (int64_t)last->born);
+	log_int(&rec, "sequence", (int64_t)last->sequence);
+	log_str(&rec, "service", last->service);
+	log_str(&rec, "address", last->address);
+	log_int(&rec, "slots", last->slots);
+	log_int(&rec, "cold_ms", last->cold_left / USEC_PER_MSEC);
 	log_end(&rec);
 }
 
-static bool same_announcement(const own_target_t *a, const own_target_t *b)
+/* A target that is cold bears so many requests in a second. Under gate_lock. */
+static void pace_gate(node_t *node, const service_record_t *service)
 {
-	return strcmp(a->service, b->service) == 0 &&
-	       strcmp(a->address, b->address) == 0 && a->slots == b->slots &&
-	       a->cold_slots == b->cold_slots;
+	const bounds_t *bounds = &node->settings->bounds;
+
+	if (!service || service->cold_rate <= 0)
+		return;
+	gate_set_cold(node->gate, (uint32_t)(service->cold_rate * bounds->cold_overage),
+		      node->target.cold_until);
 }
 
-void node_announce_target(node_t *node, const own_target_t *announced)
+void node_take_report(node_t *node, const target_report_t *report)
 {
+	static const char *const words[] = {
+		[TARGET_REPORT_STALE] = "stale", [TARGET_SAME] = "same",
+		[TARGET_STARTED] = "start",	 [TARGET_CHANGED] = "change",
+		[TARGET_LEAVES] = "leave",
+	};
 	config_t *config = node_config(node);
-	const service_record_t *service = config_service(config, announced->service);
+	const service_record_t *service = config_service(config, report->service);
 	usec_t now = clock_boot_usec();
 
 	pthread_mutex_lock(&node->gate_lock);
-	bool fresh = !node->target.present || node->target.draining ||
-		     strcmp(node->target.service, announced->service) != 0 ||
-		     strcmp(node->target.address, announced->address) != 0;
-	bool changed = fresh || !same_announcement(&node->target, announced);
-	node->target = *announced;
-	node->target.present = true;
-	node->target.heard = now;
-	if (changed)
-		gate_open(node->gate, now, announced->slots,
-			  service ? service->cold_slots : announced->cold_slots,
-			  service ? service->queue_slots : 0, fresh);
+	target_change_t change = target_take_report(&node->target, report, now,
+						    node->settings->bounds.leave_within);
+	if (change == TARGET_STARTED || change == TARGET_CHANGED)
+		open_gate(node, service, now, change == TARGET_STARTED);
+	if (change != TARGET_REPORT_STALE)
+		pace_gate(node, service);
+	target_t target = node->target;
 	pthread_mutex_unlock(&node->gate_lock);
 	config_unref(config);
-	if (!changed)
+	if (change == TARGET_SAME)
+		return;
+	log_target(&target, words[change]);
+	if (change == TARGET_REPORT_STALE)
 		return;
-	log_target(announced, fresh ? "start" : "change");
 	node_update_member(node);
+	node_run_gate(node);
 }
 
-/* The gate takes nothing new; what runs goes on. */
-static void close_target(node_t *node, bool present, const char *change)
+void node_leave_report(node_t *node, target_report_t *out)
 {
-	own_target_t target;
-
 	pthread_mutex_lock(&node->gate_lock);
-	node->target.draining = true;
-	node->target.present = present;
-	target = node->target;
-	if (!present)
-		gate_close(node->gate);
+	*out = node->target.last;
 	pthread_mutex_unlock(&node->gate_lock);
-	log_target(&target, change);
-	node_update_member(node);
-	node_run_gate(node);
-}
-
-void node_target_leaves(node_t *node)
-{
-	close_target(node, true, "leave");
+	out->leaves = true;
+	out->sequence++;
 }
 
 void node_check_target(node_t *node)
@@ -297,11 +335,18 @@
 	usec_t now = clock_boot_usec();
 
 	pthread_mutex_lock(&node->gate_lock);
-	bool lapsed = node->target.present &&
-		      now - node->target.heard > TARGET_HEARTBEAT_TIMEOUT;
+	bool lapsed = target_lapse(&node->target, now, TARGET_HEARTBEAT_TIMEOUT);
+	bool takes = target_takes(&node->target, now);
+	if (!takes)
+		gate_close(node->gate);
+	target_t target = node->target;
 	pthread_mutex_unlock(&node->gate_lock);
-	if (lapsed)
-		close_target(node, false, "lost");
+	if (lapsed) {
+		log_target(&target, "lost");
+		node_update_member(node);
+	}
+	if (!takes)
+		node_run_gate(node);
 }
 
 void node_run_gate(node_t *node)
--- a/egretscaled/pull.c
+++ b/egretscaled/pull.c
@@ -59,8 +59,7 @@
 	g_hash_table_add(puller->complete_peers, g_strdup(puller->peer));
 	if (g_hash_table_size(puller->complete_peers) < PULL_PEERS_FOR_START)
 		return;
-	atomic_store(&node->ready, true);
-	node_update_member(node);
+	node_become_ready(node);
 }
 
 static void take_members(puller_t *puller, const Egret__PullReply *reply)
--- a/egretscaled/settings.c
+++ b/egretscaled/settings.c
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 #include "config/record.h"
+#include "platform/settings.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -11,10 +12,29 @@
 #define EXIT_USAGE 2
 #define WORKERS_MAX 64
 #define DRAIN_TIMEOUT_MAX_SEC 3600
+#define DRAIN_TIMEOUT_DEFAULT_SEC 30
 #define ENVIRONMENT_PREFIX "EGRETSCALE_"
 
+/* In force where no settings file says otherwise. */
+static const bounds_t bounds_default = {
+	.contact = 3 * USEC_PER_SEC,
+	.leave_within = 2 * USEC_PER_SEC,
+	.stop_within = 30 * USEC_PER_SEC,
+	.config_within = 2 * USEC_PER_SEC,
+	.zone_out_within = 5 * USEC_PER_SEC,
+	.retry_window = 10 * USEC_PER_SEC,
+	.retry_ratio = 0.2,
+	.retry_min = 100,
+	.rate_window = 5 * USEC_PER_SEC,
+	.rate_overage = 0.1,
+	.rate_slack = 20,
+	.cold_overage = 1.5,
+	.cold_slack = 5,
+};
+
 enum {
-	KEY_ZONE = 256,
+	KEY_SETTINGS = 256,
+	KEY_ZONE,
 	KEY_PEER_LISTEN,
 	KEY_CALLER_LISTEN,
 	KEY_TARGET_LISTEN,
@@ -32,6 +52,8 @@
 };
 
 static const struct argp_option options[] = {
+	{"settings", KEY_SETTINGS, "FILE", 0,
+	 "the platform's settings file; takes the place of the flags it covers", 0},
 	{"zone", KEY_ZONE, "NAME", 0, "availability zone of this vm", 0},
 	{"peer-listen", KEY_PEER_LISTEN, "IP:PORT", 0, "address for other nodes", 0},
 	{"caller-listen", KEY_CALLER_LISTEN, "IP:PORT", 0, "address for callers", 0},
@@ -112,6 +134,9 @@
 static void set_value(settings_t *settings, int key, const char *value)
 {
 	switch (key) {
+	case KEY_SETTINGS:
+		set_text(&settings->settings_file, value);
+		break;
 	case KEY_ZONE:
 		if (!record_name_valid(value))
 			refuse(key, value, "1 to 64 characters a-z A-Z 0-9 . _ -");
@@ -169,7 +194,7 @@
 
 typedef struct parse_state {
 	settings_t *settings;
-	bool given[KEY_END - KEY_ZONE];
+	bool given[KEY_END - KEY_SETTINGS];
 } parse_state_t;
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -181,9 +206,9 @@
 			"egretscaled: '%s' is not allowed: there are only flags\n", arg);
 		exit(EXIT_USAGE);
 	}
-	if (key < KEY_ZONE || key >= KEY_END)
+	if (key < KEY_SETTINGS || key >= KEY_END)
 		return ARGP_ERR_UNKNOWN;
-	parse->given[key - KEY_ZONE] = true;
+	parse->given[key - KEY_SETTINGS] = true;
 	set_value(parse->settings, key, arg);
 	return 0;
 }
@@ -204,9 +229,9 @@
 		const char *value = getenv(name);
 
 		g_free(name);
-		if (!value || parse->given[option->key - KEY_ZONE])
+		if (!value || parse->given[option->key - KEY_SETTINGS])
 			continue;
-		parse->given[option->key - KEY_ZONE] = true;
+		parse->given[option->key - KEY_SETTINGS] = true;
 		if (option->key != KEY_SEED) {
 			set_value(parse->settings, option->key, value);
 			continue;
@@ -225,7 +250,7 @@
 		KEY_ADMIN_LISTEN, KEY_PLATFORM,	   KEY_PEER_SECRET_FILE};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
-		if (!parse->given[required[i] - KEY_ZONE])
+		if (!parse->given[required[i] - KEY_SETTINGS])
 			refuse(required[i], "", "given");
 	}
 	if (!parse->settings->caller_cert != !parse->settings->caller_key)
@@ -233,6 +258,16 @@
 		       "given together with --caller-key");
 }
 
+static void read_settings_file(settings_t *settings)
+{
+	GError *error = NULL;
+
+	if (platform_settings_read(settings->settings_file, settings, &error))
+		return;
+	fprintf(stderr, "egretscaled: %s: %s\n", settings->settings_file, error->message);
+	exit(EXIT_USAGE);
+}
+
 settings_t *settings_parse(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -243,24 +278,71 @@
 	parse_state_t parse = {.settings = g_new0(settings_t, 1)};
 
 	argp_err_exit_status = EXIT_USAGE;
-	parse.settings->drain_timeout_sec = 30;
+	parse.settings->dialect = dialect_own();
+	parse.settings->bounds = bounds_default;
+	parse.settings->zones = g_new0(char *, 1);
+	parse.settings->drain_timeout_sec = DRAIN_TIMEOUT_DEFAULT_SEC;
 	parse.settings->workers = 1;
 	parse.settings->log_level = LOG_LEVEL_INFO;
 	argp_parse(&argp, argc, argv, 0, NULL, &parse);
 	read_environment(&parse);
-	require(&parse);
+	if (parse.settings->settings_file)
+		read_settings_file(parse.settings);
+	else
+		require(&parse);
 	return parse.settings;
 }
 
-void settings_destroy(settings_t *settings)
+static void take_text(char **to, char **from)
 {
-	if (!settings)
-		return;
+	g_free(*to);
+	*to = *from;
+	*from = NULL;
+}
+
+static void take_list(char ***to, char ***from)
+{
+	g_strfreev(*to);
+	*to = *from;
+	*from = NULL;
+}
+
+void settings_take(settings_t *settings, settings_t *fresh)
+{
+	settings->on_platform = fresh->on_platform;
+	settings->dialect = fresh->dialect;
+	settings->bounds = fresh->bounds;
+	settings->peer_listen = fresh->peer_listen;
+	settings->caller_listen = fresh->caller_listen;
+	settings->admin_listen = fresh->admin_listen;
+	settings->readiness_listen = fresh->readiness_listen;
+	settings->report_listen = fresh->report_listen;
+	settings->target_address = fresh->target_address;
+	memcpy(settings->peer_secret, fresh->peer_secret, sizeof(fresh->peer_secret));
+	take_text(&settings->zone, &fresh->zone);
+	take_text(&settings->service, &fresh->service);
+	take_text(&settings->platform, &fresh->platform);
+	take_list(&settings->zones, &fresh->zones);
+	take_list(&settings->seeds, &fresh->seeds);
+}
+
+void settings_clear(settings_t *settings)
+{
+	g_free(settings->settings_file);
 	g_free(settings->zone);
+	g_strfreev(settings->zones);
+	g_free(settings->service);
 	g_free(settings->platform);
 	g_strfreev(settings->seeds);
 	g_free(settings->peer_secret_file);
 	g_free(settings->caller_cert);
 	g_free(settings->caller_key);
+}
+
+void settings_destroy(settings_t *settings)
+{
+	if (!settings)
+		return;
+	settings_clear(settings);
 	g_free(settings);
 }
--- a/egretscaled/target_call.c
+++ b/egretscaled/target_call.c
@@ -25,6 +25,8 @@
 	struct curl_slist *headers;
 	char *url;
 	call_reply_t reply;
+	answer_head_t answer;
+	char instance[MEMBER_TEXT_BYTES]; /* incarnation that the request names */
 	bool head_complete;
 	bool answer_paused;
 	bool request_paused;
@@ -46,7 +48,7 @@
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "gate");
-	log_hex(&rec, "request", context->request_id, REQUEST_ID_BYTES);
+	log_str(&rec, "request", context->request_id);
 	log_str(&rec, "account", context->account);
 	log_str(&rec, "service", tc->call->service);
 	log_str(&rec, "verdict", verdict);
@@ -169,6 +171,11 @@
 	return n;
 }
 
+static const dialect_t *dialect_of(const target_call_t *tc)
+{
+	return tc->worker->node->settings->dialect;
+}
+
 static bool parse_status_line(target_call_t *tc, const char *line, size_t len)
 {
 	if (len < 12 || strncasecmp(line, "HTTP/", 5) != 0)
@@ -177,6 +184,7 @@
 		g_ptr_array_free(tc->reply.headers, TRUE);
 	tc->reply = (call_reply_t){.headers = headers_create(),
 				   .content_length = LENGTH_UNKNOWN};
+	tc->answer = (answer_head_t){0};
 	char *copy = g_strndup(line, len);
 	const char *space = strchr(copy, ' ');
 	tc->reply.status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
@@ -198,14 +206,17 @@
 		char *value = g_strstrip(colon + 1);
 		if (strcasecmp(copy, "content-length") == 0)
 			tc->reply.content_length = g_ascii_strtoll(value, NULL, 10);
-		else if (strcasecmp(copy, "egret-outcome") == 0 &&
-			 strcmp(value, "not-run") == 0)
-			tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
-		if (!header_is_private(copy))
+		if (dialect_of(tc)->read_answer(copy, value, tc->reply.status,
+						tc->call->context.request_id,
+						&tc->answer) &&
+		    !header_is_private(copy))
 			headers_add(tc->reply.headers, copy, value);
 	}
 	g_free(copy);
-	return len;
+	if (tc->answer.not_run || tc->answer.other_incarnation)
+		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
+	/* An answer to another request ends the connection. */
+	return tc->answer.foreign ? 0 : len;
 }
 
 /* Gives the reply's head to the source once its body starts or the call ends. */
@@ -353,8 +364,9 @@
 	free_target_call(tc);
 }
 
-static void add_header(target_call_t *tc, const char *name, const char *value)
+static void add_header(void *ctx, const char *name, const char *value)
 {
+	target_call_t *tc = ctx;
 	/* curl takes "Name;" for a header without a value. */
 	char *line = *value ? g_strdup_printf("%s: %s", name, value)
 			    : g_strdup_printf("%s;", name);
@@ -366,15 +378,14 @@
 static void build_headers(target_call_t *tc, usec_t left)
 {
 	const call_t *call = tc->call;
-	char text[32];
+	attempt_head_t attempt = {
+		.token = tc->token, .instance = tc->instance, .left = left};
 
 	for (guint i = 0; i < call->headers->len; i++) {
 		const header_t *header = call->headers->pdata[i];
 		add_header(tc, header->name, header->value);
 	}
-	add_header(tc, "Egret-Context", tc->token);
-	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, left / USEC_PER_MSEC);
-	add_header(tc, "Egret-Timeout-Ms", text);
+	dialect_of(tc)->add_attempt(&attempt, add_header, tc);
 	tc->headers = curl_slist_append(tc->headers, "Expect:");
 	if (!headers_find(call->headers, "Accept"))
 		tc->headers = curl_slist_append(tc->headers, "Accept:");
@@ -437,7 +448,8 @@
 
 	tc->started = clock_boot_usec();
 	pthread_mutex_lock(&node->gate_lock);
-	g_strlcpy(address, node->target.address, sizeof(address));
+	g_strlcpy(address, node->target.last.address, sizeof(address));
+	g_strlcpy(tc->instance, node->target.last.id, sizeof(tc->instance));
 	gate_load(node->gate, tc->started, &load);
 	pthread_mutex_unlock(&node->gate_lock);
 	pthread_mutex_lock(&node->live_lock);
@@ -545,8 +557,8 @@
 		return;
 	}
 	pthread_mutex_lock(&node->gate_lock);
-	bool served =
-		node->target.present && strcmp(node->target.service, call->service) == 0;
+	bool served = target_takes(&node->target, now) &&
+		      strcmp(node->target.last.service, call->service) == 0;
 	gate_verdict_t verdict =
 		served ? gate_request(node->gate, &tc->ticket, now) : GATE_CLOSED;
 	pthread_mutex_unlock(&node->gate_lock);
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -8,7 +8,7 @@
 #include "egretscaled/http_request.h"
 #include "egretscaled/ingress.h"
 #include "egretscaled/peer_client.h"
-#include "store/store_http.h"
+#include "platform/store.h"
 
 #include <errno.h>
 #include <string.h>
@@ -158,18 +158,23 @@
 
 static bool listen_for_http(worker_t *worker, GError **error)
 {
-	mhd_loop_options_t target = {
-		.address = worker->node->settings->target_listen,
+	const settings_t *settings = worker->node->settings;
+	bool apart = settings->dialect->target_calls_as_caller;
+	mhd_loop_options_t options = {
+		.address = apart ? settings->report_listen : settings->target_listen,
 		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
 	};
 
 	worker->callers = listen_for_callers(worker, NULL, error);
 	if (!worker->callers)
 		return false;
-	worker->target = mhd_loop_create(worker->ev, worker->ev, &target,
-					 http_request_handle_target,
-					 http_request_completed, worker, error);
-	return worker->target != NULL;
+	mhd_loop_t *loop = mhd_loop_create(worker->ev, worker->ev, &options,
+					   apart ? http_request_handle_report
+						 : http_request_handle_target,
+					   http_request_completed, worker, error);
+	worker->target = apart ? NULL : loop;
+	worker->reports = apart ? loop : NULL;
+	return loop != NULL;
 }
 
 void worker_renew_certificate(worker_t *worker, void *unused)
@@ -251,7 +256,7 @@
 	worker->index = node->worker_count;
 	worker->ev = tevent_context_init(NULL);
 	worker->curl = curl_loop_create(worker->ev, worker->ev, CACHED_CONNECTIONS);
-	worker->store = store_http_create(worker->curl, node->settings->platform);
+	worker->store = node_store_create(node, worker->curl);
 	worker->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_client_destroy);
 	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
@@ -320,6 +325,7 @@
 	g_ptr_array_free(worker->old_callers, TRUE);
 	mhd_loop_destroy(worker->callers);
 	mhd_loop_destroy(worker->target);
+	mhd_loop_destroy(worker->reports);
 	g_hash_table_destroy(worker->ingress);
 	g_hash_table_destroy(worker->peers);
 	g_hash_table_destroy(worker->requests);
--- a/http/headers.c
+++ b/http/headers.c
@@ -13,7 +13,6 @@
 	"trailer",
 	"transfer-encoding",
 	"upgrade",
-	"host",
 	"content-length",
 	"expect",
 	"authorization",
--- a/include/admission/gate.h
+++ b/include/admission/gate.h
@@ -67,6 +67,9 @@
 void gate_open(gate_t *gate, usec_t now, uint32_t slots, uint32_t cold_slots,
 	       uint32_t queue_slots, bool fresh);
 
+/* The target is cold: at most per_second calls start in any second until `until`. */
+void gate_set_cold(gate_t *gate, uint32_t per_second, usec_t until);
+
 /* No new calls run; waiting calls are yielded as GATE_CLOSED. */
 void gate_close(gate_t *gate);
 
--- a/include/admission/limit.h
+++ b/include/admission/limit.h
@@ -21,6 +21,9 @@
  *	LIMIT_AIMD	adds 1 in a window without overload, multiplies by 0.9
  *			in a window whose latency exceeds the tolerance
  *
+ *	LIMIT_SLOTS	stays at the announced slots less a headroom, for targets
+ *			whose onward time is not known
+ *
  *	Latencies are the target's own: time spent in onward calls is left out by
  *	the caller. A crash, a refused connection or a latency cliff puts the
  *	limit back to the cold floor.
@@ -29,6 +32,7 @@
 typedef enum limit_algorithm {
 	LIMIT_GRADIENT,
 	LIMIT_AIMD,
+	LIMIT_SLOTS,
 } limit_algorithm_t;
 
 typedef enum limit_outcome {
--- a/include/admission/priority.h
+++ b/include/admission/priority.h
@@ -34,6 +34,6 @@
 priority_t priority_level_aged(priority_t level, usec_t age);
 
 /* Derives the shed rank from the request id and the account's demand ratio. */
-uint32_t priority_rank(const uint8_t request_id[16], double demand_ratio);
+uint32_t priority_rank(const char *request_id, double demand_ratio);
 
 #endif
--- a/include/config/record.h
+++ b/include/config/record.h
@@ -36,11 +36,14 @@
 #define RECORD_NAME_MAX_BYTES 64
 #define RECORD_MAX_BYTES (16u << 10)
 #define IMPORTANCE_LEVELS 10
+#define IMPORTANCE_NONE (-1)
+#define BACKENDS_MAX 8
 #define KEY_DIGEST_HEX_BYTES 64
 
 typedef struct client_account {
-	double rate;  /* requests a second, over all VMs together */
-	double burst; /* requests */
+	double rate;	/* requests a second, over all VMs together; 0 for no limit */
+	double burst;	/* requests */
+	int importance; /* takes the route's place; IMPORTANCE_NONE for none */
 } client_account_t;
 
 typedef struct key_record {
@@ -48,14 +51,23 @@
 	char *account;
 } key_record_t;
 
+/* One of several services that share a route's requests. */
+typedef struct backend {
+	char *service;
+	uint32_t weight;
+} backend_t;
+
 typedef struct route {
+	char *host; /* authority of the request, or NULL for any */
 	char *prefix;
-	GPtrArray *methods; /* of char *; empty means all */
-	char *service;
+	GPtrArray *methods;  /* of char *; empty means all */
+	char *service;	     /* NULL where there are backends */
+	GArray *backends;    /* of backend_t; empty means `service` takes all */
 	uint32_t importance; /* 0 lowest to 9 highest */
 	bool idempotent;
 	bool open;
 	uint32_t timeout_ms;
+	uint32_t objective_ms; /* an answer is worth most within it; 0 if none */
 	uint32_t retries;
 } route_t;
 
@@ -66,7 +78,10 @@
 typedef struct service_record {
 	uint32_t cold_slots;
 	uint32_t queue_slots;
-	double retry_ratio; /* retries for each call, 0 to 1 */
+	double retry_ratio;   /* retries for each call, 0 to 1 */
+	double cold_rate;     /* requests a second that a cold target bears; 0 if any */
+	uint32_t cold_ms;     /* how long a start leaves a target cold */
+	uint32_t connections; /* that a target accepts; 0 if unknown */
 } service_record_t;
 
 typedef struct record {
--- a/include/egretscaled/admin.h
+++ b/include/egretscaled/admin.h
@@ -17,4 +17,8 @@
 mhd_loop_t *admin_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node,
 			 GError **error);
 
+/* A listener that answers every request with whether the node is ready. */
+mhd_loop_t *readiness_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node,
+			     GError **error);
+
 #endif
--- a/include/egretscaled/announce.h
+++ b/include/egretscaled/announce.h
@@ -5,11 +5,11 @@
 
 /*
  * NAME
- *	announce - the own target announces itself, repeats and leaves
+ *	announce - reports that the own target makes of itself
  *
  * DESCRIPTION
- *	PUT /v1/target with {"service", "address", "slots", "connections",
- *	"cold_slots"} and POST /v1/target/leave.
+ *	The dialect names the calls. A report that cannot be read, or that names
+ *	another target than the settings, is logged, refused and changes nothing.
  */
 
 #define ANNOUNCE_PREFIX "/v1/"
--- a/include/egretscaled/call.h
+++ b/include/egretscaled/call.h
@@ -25,10 +25,11 @@
  *	stops the work below. A sink that has finished detaches itself.
  */
 
-#define REQUEST_ID_BYTES 16
+/* Longest id that a client may give; ids of nested calls grow with the depth. */
+#define REQUEST_ID_MAX_BYTES 1024
 
 typedef struct request_context {
-	uint8_t request_id[REQUEST_ID_BYTES];
+	char *request_id;
 	char *account;
 	uint32_t importance;
 	uint32_t rank;
--- a/include/egretscaled/http_request.h
+++ b/include/egretscaled/http_request.h
@@ -3,6 +3,7 @@
 
 #include "claims/claim.h"
 #include "egretscaled/call.h"
+#include "egretscaled/dialect.h"
 #include "egretscaled/worker.h"
 
 /*
@@ -26,7 +27,8 @@
 
 typedef enum http_side {
 	HTTP_CALLERS,
-	HTTP_TARGET,
+	HTTP_TARGET,  /* calls of the own target, and its reports */
+	HTTP_REPORTS, /* its reports only */
 } http_side_t;
 
 struct http_request {
@@ -37,6 +39,9 @@
 	uint64_t number;
 	char *method;
 	char *path; /* with query, as the client wrote it */
+	char *host;
+	request_head_t head; /* its texts belong to the connection */
+	bool head_ok;
 	GPtrArray *headers;
 	int64_t content_length;
 	usec_t arrived;
@@ -95,6 +100,10 @@
 					   const char *url, const char *method,
 					   const char *version, const char *data,
 					   size_t *data_len, void **state);
+enum MHD_Result http_request_handle_report(void *ctx, struct MHD_Connection *connection,
+					   const char *url, const char *method,
+					   const char *version, const char *data,
+					   size_t *data_len, void **state);
 void http_request_completed(void *ctx, struct MHD_Connection *connection, void **state,
 			    enum MHD_RequestTerminationCode code);
 
@@ -121,8 +130,4 @@
 void http_request_replay(http_request_t *request, uint32_t status, GPtrArray *headers,
 			 GBytes *body);
 
-/* The stable word for Egret-Reason and the HTTP status of a reason. */
-const char *reason_word(Egret__Reason reason);
-uint32_t reason_status(Egret__Outcome outcome, Egret__Reason reason);
-
 #endif
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node.h
@@ -6,10 +6,13 @@
 #include "config/config.h"
 #include "egretscaled/live.h"
 #include "egretscaled/settings.h"
+#include "http/curl_loop.h"
 #include "membership/gossip.h"
+#include "membership/target.h"
 #include "retry/retry.h"
 #include "routing/backpressure.h"
 #include "routing/router.h"
+#include "store/store.h"
 #include "wire/peer_auth.h"
 
 #include <pthread.h>
@@ -31,18 +34,6 @@
  * out of date. */
 #define NODE_PAUSE_MIN (3 * USEC_PER_SEC)
 
-/* The own target's announcement; guarded by gate_lock. */
-typedef struct own_target {
-	bool present;
-	bool draining;
-	char service[MEMBER_TEXT_BYTES];
-	char address[ADDRESS_TEXT_BYTES];
-	uint32_t slots;
-	uint32_t connections;
-	uint32_t cold_slots;
-	usec_t heard;
-} own_target_t;
-
 typedef struct node {
 	settings_t *settings;
 	peer_auth_t *auth;
@@ -65,7 +56,7 @@
 
 	pthread_mutex_t gate_lock;
 	gate_t *gate;
-	own_target_t target;
+	target_t target; /* the own one */
 
 	pthread_mutex_t live_lock;
 	live_table_t *live;
@@ -102,16 +93,21 @@
 void node_take_config(node_t *node, const node_row_t *rows, size_t count,
 		      uint64_t revision, const char *source);
 
+/* The configuration is up to date: serve, if there is a whole one. */
+void node_become_ready(node_t *node);
+
 /* Renews this node's directory entry from target, readiness and drain state. */
 void node_update_member(node_t *node);
 
-/* Target announcements (gate_lock is taken inside). */
-void node_announce_target(node_t *node, const own_target_t *announced);
-void node_target_leaves(node_t *node);
+/* Takes a report of the own target; gate_lock is taken inside. */
+void node_take_report(node_t *node, const target_report_t *report);
 
-/* Marks the target as gone when its heartbeat has lapsed. */
+/* Closes the gate of a target that leaves or whose heartbeat has lapsed. */
 void node_check_target(node_t *node);
 
+/* What a target that says nothing else reports when it leaves. */
+void node_leave_report(node_t *node, target_report_t *out);
+
 /* Runs gate_next() until it is empty and wakes the owners. */
 void node_run_gate(node_t *node);
 
@@ -119,6 +115,9 @@
 void node_ratio_call(node_t *node, const char *service);
 bool node_ratio_take(node_t *node, const char *service);
 
+/* A client of the platform on the loop. */
+store_t *node_store_create(const node_t *node, curl_loop_t *loop);
+
 /* A random 64-bit id. */
 uint64_t node_random_id(void);
 
--- a/include/egretscaled/worker.h
+++ b/include/egretscaled/worker.h
@@ -29,8 +29,9 @@
 	curl_loop_t *curl;
 	store_t *store;
 	mhd_loop_t *callers;
-	GPtrArray *old_callers; /* of mhd_loop_t with an earlier certificate */
-	mhd_loop_t *target;
+	GPtrArray *old_callers;	    /* of mhd_loop_t with an earlier certificate */
+	mhd_loop_t *target;	    /* NULL where its calls come in as callers' */
+	mhd_loop_t *reports;	    /* NULL where they come in with its calls */
 	GHashTable *peers;	    /* address -> peer_client_t */
 	GHashTable *ingress;	    /* set of ingress_link_t */
 	GHashTable *borrowers;	    /* account -> account_entry_t */
--- a/include/store/store.h
+++ b/include/store/store.h
@@ -24,7 +24,7 @@
  *	A store belongs to the thread of its loop; each worker has its own.
  *
  * SEE ALSO
- *	store_http.h, the only implementation
+ *	platform/store.h, the only implementation
  */
 
 typedef struct store store_t;
@@ -54,8 +54,10 @@
 
 typedef struct store_ops {
 	void (*get)(void *impl, const char *key, store_rows_fn done, void *ctx);
-	void (*changes)(void *impl, const char *prefix, uint64_t after, uint32_t limit,
+	void (*changes)(void *impl, const char *prefix, uint64_t after,
 			store_rows_fn done, void *ctx);
+	void (*watch)(void *impl, const char *prefix, uint64_t after, store_rows_fn done,
+		      void *ctx);
 	void (*commit)(void *impl, const char *attempt, const store_write_t *writes,
 		       size_t count, store_commit_fn done, void *ctx);
 	void (*object_put)(void *impl, const char *name, const uint8_t *data, size_t len,
@@ -71,8 +73,13 @@
 
 /* Rows below the prefix that changed after a revision; revision in the
  * callback is the one up to which the caller is then complete. */
-void store_changes(store_t *store, const char *prefix, uint64_t after, uint32_t limit,
-		   store_rows_fn done, void *ctx);
+void store_changes(store_t *store, const char *prefix, uint64_t after, store_rows_fn done,
+		   void *ctx);
+
+/* As store_changes(), but waits some seconds for the first change. If the history
+ * since `after` is gone, or `after` is 0, all rows are given at once. */
+void store_watch(store_t *store, const char *prefix, uint64_t after, store_rows_fn done,
+		 void *ctx);
 void store_commit(store_t *store, const store_write_t *writes, size_t count,
 		  store_commit_fn done, void *ctx);
 void store_object_put(store_t *store, const char *name, const uint8_t *data, size_t len,
--- a/include/wire/peer_auth.h
+++ b/include/wire/peer_auth.h
@@ -24,6 +24,7 @@
 
 typedef struct peer_auth peer_auth_t;
 
+#define PEER_SECRET_BYTES 32
 #define PEER_NONCE_BYTES 32
 #define PEER_PROOF_BYTES 32
 #define DATAGRAM_TAG_BYTES 16
@@ -34,6 +35,10 @@
 } peer_role_t;
 
 peer_auth_t *peer_auth_create(const char *path, GError **error);
+
+/* With one secret that is not kept in a file; peer_auth_reload() keeps it. */
+peer_auth_t *peer_auth_create_fixed(const uint8_t secret[PEER_SECRET_BYTES],
+				    GError **error);
 void peer_auth_destroy(peer_auth_t *auth);
 
 /* Reads the secret file again; on an error the old secrets stay. */
--- a/store/store.c
+++ b/store/store.c
@@ -49,11 +49,18 @@
 	store->ops->get(store->impl, key, done, ctx);
 }
 
-void store_changes(store_t *store, const char *prefix, uint64_t after, uint32_t limit,
-		   store_rows_fn done, void *ctx)
+void store_changes(store_t *store, const char *prefix, uint64_t after, store_rows_fn done,
+		   void *ctx)
 {
 	counter_add(COUNTER_STORE_OPS, 1);
-	store->ops->changes(store->impl, prefix, after, limit, done, ctx);
+	store->ops->changes(store->impl, prefix, after, done, ctx);
+}
+
+void store_watch(store_t *store, const char *prefix, uint64_t after, store_rows_fn done,
+		 void *ctx)
+{
+	counter_add(COUNTER_STORE_OPS, 1);
+	store->ops->watch(store->impl, prefix, after, done, ctx);
 }
 
 static void commit_finish(commit_t *commit, uint64_t revision, const GError *error)
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,4 +1,4 @@
-/* Stand-in for the platform: table service and object store in memory. */
+/* Stand-in for the platform: its tables and objects in memory. */
 #include "common/address.h"
 #include "common/clock.h"
 #include "http/mhd_loop.h"
@@ -10,26 +10,33 @@
 #include <string.h>
 
 #define IDLE_TIMEOUT_SEC 300
-#define CHANGES_LIMIT 1000
+#define PAGE_ROWS 500
+#define WAIT_MAX_MS 30000
+#define WAIT_STEP (10 * USEC_PER_MSEC)
 
 typedef struct row {
+	char *id; /* table, part and key */
+	char *table;
+	char *part;
 	char *key;
-	json_int_t revision;
-	json_t *value; /* json_null() for a tombstone */
-	char *attempt;
+	char *value; /* base64, or NULL once removed */
+	json_int_t ver;
 } row_t;
 
-/* Faults: down closes without an answer; lose closes after the write. */
+/* Faults: down closes without an answer; busy refuses with 503; lose closes after
+ * the write; history up to `forgotten` is gone. */
 typedef struct faults {
 	bool down;
+	bool busy;
 	int slow_ms;
 	double lose; /* share of commits whose answer is lost */
+	json_int_t forgotten;
 } faults_t;
 
 static struct {
-	GHashTable *rows;
+	GHashTable *rows; /* id -> row_t, removed ones too */
 	GHashTable *objects;
-	json_int_t revision;
+	json_int_t ver;
 	faults_t faults;
 	json_int_t reads;
 	json_int_t writes;
@@ -42,23 +49,31 @@
 	GByteArray *body;
 	struct MHD_Connection *connection;
 	bool delayed;
-	bool ready;
+	usec_t wait_until; /* of a feed without changes */
 } request_t;
 
 static void row_free(void *data)
 {
 	row_t *row = data;
 
+	g_free(row->id);
+	g_free(row->table);
+	g_free(row->part);
 	g_free(row->key);
-	g_free(row->attempt);
-	json_decref(row->value);
+	g_free(row->value);
 	g_free(row);
 }
 
 static json_t *row_json(const row_t *row)
 {
-	return json_pack("{s:s, s:I, s:O, s:s}", "key", row->key, "revision",
-			 row->revision, "value", row->value, "attempt", row->attempt);
+	json_t *json = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part",
+				 row->part, "key", row->key, "ver", row->ver);
+
+	if (row->value)
+		json_object_set_new(json, "value", json_string(row->value));
+	else
+		json_object_set_new(json, "removed", json_true());
+	return json;
 }
 
 static enum MHD_Result answer(struct MHD_Connection *connection, unsigned int status,
@@ -73,158 +88,271 @@
 	return result;
 }
 
-static const char *argument(struct MHD_Connection *connection, const char *name)
+/* Takes the rows. */
+static enum MHD_Result answer_rows(struct MHD_Connection *connection, json_t *rows,
+				   bool more)
 {
-	return MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+	char now[32];
+
+	g_snprintf(now, sizeof(now), "%" G_GINT64_FORMAT "ms",
+		   clock_boot_usec() / USEC_PER_MSEC);
+	return answer(connection, 200,
+		      json_pack("{s:o, s:b, s:I, s:s}", "rows", rows, "has_more", more,
+				"ver", platform.ver, "now", now));
 }
 
-static char *unescaped(struct MHD_Connection *connection, const char *name)
+/* The argument, or an empty text. */
+static char *argument(struct MHD_Connection *connection, const char *name)
 {
-	const char *value = argument(connection, name);
+	const char *value =
+		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
 
 	return value ? g_uri_unescape_string(value, NULL) : g_strdup("");
 }
 
-static enum MHD_Result get_row(struct MHD_Connection *connection)
+static json_int_t number_argument(struct MHD_Connection *connection, const char *name)
 {
-	char *key = unescaped(connection, "key");
-	const row_t *row = g_hash_table_lookup(platform.rows, key);
+	char *text = argument(connection, name);
+	json_int_t number = strtoll(text, NULL, 10);
 
-	platform.reads++;
-	g_free(key);
-	if (!row)
-		return answer(connection, 404, json_object());
-	return answer(connection, 200, row_json(row));
+	g_free(text);
+	return number;
 }
 
-static int by_revision(const void *a, const void *b)
+static int by_key(const void *a, const void *b)
 {
-	json_int_t left = (*(row_t *const *)a)->revision;
-	json_int_t right = (*(row_t *const *)b)->revision;
+	return strcmp((*(row_t *const *)a)->key, (*(row_t *const *)b)->key);
+}
+
+static int by_ver(const void *a, const void *b)
+{
+	json_int_t left = (*(row_t *const *)a)->ver;
+	json_int_t right = (*(row_t *const *)b)->ver;
 
 	return (left > right) - (left < right);
 }
 
-static enum MHD_Result get_changes(struct MHD_Connection *connection)
+/* Rows of a table that changed after `after`; removed ones only with `removed`. */
+static GPtrArray *find_rows(const char *table, json_int_t after, bool removed)
 {
-	char *prefix = unescaped(connection, "prefix");
-	const char *after_text = argument(connection, "after");
-	json_int_t after = after_text ? strtoll(after_text, NULL, 10) : 0;
 	GPtrArray *found = g_ptr_array_new();
 	GHashTableIter iter;
 	void *value;
 
-	platform.reads++;
 	g_hash_table_iter_init(&iter, platform.rows);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		row_t *row = value;
-		if (row->revision > after && g_str_has_prefix(row->key, prefix))
+		if (strcmp(row->table, table) == 0 && row->ver > after &&
+		    (row->value || removed))
 			g_ptr_array_add(found, row);
 	}
-	g_free(prefix);
-	g_ptr_array_sort(found, by_revision);
+	return found;
+}
+
+static enum MHD_Result get_rows(struct MHD_Connection *connection)
+{
+	char *table = argument(connection, "table");
+	char *part = argument(connection, "part");
+	char *from = argument(connection, "from");
+	char *to = argument(connection, "to");
+	json_int_t limit = number_argument(connection, "limit");
+	GPtrArray *found = find_rows(table, 0, false);
 	json_t *rows = json_array();
-	json_int_t revision = after;
-	for (guint i = 0; i < found->len; i++) {
+	bool more = false;
+
+	platform.reads++;
+	limit = limit > 0 ? MIN(limit, PAGE_ROWS) : PAGE_ROWS;
+	g_ptr_array_sort(found, by_key);
+	for (guint i = 0; i < found->len && !more; i++) {
 		const row_t *row = found->pdata[i];
-		/* A page ends between commits. */
-		if (i >= CHANGES_LIMIT && row->revision != revision)
-			break;
-		json_array_append_new(rows, row_json(row));
-		revision = row->revision;
+		if (strcmp(row->part, part) != 0 || strcmp(row->key, from) < 0 ||
+		    (*to && strcmp(row->key, to) >= 0))
+			continue;
+		more = (json_int_t)json_array_size(rows) >= limit;
+		if (!more)
+			json_array_append_new(rows, row_json(row));
 	}
 	g_ptr_array_free(found, TRUE);
+	g_free(table);
+	g_free(part);
+	g_free(from);
+	g_free(to);
+	return answer_rows(connection, rows, more);
+}
+
+static enum MHD_Result get_parts(struct MHD_Connection *connection)
+{
+	char *table = argument(connection, "table");
+	GPtrArray *found = find_rows(table, 0, false);
+	GHashTable *parts = g_hash_table_new(g_str_hash, g_str_equal);
+	json_t *list = json_array();
+
+	platform.reads++;
+	for (guint i = 0; i < found->len; i++) {
+		if (g_hash_table_add(parts, ((row_t *)found->pdata[i])->part))
+			json_array_append_new(
+				list, json_string(((row_t *)found->pdata[i])->part));
+	}
+	g_hash_table_destroy(parts);
+	g_ptr_array_free(found, TRUE);
+	g_free(table);
 	return answer(connection, 200,
-		      json_pack("{s:I, s:o}", "revision", revision, "rows", rows));
+		      json_pack("{s:o, s:b}", "parts", list, "has_more", 0));
+}
+
+static void handle_resume(struct tevent_context *ev, struct tevent_timer *te,
+			  struct timeval when, void *private_data)
+{
+	request_t *request = private_data;
+
+	mhd_loop_resume(platform.loop, request->connection);
+}
+
+static enum MHD_Result suspend_for(request_t *request, usec_t span)
+{
+	MHD_suspend_connection(request->connection);
+	tevent_add_timer(platform.ev, platform.ev,
+			 tevent_timeval_current_ofs((uint32_t)(span / USEC_PER_SEC),
+						    (uint32_t)(span % USEC_PER_SEC)),
+			 handle_resume, request);
+	return MHD_YES;
+}
+
+static enum MHD_Result get_feed(request_t *request)
+{
+	struct MHD_Connection *connection = request->connection;
+	char *table = argument(connection, "table");
+	json_int_t after = number_argument(connection, "after");
+	json_int_t wait_ms = MIN(number_argument(connection, "wait_ms"), WAIT_MAX_MS);
+	usec_t now = clock_boot_usec();
+	GPtrArray *found = find_rows(table, after, true);
+	bool empty = found->len == 0;
+	json_t *rows = json_array();
+
+	g_ptr_array_sort(found, by_ver);
+	for (guint i = 0; i < found->len; i++)
+		json_array_append_new(rows, row_json(found->pdata[i]));
+	g_ptr_array_free(found, TRUE);
+	g_free(table);
+	if (!request->wait_until) {
+		platform.reads++;
+		request->wait_until = now + wait_ms * USEC_PER_MSEC;
+	}
+	if (after < platform.faults.forgotten) {
+		json_decref(rows);
+		return answer(connection, 410, json_object());
+	}
+	if (!empty || now >= request->wait_until)
+		return answer_rows(connection, rows, false);
+	json_decref(rows);
+	return suspend_for(request, WAIT_STEP);
 }
 
-static const row_t *conflict_of(const json_t *writes)
+static char *row_id(const json_t *json)
+{
+	const char *table = json_string_value(json_object_get(json, "table"));
+	const char *part = json_string_value(json_object_get(json, "part"));
+	const char *key = json_string_value(json_object_get(json, "key"));
+
+	return table && part && key ? g_strjoin("\n", table, part, key, NULL) : NULL;
+}
+
+static bool ids_valid(const json_t *list)
 {
 	size_t i;
-	json_t *write;
-	static row_t absent = {.revision = 0};
+	json_t *entry;
 
-	json_array_foreach(writes, i, write)
+	json_array_foreach(list, i, entry)
 	{
-		const char *key = json_string_value(json_object_get(write, "key"));
-		const row_t *row = g_hash_table_lookup(platform.rows, key);
-		json_int_t expected =
-			json_integer_value(json_object_get(write, "expected_revision"));
-		if (row && row->revision != expected)
-			return row;
-		if (!row && expected != 0) {
-			absent.key = (char *)key;
-			return &absent;
-		}
+		char *id = row_id(entry);
+		if (!id)
+			return false;
+		g_free(id);
 	}
-	return NULL;
+	return true;
 }
 
-static void apply_writes(const json_t *writes, const char *attempt)
+/* The rows whose version isn't the expected one; NULL if there are none. */
+static json_t *conflicts_of(const json_t *expected)
 {
+	json_t *rows = json_array();
 	size_t i;
-	json_t *write;
+	json_t *entry;
 
-	platform.revision++;
-	json_array_foreach(writes, i, write)
+	json_array_foreach(expected, i, entry)
 	{
-		row_t *row = g_new0(row_t, 1);
-		row->key = g_strdup(json_string_value(json_object_get(write, "key")));
-		row->revision = platform.revision;
-		row->value = json_incref(json_object_get(write, "value"));
-		row->attempt = g_strdup(attempt);
-		g_hash_table_replace(platform.rows, row->key, row);
+		char *id = row_id(entry);
+		const row_t *row = g_hash_table_lookup(platform.rows, id);
+		json_int_t ver = row && row->value ? row->ver : 0;
+
+		if (ver != json_integer_value(json_object_get(entry, "ver")))
+			json_array_append_new(rows, row ? row_json(row) : json_object());
+		g_free(id);
 	}
+	if (json_array_size(rows) > 0)
+		return rows;
+	json_decref(rows);
+	return NULL;
 }
 
-static bool commit_valid(const json_t *json)
+static void put_rows(const json_t *list, bool removed)
 {
-	const json_t *writes = json_object_get(json, "writes");
 	size_t i;
-	json_t *write;
+	json_t *entry;
 
-	if (!json_is_string(json_object_get(json, "attempt")) || !json_is_array(writes))
-		return false;
-	json_array_foreach((json_t *)writes, i, write)
+	json_array_foreach(list, i, entry)
 	{
-		if (!json_is_string(json_object_get(write, "key")) ||
-		    !json_object_get(write, "value"))
-			return false;
+		row_t *row = g_new0(row_t, 1);
+		row->id = row_id(entry);
+		row->table = g_strdup(json_string_value(json_object_get(entry, "table")));
+		row->part = g_strdup(json_string_value(json_object_get(entry, "part")));
+		row->key = g_strdup(json_string_value(json_object_get(entry, "key")));
+		row->ver = platform.ver;
+		if (!removed)
+			row->value = g_strdup(
+				json_string_value(json_object_get(entry, "value")));
+		g_hash_table_replace(platform.rows, row->id, row);
 	}
-	return true;
 }
 
-static enum MHD_Result post_commit(struct MHD_Connection *connection,
-				   const request_t *request)
+static enum MHD_Result post_tx(struct MHD_Connection *connection,
+			       const request_t *request)
 {
 	json_t *json =
 		json_loadb((char *)request->body->data, request->body->len, 0, NULL);
+	const json_t *expected = json_object_get(json, "expected_rev");
+	const json_t *writes = json_object_get(json, "writes");
+	const json_t *removed = json_object_get(json, "remove");
 
 	platform.writes++;
-	if (!json || !commit_valid(json)) {
+	if (!ids_valid(expected) || !ids_valid(writes) || !ids_valid(removed)) {
 		json_decref(json);
 		return answer(connection, 400, json_object());
 	}
-	const json_t *writes = json_object_get(json, "writes");
-	const row_t *conflict = conflict_of(writes);
-	if (conflict) {
-		json_t *reply = json_pack("{s:s, s:I}", "key", conflict->key, "revision",
-					  conflict->revision);
+	json_t *conflicts = conflicts_of(expected);
+	if (conflicts) {
 		json_decref(json);
-		return answer(connection, 409, reply);
+		return answer(connection, 412, json_pack("{s:o}", "rows", conflicts));
 	}
-	apply_writes(writes, json_string_value(json_object_get(json, "attempt")));
+	platform.ver++;
+	put_rows(writes, false);
+	put_rows(removed, true);
 	json_decref(json);
 	if (g_rand_double(platform.rand) < platform.faults.lose)
 		return MHD_NO;
-	return answer(connection, 200, json_pack("{s:I}", "revision", platform.revision));
+	return answer(connection, 200, json_pack("{s:I}", "ver", platform.ver));
 }
 
 static enum MHD_Result handle_object(struct MHD_Connection *connection, const char *name,
 				     const char *method, const request_t *request)
 {
 	if (strcmp(method, "PUT") == 0) {
+		const char *condition = MHD_lookup_connection_value(
+			connection, MHD_HEADER_KIND, "If-None-Match");
+
 		platform.writes++;
+		if (condition && g_hash_table_contains(platform.objects, name))
+			return answer(connection, 412, json_object());
 		g_hash_table_replace(
 			platform.objects, g_strdup(name),
 			g_bytes_new(request->body->data, request->body->len));
@@ -243,7 +371,7 @@
 	return result;
 }
 
-/* PUT /fault {"down": bool, "slow_ms": n, "lose": share} */
+/* PUT /fault {"down": bool, "busy": bool, "slow_ms": n, "lose": share, "forget": bool} */
 static enum MHD_Result put_fault(struct MHD_Connection *connection,
 				 const request_t *request)
 {
@@ -251,9 +379,12 @@
 		json_loadb((char *)request->body->data, request->body->len, 0, NULL);
 
 	platform.faults.down = json_is_true(json_object_get(json, "down"));
+	platform.faults.busy = json_is_true(json_object_get(json, "busy"));
 	platform.faults.slow_ms =
 		(int)json_integer_value(json_object_get(json, "slow_ms"));
 	platform.faults.lose = json_number_value(json_object_get(json, "lose"));
+	if (json_is_true(json_object_get(json, "forget")))
+		platform.faults.forgotten = platform.ver;
 	json_decref(json);
 	return answer(connection, 200, json_object());
 }
@@ -266,32 +397,30 @@
 		return answer(connection, 200,
 			      json_pack("{s:I, s:I, s:I}", "reads", platform.reads,
 					"writes", platform.writes, "revision",
-					platform.revision));
+					platform.ver));
 	if (strcmp(url, "/fault") == 0)
 		return put_fault(connection, request);
 	if (platform.faults.down)
 		return MHD_NO;
-	if (strcmp(url, "/v1/row") == 0)
-		return get_row(connection);
-	if (strcmp(url, "/v1/changes") == 0)
-		return get_changes(connection);
-	if (strcmp(url, "/v1/commit") == 0 && strcmp(method, "POST") == 0)
-		return post_commit(connection, request);
-	if (g_str_has_prefix(url, "/v1/object/"))
-		return handle_object(connection, url + strlen("/v1/object/"), method,
+	if (platform.faults.busy)
+		return answer(connection, 503, json_object());
+	if (strcmp(url, "/rows-get") == 0)
+		return get_rows(connection);
+	if (strcmp(url, "/rows-parts") == 0)
+		return get_parts(connection);
+	if (strcmp(url, "/rows-feed") == 0)
+		return get_feed(request);
+	if (strcmp(url, "/rows-tx") == 0 && strcmp(method, "POST") == 0)
+		return post_tx(connection, request);
+	if (g_str_has_prefix(url, "/blob-put/"))
+		return handle_object(connection, url + strlen("/blob-put/"), method,
+				     request);
+	if (g_str_has_prefix(url, "/blob-get/"))
+		return handle_object(connection, url + strlen("/blob-get/"), method,
 				     request);
 	return answer(connection, 404, json_object());
 }
 
-static void handle_delay(struct tevent_context *ev, struct tevent_timer *te,
-			 struct timeval when, void *private_data)
-{
-	request_t *request = private_data;
-
-	request->ready = true;
-	mhd_loop_resume(platform.loop, request->connection);
-}
-
 static enum MHD_Result handle(void *ctx, struct MHD_Connection *connection,
 			      const char *url, const char *method, const char *version,
 			      const char *data, size_t *data_len, void **state)
@@ -315,13 +444,7 @@
 	int delay = control ? 0 : platform.faults.slow_ms;
 	if (delay > 0 && !request->delayed) {
 		request->delayed = true;
-		MHD_suspend_connection(connection);
-		tevent_add_timer(
-			platform.ev, platform.ev,
-			tevent_timeval_current_ofs((uint32_t)delay / 1000,
-						   (uint32_t)delay % 1000 * 1000),
-			handle_delay, request);
-		return MHD_YES;
+		return suspend_for(request, delay * USEC_PER_MSEC);
 	}
 	return serve(request, url, method);
 }
--- a/wire/peer_auth.c
+++ b/wire/peer_auth.c
@@ -6,14 +6,13 @@
 #include <sodium.h>
 #include <string.h>
 
-#define SECRET_BYTES 32
 #define SECRETS_MAX 2
 
 struct peer_auth {
 	pthread_mutex_t lock;
 	char *path;
 	int count;
-	uint8_t *secrets; /* SECRETS_MAX * SECRET_BYTES in locked memory */
+	uint8_t *secrets; /* SECRETS_MAX * PEER_SECRET_BYTES in locked memory */
 };
 
 static bool parse_secrets(const char *path, uint8_t *out, int *count, GError **error)
@@ -32,10 +31,11 @@
 		g_strstrip(*line);
 		if (!**line)
 			continue;
-		ok = *count < SECRETS_MAX && strlen(*line) == 2 * SECRET_BYTES &&
-		     sodium_hex2bin(out + *count * SECRET_BYTES, SECRET_BYTES, *line,
-				    2 * SECRET_BYTES, NULL, &got, NULL) == 0 &&
-		     got == SECRET_BYTES;
+		ok = *count < SECRETS_MAX && strlen(*line) == 2 * PEER_SECRET_BYTES &&
+		     sodium_hex2bin(out + *count * PEER_SECRET_BYTES, PEER_SECRET_BYTES,
+				    *line, 2 * PEER_SECRET_BYTES, NULL, &got,
+				    NULL) == 0 &&
+		     got == PEER_SECRET_BYTES;
 		(*count)++;
 		sodium_memzero(*line, strlen(*line));
 	}
@@ -46,11 +46,11 @@
 	if (!ok)
 		g_set_error(error, EGRET_ERROR, EGRET_ERROR_SETTING,
 			    "%s must hold one or two lines of %d hex digits", path,
-			    2 * SECRET_BYTES);
+			    2 * PEER_SECRET_BYTES);
 	return ok;
 }
 
-peer_auth_t *peer_auth_create(const char *path, GError **error)
+static peer_auth_t *create_empty(GError **error)
 {
 	if (sodium_init() < 0) {
 		g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY,
@@ -59,8 +59,29 @@
 	}
 	peer_auth_t *auth = g_new0(peer_auth_t, 1);
 	pthread_mutex_init(&auth->lock, NULL);
+	auth->secrets = sodium_allocarray(SECRETS_MAX, PEER_SECRET_BYTES);
+	return auth;
+}
+
+peer_auth_t *peer_auth_create_fixed(const uint8_t secret[PEER_SECRET_BYTES],
+				    GError **error)
+{
+	peer_auth_t *auth = create_empty(error);
+
+	if (!auth)
+		return NULL;
+	memcpy(auth->secrets, secret, PEER_SECRET_BYTES);
+	auth->count = 1;
+	return auth;
+}
+
+peer_auth_t *peer_auth_create(const char *path, GError **error)
+{
+	peer_auth_t *auth = create_empty(error);
+
+	if (!auth)
+		return NULL;
 	auth->path = g_strdup(path);
-	auth->secrets = sodium_allocarray(SECRETS_MAX, SECRET_BYTES);
 	if (!peer_auth_reload(auth, error)) {
 		peer_auth_destroy(auth);
 		return NULL;
@@ -80,9 +101,11 @@
 
 bool peer_auth_reload(peer_auth_t *auth, GError **error)
 {
-	uint8_t fresh[SECRETS_MAX * SECRET_BYTES] = {0};
+	uint8_t fresh[SECRETS_MAX * PEER_SECRET_BYTES] = {0};
 	int count;
 
+	if (!auth->path)
+		return true;
 	if (!parse_secrets(auth->path, fresh, &count, error))
 		return false;
 	pthread_mutex_lock(&auth->lock);
@@ -100,7 +123,7 @@
 	crypto_generichash_state hash;
 	uint8_t label = role == PEER_ROLE_CLIENT ? 'c' : 's';
 
-	crypto_generichash_init(&hash, secret, SECRET_BYTES, PEER_PROOF_BYTES);
+	crypto_generichash_init(&hash, secret, PEER_SECRET_BYTES, PEER_PROOF_BYTES);
 	crypto_generichash_update(&hash, &label, 1);
 	crypto_generichash_update(&hash, client_nonce, PEER_NONCE_BYTES);
 	crypto_generichash_update(&hash, server_nonce, PEER_NONCE_BYTES);
@@ -115,7 +138,7 @@
 	pthread_mutex_lock(&auth->lock);
 	if (index >= auth->count)
 		index = 0;
-	compute_proof(auth->secrets + index * SECRET_BYTES, role, client_nonce,
+	compute_proof(auth->secrets + index * PEER_SECRET_BYTES, role, client_nonce,
 		      server_nonce, out);
 	pthread_mutex_unlock(&auth->lock);
 }
@@ -130,7 +153,7 @@
 
 	pthread_mutex_lock(&auth->lock);
 	for (int i = 0; i < auth->count && found < 0; i++) {
-		compute_proof(auth->secrets + i * SECRET_BYTES, role, client_nonce,
+		compute_proof(auth->secrets + i * PEER_SECRET_BYTES, role, client_nonce,
 			      server_nonce, expected);
 		if (sodium_memcmp(expected, proof, sizeof(expected)) == 0)
 			found = i;
@@ -142,7 +165,7 @@
 static void compute_tag(const uint8_t *secret, const uint8_t *data, size_t len,
 			uint8_t *tag)
 {
-	crypto_generichash(tag, DATAGRAM_TAG_BYTES, data, len, secret, SECRET_BYTES);
+	crypto_generichash(tag, DATAGRAM_TAG_BYTES, data, len, secret, PEER_SECRET_BYTES);
 }
 
 void peer_auth_sign_datagram(peer_auth_t *auth, const uint8_t *data, size_t len,
@@ -161,7 +184,7 @@
 
 	pthread_mutex_lock(&auth->lock);
 	for (int i = 0; i < auth->count && !ok; i++) {
-		compute_tag(auth->secrets + i * SECRET_BYTES, data, len, expected);
+		compute_tag(auth->secrets + i * PEER_SECRET_BYTES, data, len, expected);
 		ok = sodium_memcmp(expected, tag, sizeof(expected)) == 0;
 	}
 	pthread_mutex_unlock(&auth->lock);
