--- /dev/null
+++ b/tests/unit/test_target.c
@@ -0,0 +1,162 @@
+/* Reports of the own target, and the pace of a cold one. */
+#include "case.h"
+
+#include "admission/pace.h"
+#include "membership/target.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define LEAVE_WITHIN (2 * USEC_PER_SEC)
+#define STEPS_MAX 6
+
+typedef struct step {
+	usec_t at;
+	const char *id;
+	uint64_t born;
+	uint64_t sequence;
+	bool leaves;
+	target_change_t change;
+	bool takes; /* right after the report */
+} step_t;
+
+typedef struct target_case {
+	const char *name;
+	step_t steps[STEPS_MAX];
+} target_case_t;
+
+static target_report_t report_of(const step_t *step)
+{
+	target_report_t report = {.born = step->born,
+				  .sequence = step->sequence,
+				  .leaves = step->leaves,
+				  .service = "s",
+				  .address = "10.0.0.1:80",
+				  .slots = 10};
+
+	g_strlcpy(report.id, step->id, sizeof(report.id));
+	return report;
+}
+
+static void test_target(void **state)
+{
+	const target_case_t *c = *state;
+	target_t target = {0};
+
+	for (const step_t *step = c->steps; step < c->steps + STEPS_MAX && step->id;
+	     step++) {
+		target_report_t report = report_of(step);
+		assert_int_equal(
+			target_take_report(&target, &report, step->at, LEAVE_WITHIN),
+			step->change);
+		assert_int_equal(target_takes(&target, step->at), step->takes);
+	}
+}
+
+static const target_case_t target_cases[] = {
+	{"a start, then the same again",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, false, TARGET_SAME, true}}},
+	{"a report that was overtaken changes nothing",
+	 {{1, "a", 5, 2, false, TARGET_STARTED, true},
+	  {2, "a", 5, 3, true, TARGET_LEAVES, true},
+	  {3, "a", 5, 1, false, TARGET_REPORT_STALE, true},
+	  {3 * USEC_PER_SEC, "a", 5, 3, false, TARGET_REPORT_STALE, false}}},
+	{"a report of an earlier start changes nothing",
+	 {{1, "b", 9, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 70, true, TARGET_REPORT_STALE, true},
+	  {3, "a", 5, 71, false, TARGET_REPORT_STALE, true}}},
+	{"a start under the same id counts anew",
+	 {{1, "a", 5, 40, false, TARGET_STARTED, true},
+	  {2, "a", 9, 1, false, TARGET_STARTED, true},
+	  {3, "a", 9, 2, false, TARGET_SAME, true}}},
+	{"a leave is final",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVES, true},
+	  {3, "a", 5, 3, false, TARGET_SAME, true},
+	  {LEAVE_WITHIN, "a", 5, 4, false, TARGET_SAME, false}}},
+	{"the next start after a leave takes requests",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVES, true},
+	  {9, "b", 9, 1, false, TARGET_STARTED, true}}},
+	{"a leave of a target that is not known",
+	 {{1, "a", 5, 1, true, TARGET_SAME, false},
+	  {2, "b", 9, 1, false, TARGET_STARTED, true}}},
+};
+
+typedef struct pace_case {
+	const char *name;
+	uint32_t per_second;
+	usec_t step; /* between tries */
+} pace_case_t;
+
+/* No second, wherever it begins, holds more starts than the bound. */
+static void test_pace(void **state)
+{
+	const pace_case_t *c = *state;
+	usec_t starts[4096];
+	uint32_t count = 0;
+	pace_t *pace = pace_create();
+
+	pace_set(pace, c->per_second, 10 * USEC_PER_SEC);
+	for (usec_t now = 1; now < 5 * USEC_PER_SEC; now += c->step) {
+		if (!pace_allows(pace, now))
+			continue;
+		pace_start(pace, now);
+		starts[count++] = now;
+	}
+	for (uint32_t i = c->per_second; i < count; i++)
+		assert_true(starts[i] - starts[i - c->per_second] >= USEC_PER_SEC);
+	assert_true(count >= 4 * c->per_second);
+	pace_destroy(pace);
+}
+
+static const pace_case_t pace_cases[] = {
+	{"pace: one a second", 1, 7 * USEC_PER_MSEC},
+	{"pace: tries far above the bound", 67, USEC_PER_MSEC},
+	{"pace: a bound that the tries just reach", 100, 10 * USEC_PER_MSEC},
+};
+
+/* Starts before the bound came into force count for it. */
+static void test_pace_counts_earlier_starts(void **state)
+{
+	(void)state;
+	pace_t *pace = pace_create();
+
+	for (int i = 0; i < 50; i++)
+		pace_start(pace, 1000 + i);
+	assert_true(pace_allows(pace, 2000));
+	pace_set(pace, 50, 10 * USEC_PER_SEC);
+	assert_false(pace_allows(pace, 2000));
+	assert_true(pace_allows(pace, 1000 + USEC_PER_SEC));
+	assert_true(pace_is_on(pace, USEC_PER_SEC));
+	assert_false(pace_is_on(pace, 11 * USEC_PER_SEC));
+	pace_destroy(pace);
+}
+
+static void test_lapse(void **state)
+{
+	(void)state;
+	target_t target = {0};
+	target_report_t report = {.id = "a", .service = "s", .address = "10.0.0.1:80"};
+
+	target_take_report(&target, &report, 100, LEAVE_WITHIN);
+	assert_false(target_lapse(&target, 200, 100));
+	assert_true(target_lapse(&target, 201, 100));
+	assert_false(target_lapse(&target, 202, 100));
+	assert_false(target_takes(&target, 202));
+	assert_int_equal(target_take_report(&target, &report, 300, LEAVE_WITHIN),
+			 TARGET_STARTED);
+}
+
+int main(void)
+{
+	const struct CMUnitTest single[] = {
+		cmocka_unit_test(test_pace_counts_earlier_starts),
+		cmocka_unit_test(test_lapse),
+	};
+
+	return RUN_CASES("target", target_cases, test_target) +
+	       RUN_CASES("pace", pace_cases, test_pace) +
+	       cmocka_run_group_tests(single, NULL, NULL);
+}
