accounts: share rates by demand told between nodes, where the bounds tolerate lag

Every node tells its demand for each account by datagram; a node's part of the rate is its part of the demand, beside a floor of a fifth that is split evenly. Silent peers keep the part they had, so both sides of a cut stay inside the rate. The store is not asked. Lending stays for deployments whose bound tolerates nothing. Ruled out: shorter lease terms (the store itself was down for 4.5 s then). The entry also answers 20 ms before the client's deadline, not after it.

--- a/egretscaled/accounts_io.c
+++ b/egretscaled/accounts_io.c
@@ -3,6 +3,7 @@
 #include "accounts/borrower.h"
 #include "common/counters.h"
 #include "egretscaled/peer_client.h"
+#include "egretscaled/shares_io.h"
 
 #include <math.h>
 #include <string.h>
@@ -360,6 +361,8 @@
 admit_result_t accounts_io_admit(worker_t *worker, const char *account, admit_fn fn,
 				 void *ctx)
 {
+	if (worker->node->shares)
+		return shares_io_admit(worker, account, fn, ctx);
 	account_entry_t *entry = entry_for(worker, account);
 	usec_t now = clock_boot_usec();
 
@@ -386,6 +389,7 @@
 	account_entry_t *entry = g_hash_table_lookup(worker->borrowers, account);
 	waiting_t *waiting;
 
+	shares_io_forget(worker, ctx);
 	if (!entry)
 		return;
 	TAILQ_FOREACH(waiting, &entry->waiting, link)
@@ -399,6 +403,8 @@
 
 double accounts_io_pressure(worker_t *worker, const char *account)
 {
+	if (worker->node->shares)
+		return shares_io_pressure(worker, account);
 	account_entry_t *entry = g_hash_table_lookup(worker->borrowers, account);
 
 	return entry ? borrower_pressure(entry->borrower) : 0;
--- a/egretscaled/config_poll.c
+++ b/egretscaled/config_poll.c
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "common/log.h"
+#include "egretscaled/shares_io.h"
 
 #include <jansson.h>
 #include <math.h>
@@ -29,6 +30,7 @@
 	uint64_t cursor;     /* of the watch; 0 to read all */
 	uint32_t generation; /* of the newest watch; earlier ones end by themselves */
 	bool row_written;
+	bool watched; /* a watch was answered since the last pause */
 };
 
 static void schedule(config_poll_t *poll, usec_t wait);
@@ -117,6 +119,7 @@
 	note_store(poll, error);
 	if (!error) {
 		poll->cursor = MAX(poll->cursor, revision);
+		poll->watched = true;
 		node_become_ready(poll->node);
 	}
 	schedule(poll, next_wait(poll));
@@ -132,6 +135,11 @@
 	if (error)
 		return;
 	poll->next_seeds = clock_boot_usec() + SEED_PERIOD;
+	for (size_t i = 0; i < count; i++) {
+		if (rows[i].value)
+			shares_io_handle_address(node, rows[i].key + strlen(NODE_PREFIX));
+	}
+	atomic_store(&node->has_list, true);
 	pthread_mutex_lock(&node->gossip_lock);
 	for (size_t i = 0; i < count; i++) {
 		const char *address = rows[i].key + strlen(NODE_PREFIX);
@@ -139,6 +147,8 @@
 			gossip_add_seed(node->gossip, address);
 	}
 	pthread_mutex_unlock(&node->gossip_lock);
+	if (poll->watched)
+		node_become_ready(node);
 }
 
 static void handle_row_written(void *ctx, uint64_t revision, const GError *error)
@@ -230,6 +240,7 @@
 void config_poll_hurry(config_poll_t *poll)
 {
 	poll->cursor = 0;
+	poll->watched = false;
 	schedule(poll, 0);
 }
 
--- a/egretscaled/gossip_io.c
+++ b/egretscaled/gossip_io.c
@@ -5,6 +5,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "egretscaled/pull.h"
+#include "egretscaled/shares_io.h"
 
 #include <errno.h>
 #include <string.h>
@@ -21,9 +22,8 @@
 	int fd;
 };
 
-static void send_datagram(void *ctx, const char *address, const Egret__Gossip *message)
+void gossip_io_send(node_t *node, const char *address, const Egret__Gossip *message)
 {
-	node_t *node = ctx;
 	uint8_t buffer[GOSSIP_DATAGRAM_BYTES + DATAGRAM_TAG_BYTES];
 	size_t len = egret__gossip__get_packed_size(message);
 	struct sockaddr_in to;
@@ -41,6 +41,11 @@
 	counter_add(COUNTER_GOSSIP_SENT_BYTES, (uint64_t)n);
 }
 
+static void send_datagram(void *ctx, const char *address, const Egret__Gossip *message)
+{
+	gossip_io_send(ctx, address, message);
+}
+
 static uint64_t own_config_revision(void *ctx)
 {
 	node_t *node = ctx;
@@ -80,6 +85,7 @@
 	node_t *node = ctx;
 
 	log_member(member);
+	shares_io_handle_member(node, member);
 	pthread_mutex_lock(&node->router_lock);
 	router_update(node->router, member, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
@@ -127,6 +133,11 @@
 	}
 	counter_add(COUNTER_GOSSIP_RECEIVED, 1);
 	counter_add(COUNTER_GOSSIP_RECEIVED_BYTES, len);
+	if (message->kind == EGRET__GOSSIP_KIND__GOSSIP_DEMAND) {
+		shares_io_handle_demand(node, message);
+		egret__gossip__free_unpacked(message, NULL);
+		return;
+	}
 	pthread_mutex_lock(&node->gossip_lock);
 	gossip_receive(node->gossip, clock_boot_usec(), message);
 	pthread_mutex_unlock(&node->gossip_lock);
--- a/egretscaled/http_attempt.c
+++ b/egretscaled/http_attempt.c
@@ -8,8 +8,10 @@
 
 #include <string.h>
 
-/* The hops below state the truth at the deadline; the entry waits for it. */
-#define DEADLINE_GRACE (20 * USEC_PER_MSEC)
+/* An answer of the entry's own reaches the client before it gives up. */
+#define DEADLINE_MARGIN (20 * USEC_PER_MSEC)
+/* Of what is left, at most this part goes to the margin. */
+#define DEADLINE_MARGIN_SHARE 10
 #define EXCLUDED_MAX ROUTER_EXCLUDED_MAX
 
 static void log_route(const http_request_t *request, const router_choice_t *choice)
@@ -222,8 +224,9 @@
 				    EGRET__REASON__REASON_DEADLINE);
 		return;
 	}
-	request->deadline_timer = worker_timer(request->worker, left + DEADLINE_GRACE,
-					       handle_deadline, request);
+	usec_t margin = MIN(DEADLINE_MARGIN, left / DEADLINE_MARGIN_SHARE);
+	request->deadline_timer =
+		worker_timer(request->worker, left - margin, handle_deadline, request);
 	node_ratio_call(request->worker->node, request->service);
 	start_attempt(request);
 }
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -7,6 +7,7 @@
 #include "egretscaled/gossip_io.h"
 #include "egretscaled/leases_io.h"
 #include "egretscaled/pull.h"
+#include "egretscaled/shares_io.h"
 #include "egretscaled/worker.h"
 
 #include <curl/curl.h>
@@ -38,7 +39,8 @@
 	gossip_io_t *gossip;
 	puller_t *puller;
 	config_poll_t *poll;
-	leases_io_t *leases;
+	leases_io_t *leases; /* NULL where shares bound the accounts */
+	shares_io_t *shares;
 	mhd_loop_t *admin;
 	mhd_loop_t *readiness; /* on the platform */
 	struct tevent_timer *timer;
@@ -69,7 +71,8 @@
 	}
 	atomic_store(&control->node->draining, true);
 	node_update_member(control->node);
-	leases_io_release(control->leases);
+	if (control->leases)
+		leases_io_release(control->leases);
 	enter_phase(control, STOP_NOTICE);
 }
 
@@ -278,8 +281,11 @@
 	if (!control->gossip)
 		return false;
 	control->puller = puller_create(control->ev, control->ev, node);
-	control->leases =
-		leases_io_create(control->ev, control->ev, node, control->store);
+	if (node->shares)
+		control->shares = shares_io_create(control->ev, control->ev, node);
+	else
+		control->leases =
+			leases_io_create(control->ev, control->ev, node, control->store);
 	control->poll =
 		config_poll_create(control->ev, control->ev, node, control->store);
 	control->admin = admin_create(control->ev, control->ev, node, error);
@@ -306,6 +312,7 @@
 	config_poll_destroy(control->poll);
 	store_destroy(control->store);
 	leases_io_destroy(control->leases);
+	shares_io_destroy(control->shares);
 	puller_destroy(control->puller);
 	gossip_io_destroy(control->gossip);
 	curl_loop_destroy(control->curl);
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -80,6 +80,8 @@
 	node->config_log = config_log_create();
 	node->config = config_build(node->config_log);
 	node->accounts = accounts_create();
+	if (settings->on_platform)
+		node->shares = shares_create(clock_boot_usec());
 	node->gate = gate_create(settings->on_platform ? LIMIT_SLOTS : LIMIT_GRADIENT);
 	node->live = live_table_create();
 	node->attempts = attempts_create();
@@ -98,6 +100,7 @@
 	config_unref(node->config);
 	config_log_destroy(node->config_log);
 	accounts_destroy(node->accounts);
+	shares_destroy(node->shares);
 	gate_destroy(node->gate);
 	live_table_destroy(node->live);
 	attempts_destroy(node->attempts);
@@ -221,7 +224,8 @@
 void node_become_ready(node_t *node)
 {
 	config_t *config = node_config(node);
-	bool whole = !node->settings->on_platform || config_snapshot(config) > 0;
+	bool whole = !node->settings->on_platform ||
+		     (config_snapshot(config) > 0 && atomic_load(&node->has_list));
 
 	config_unref(config);
 	if (whole && !atomic_exchange(&node->ready, true))
--- a/egretscaled/pull.c
+++ b/egretscaled/pull.c
@@ -59,6 +59,7 @@
 	g_hash_table_add(puller->complete_peers, g_strdup(puller->peer));
 	if (g_hash_table_size(puller->complete_peers) < PULL_PEERS_FOR_START)
 		return;
+	atomic_store(&node->has_list, true);
 	node_become_ready(node);
 }
 
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -8,6 +8,7 @@
 #include "egretscaled/http_request.h"
 #include "egretscaled/ingress.h"
 #include "egretscaled/peer_client.h"
+#include "egretscaled/shares_io.h"
 #include "platform/store.h"
 
 #include <errno.h>
@@ -262,6 +263,7 @@
 	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
 	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->borrowers = accounts_io_borrowers_create();
+	worker->delayed = shares_io_delayed_create();
 	worker->claims = claim_batch_create(worker);
 	worker->old_callers = g_ptr_array_new();
 	pthread_mutex_init(&worker->inbox_lock, NULL);
@@ -330,6 +332,7 @@
 	g_hash_table_destroy(worker->peers);
 	g_hash_table_destroy(worker->requests);
 	g_hash_table_destroy(worker->borrowers);
+	g_hash_table_destroy(worker->delayed);
 	claim_batch_destroy(worker->claims);
 	store_destroy(worker->store);
 	curl_loop_destroy(worker->curl);
--- /dev/null
+++ b/include/accounts/shares.h
@@ -0,0 +1,83 @@
+#ifndef EGRET_ACCOUNTS_SHARES_H
+#define EGRET_ACCOUNTS_SHARES_H
+
+#include "common/clock.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	shares - a node's part of each client account's rate, by demand
+ *
+ * DESCRIPTION
+ *	A state machine without I/O. Every node tells the others its demand for
+ *	each account; each takes the part of the rate that its demand has in all,
+ *	beside a floor that all have. With equal views the parts add up to one.
+ *
+ *	A peer that falls silent keeps the part that it had: the others share the
+ *	rest. The two sides of a partition so stay within the rate together, for
+ *	as long as it lasts. A node that starts takes an even part until it has
+ *	heard from every peer, or SHARES_SETTLE is over.
+ *
+ *	Views lag by the period in which demand is told; the part of the bound
+ *	that the deployment tolerates (allowance) covers it. Deployments that
+ *	tolerate none use accounts/lender.h.
+ *
+ * THREADS
+ *	None of its own; the owner holds one lock around every call.
+ */
+
+/* A peer that was not heard for so long counts as silent. */
+#define SHARES_SILENCE (2 * USEC_PER_SEC)
+
+typedef struct shares shares_t;
+
+/* The account's limits, and what its bound tolerates above them. */
+typedef struct account_limits {
+	double rate;	  /* requests a second */
+	double burst;	  /* requests */
+	double allowance; /* requests above rate and burst within one window */
+} account_limits_t;
+
+/* A node that starts waits so long for word of its peers. */
+#define SHARES_SETTLE (3 * USEC_PER_SEC)
+
+shares_t *shares_create(usec_t now);
+void shares_destroy(shares_t *shares);
+
+/* A peer exists (idempotent), or left for good. */
+void shares_add_peer(shares_t *shares, const char *peer, usec_t now);
+void shares_remove_peer(shares_t *shares, const char *peer);
+
+/* The peer told its whole demand: shares_begin_report(), then one
+ * shares_report_demand() for each account. */
+void shares_begin_report(shares_t *shares, const char *peer, usec_t now);
+void shares_report_demand(shares_t *shares, const char *peer, const char *account,
+			  double demand, usec_t now);
+
+/* Marks peers that fell silent. To be called now and then. */
+void shares_tick(shares_t *shares, usec_t now);
+
+/*
+ * Counts a request. Returns 0 if it may go on, the wait after which it may (its
+ * token is taken), or SHARES_REFUSED. Nothing waits longer than `wait_max`, and
+ * nothing waits for an account whose demand exceeds its rate.
+ */
+#define SHARES_REFUSED (-1)
+usec_t shares_take(shares_t *shares, const char *account, const account_limits_t *limits,
+		   usec_t wait_max, usec_t now);
+
+/* Demand of all nodes over the rate, as far as known. */
+double shares_pressure(shares_t *shares, const char *account, usec_t now);
+
+/* This node's part of the account, 0 to 1. */
+double shares_part(shares_t *shares, const char *account, usec_t now);
+
+/* Own demands to tell; `changed` says whether the others' view is out of date. */
+typedef void (*shares_demand_fn)(void *ctx, const char *account, double demand);
+void shares_own_demands(shares_t *shares, usec_t now, shares_demand_fn fn, void *ctx);
+bool shares_changed(shares_t *shares, usec_t now);
+
+#endif
--- a/include/egretscaled/gossip_io.h
+++ b/include/egretscaled/gossip_io.h
@@ -24,4 +24,7 @@
 			      GError **error);
 void gossip_io_destroy(gossip_io_t *io);
 
+/* Sends one signed datagram. */
+void gossip_io_send(node_t *node, const char *address, const Egret__Gossip *message);
+
 #endif
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node.h
@@ -1,6 +1,7 @@
 #ifndef EGRET_EGRETSCALED_NODE_H
 #define EGRET_EGRETSCALED_NODE_H
 
+#include "accounts/shares.h"
 #include "admission/gate.h"
 #include "claims/attempts.h"
 #include "config/config.h"
@@ -53,6 +54,7 @@
 
 	pthread_mutex_t account_lock;
 	struct accounts *accounts;
+	shares_t *shares; /* where the bounds tolerate lag; NULL for lending */
 
 	pthread_mutex_t gate_lock;
 	gate_t *gate;
@@ -74,6 +76,7 @@
 	uint32_t worker_count;
 
 	atomic_bool ready;    /* a whole configuration is in force */
+	atomic_bool has_list; /* the addresses of the other nodes are known */
 	atomic_bool draining; /* a planned stop has begun */
 	atomic_uint requests; /* HTTP requests and peer calls not yet answered */
 } node_t;
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct Egret__KeeperClaim Egret__KeeperClaim;
 typedef struct Egret__Member Egret__Member;
 typedef struct Egret__Suspicion Egret__Suspicion;
+typedef struct Egret__Demand Egret__Demand;
 typedef struct Egret__Gossip Egret__Gossip;
 
 
@@ -88,7 +89,8 @@
   EGRET__GOSSIP_KIND__GOSSIP_PING = 0,
   EGRET__GOSSIP_KIND__GOSSIP_ACK = 1,
   EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST = 2,
-  EGRET__GOSSIP_KIND__GOSSIP_NEWS = 3
+  EGRET__GOSSIP_KIND__GOSSIP_NEWS = 3,
+  EGRET__GOSSIP_KIND__GOSSIP_DEMAND = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(EGRET__GOSSIP_KIND)
 } Egret__GossipKind;
 
@@ -434,6 +436,20 @@
     , 0, 0, 0 }
 
 
+/*
+ * Requests a second that the sender takes for an account.
+ */
+struct  Egret__Demand
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t milli;
+};
+#define EGRET__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&egret__demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Egret__Gossip
 {
   ProtobufCMessage base;
@@ -446,10 +462,15 @@
   Egret__Member **members;
   size_t n_suspicions;
   Egret__Suspicion **suspicions;
+  /*
+   * all of the sender's, in GOSSIP_DEMAND
+   */
+  size_t n_demands;
+  Egret__Demand **demands;
 };
 #define EGRET__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__gossip__descriptor) \
-    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Egret__Header methods */
@@ -851,6 +872,25 @@
 void   egret__suspicion__free_unpacked
                      (Egret__Suspicion *message,
                       ProtobufCAllocator *allocator);
+/* Egret__Demand methods */
+void   egret__demand__init
+                     (Egret__Demand         *message);
+size_t egret__demand__get_packed_size
+                     (const Egret__Demand   *message);
+size_t egret__demand__pack
+                     (const Egret__Demand   *message,
+                      uint8_t             *out);
+size_t egret__demand__pack_to_buffer
+                     (const Egret__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Egret__Demand *
+       egret__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   egret__demand__free_unpacked
+                     (Egret__Demand *message,
+                      ProtobufCAllocator *allocator);
 /* Egret__Gossip methods */
 void   egret__gossip__init
                      (Egret__Gossip         *message);
@@ -935,6 +975,9 @@
 typedef void (*Egret__Suspicion_Closure)
                  (const Egret__Suspicion *message,
                   void *closure_data);
+typedef void (*Egret__Demand_Closure)
+                 (const Egret__Demand *message,
+                  void *closure_data);
 typedef void (*Egret__Gossip_Closure)
                  (const Egret__Gossip *message,
                   void *closure_data);
@@ -970,6 +1013,7 @@
 extern const ProtobufCMessageDescriptor egret__keeper_claim__descriptor;
 extern const ProtobufCMessageDescriptor egret__member__descriptor;
 extern const ProtobufCMessageDescriptor egret__suspicion__descriptor;
+extern const ProtobufCMessageDescriptor egret__demand__descriptor;
 extern const ProtobufCMessageDescriptor egret__gossip__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &egret__suspicion__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   egret__demand__init
+                     (Egret__Demand         *message)
+{
+  static const Egret__Demand init_value = EGRET__DEMAND__INIT;
+  *message = init_value;
+}
+size_t egret__demand__get_packed_size
+                     (const Egret__Demand *message)
+{
+  assert(message->base.descriptor == &egret__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t egret__demand__pack
+                     (const Egret__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &egret__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t egret__demand__pack_to_buffer
+                     (const Egret__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &egret__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Egret__Demand *
+       egret__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Egret__Demand *)
+     protobuf_c_message_unpack (&egret__demand__descriptor,
+                                allocator, len, data);
+}
+void   egret__demand__free_unpacked
+                     (Egret__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &egret__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   egret__gossip__init
                      (Egret__Gossip         *message)
 {
@@ -2927,7 +2972,58 @@
   (ProtobufCMessageInit) egret__suspicion__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[7] =
+static const ProtobufCFieldDescriptor egret__demand__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Demand, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Demand, milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned egret__demand__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = milli */
+};
+static const ProtobufCIntRange egret__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor egret__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "egret.Demand",
+  "Demand",
+  "Egret__Demand",
+  "egret",
+  sizeof(Egret__Demand),
+  2,
+  egret__demand__field_descriptors,
+  egret__demand__field_indices_by_name,
+  1,  egret__demand__number_ranges,
+  (ProtobufCMessageInit) egret__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[8] =
 {
   {
     "kind",
@@ -3013,9 +3109,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demands",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Egret__Gossip, n_demands),
+    offsetof(Egret__Gossip, demands),
+    &egret__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__gossip__field_indices_by_name[] = {
   4,   /* field[4] = config_revision */
+  7,   /* field[7] = demands */
   0,   /* field[0] = kind */
   5,   /* field[5] = members */
   3,   /* field[3] = sender */
@@ -3026,7 +3135,7 @@
 static const ProtobufCIntRange egret__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor egret__gossip__descriptor =
 {
@@ -3036,7 +3145,7 @@
   "Egret__Gossip",
   "egret",
   sizeof(Egret__Gossip),
-  7,
+  8,
   egret__gossip__field_descriptors,
   egret__gossip__field_indices_by_name,
   1,  egret__gossip__number_ranges,
@@ -3201,19 +3310,21 @@
   egret__target_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[4] =
+static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[5] =
 {
   { "GOSSIP_PING", "EGRET__GOSSIP_KIND__GOSSIP_PING", 0 },
   { "GOSSIP_ACK", "EGRET__GOSSIP_KIND__GOSSIP_ACK", 1 },
   { "GOSSIP_PING_REQUEST", "EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST", 2 },
   { "GOSSIP_NEWS", "EGRET__GOSSIP_KIND__GOSSIP_NEWS", 3 },
+  { "GOSSIP_DEMAND", "EGRET__GOSSIP_KIND__GOSSIP_DEMAND", 4 },
 };
 static const ProtobufCIntRange egret__gossip_kind__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[5] =
 {
   { "GOSSIP_ACK", 1 },
+  { "GOSSIP_DEMAND", 4 },
   { "GOSSIP_NEWS", 3 },
   { "GOSSIP_PING", 0 },
   { "GOSSIP_PING_REQUEST", 2 },
@@ -3225,9 +3336,9 @@
   "GossipKind",
   "Egret__GossipKind",
   "egret",
-  4,
+  5,
   egret__gossip_kind__enum_values_by_number,
-  4,
+  5,
   egret__gossip_kind__enum_values_by_name,
   1,
   egret__gossip_kind__value_ranges,
