--- a/admission/gate.c
+++ b/admission/gate.c
@@ -13,6 +13,7 @@
 	uint32_t inflight;
 	uint32_t queue_slots;
 	bool open;
+	bool levels; /* tells a shed level: calls carry the priority of their request */
 };
 
 gate_t *gate_create(limit_algorithm_t algorithm)
@@ -20,6 +21,7 @@
 	gate_t *gate = g_new0(gate_t, 1);
 
 	gate->limit = limit_create(algorithm);
+	gate->levels = algorithm != LIMIT_SLOTS;
 	gate->level = shed_level_create();
 	gate->pace = pace_create();
 	gate->queue = g_sequence_new(NULL);
@@ -233,7 +235,8 @@
 
 void gate_load(gate_t *gate, usec_t now, gate_load_t *out)
 {
-	out->level = shed_level_value(gate->level, now);
+	out->level =
+		gate->levels ? shed_level_value(gate->level, now) : PRIORITY_LEVEL_ALL;
 	out->limit = present_capacity(gate, now);
 	out->inflight = gate->inflight;
 	out->queued = (uint32_t)g_sequence_get_length(gate->queue);
--- a/common/log.c
+++ b/common/log.c
@@ -13,6 +13,8 @@
 #include <unistd.h>
 
 #define QUEUE_BYTES (1u << 20)
+/* Lines gather for so long, so that a busy node wakes its writer seldom. */
+#define GATHER_USEC 50000
 #define CATEGORY_NAME "egretscale"
 
 static struct {
@@ -90,7 +92,7 @@
 static void write_all(const char *data, size_t len)
 {
 	while (len > 0) {
-		ssize_t n = write(STDERR_FILENO, data, len);
+		ssize_t n = write(STDOUT_FILENO, data, len);
 		if (n <= 0)
 			return;
 		data += n;
@@ -109,6 +111,11 @@
 			pthread_cond_wait(&state.wake, &state.lock);
 		if (state.queue->len == 0)
 			break;
+		if (!state.stopping) {
+			pthread_mutex_unlock(&state.lock);
+			g_usleep(GATHER_USEC);
+			pthread_mutex_lock(&state.lock);
+		}
 		GString *full = state.queue;
 		state.queue = batch;
 		batch = full;
--- a/egretscaled/call.c
+++ b/egretscaled/call.c
@@ -19,15 +19,16 @@
 }
 
 call_t *call_create(const request_context_t *context, uint64_t attempt,
-		    const char *service, const char *method, const char *path)
+		    const call_line_t *line)
 {
 	call_t *call = g_new0(call_t, 1);
 
 	request_context_copy(&call->context, context);
 	call->attempt = attempt;
-	call->service = g_strdup(service);
-	call->method = g_strdup(method);
-	call->path = g_strdup(path);
+	call->service = g_strdup(line->service);
+	call->route = g_strdup(line->route);
+	call->method = g_strdup(line->method);
+	call->path = g_strdup(line->path);
 	call->headers = headers_create();
 	call->content_length = LENGTH_UNKNOWN;
 	call->request_body = body_create();
@@ -57,6 +58,7 @@
 	body_destroy(call->request_body);
 	body_destroy(call->reply_body);
 	g_free(call->service);
+	g_free(call->route);
 	g_free(call->method);
 	g_free(call->path);
 	g_free(call);
--- a/egretscaled/call_codec.c
+++ b/egretscaled/call_codec.c
@@ -7,6 +7,8 @@
 #define DEPTH_MAX 64
 #define TIMEOUT_MAX_MS 600000u
 #define RETRIES_MAX 10u
+#define MILLI 1000.0
+#define PRESSURE_MAX 1000.0
 
 static bool context_valid(const Egret__Context *wire)
 {
@@ -70,8 +72,8 @@
 	};
 	context.request_id =
 		g_strndup((const char *)from->request_id.data, from->request_id.len);
-	call_t *call = call_create(&context, wire->attempt, wire->service, wire->method,
-				   wire->path);
+	call_line_t line = {wire->service, wire->route, wire->method, wire->path};
+	call_t *call = call_create(&context, wire->attempt, &line);
 	g_free(context.request_id);
 	call->content_length = wire->content_length;
 	decode_headers(wire->headers, wire->n_headers, call->headers);
@@ -99,6 +101,7 @@
 	wire->context = context;
 	wire->attempt = call->attempt;
 	wire->service = call->service;
+	wire->route = call->route;
 	wire->method = call->method;
 	wire->path = call->path;
 	wire->content_length = call->content_length;
@@ -127,6 +130,7 @@
 		out->limit = wire->load->limit;
 		out->inflight = wire->load->inflight;
 		out->queued = wire->load->queued;
+		out->pressure_below = wire->load->pressure_below_milli / MILLI;
 	}
 	out->headers = headers_create();
 	decode_headers(wire->headers, wire->n_headers, out->headers);
@@ -149,6 +153,8 @@
 	load->limit = reply->limit;
 	load->inflight = reply->inflight;
 	load->queued = reply->queued;
+	load->pressure_below_milli =
+		(uint32_t)CLAMP(reply->pressure_below * MILLI, 0, PRESSURE_MAX * MILLI);
 	wire->load = load;
 }
 
--- a/egretscaled/entry.c
+++ b/egretscaled/entry.c
@@ -1,5 +1,6 @@
 #include "egretscaled/entry.h"
 
+#include "admission/pressure.h"
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -129,7 +130,7 @@
 
 	if (account)
 		return account;
-	return route->open || is_call_of_target(request) ? g_strdup("") : NULL;
+	return route->open || request->of_target ? g_strdup("") : NULL;
 }
 
 static uint32_t importance_of(const config_t *config, const char *account,
@@ -159,6 +160,15 @@
 	settings->dialect->add_origin(&origin, add_header, request->headers);
 }
 
+static void note_onward(const http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	pthread_mutex_lock(&node->router_lock);
+	onward_call(node->onward, request->route, request->service, request->arrived);
+	pthread_mutex_unlock(&node->router_lock);
+}
+
 static bool fill_from_route(http_request_t *request, const config_t *config)
 {
 	const record_t *record =
@@ -168,13 +178,17 @@
 		return refuse(request, EGRET__REASON__REASON_NO_ROUTE);
 	const route_t *route = &record->route;
 	request_context_t *context = &request->context;
+	request->of_target = is_call_of_target(request);
 	context->account = account_of(request, config, route);
 	if (!context->account) {
 		counter_add(COUNTER_REFUSED_KEY, 1);
 		return refuse(request, EGRET__REASON__REASON_KEY);
 	}
 	uint32_t timeout_ms = request_timeout(request, route->timeout_ms);
-	context->importance = importance_of(config, context->account, route);
+	/* What a call belongs to has cost work already, so it goes first. */
+	context->importance = request->of_target
+				      ? IMPORTANCE_LEVELS - 1
+				      : importance_of(config, context->account, route);
 	context->idempotent = route->idempotent;
 	context->deadline = request->arrived + (usec_t)timeout_ms * USEC_PER_MSEC;
 	request->retries.left = route->retries;
@@ -182,6 +196,8 @@
 	request->target_path = g_strdup(request->path);
 	request->route = g_strdup(record->name);
 	add_origin(request);
+	if (request->of_target)
+		note_onward(request);
 	return true;
 }
 
@@ -230,16 +246,49 @@
 	return suspect;
 }
 
+static void find_importance(void *ctx, const record_t *record)
+{
+	importance_range_t *range = ctx;
+
+	range->lowest = MIN(range->lowest, record->route.importance);
+	range->highest = MAX(range->highest, record->route.importance);
+}
+
+/* By the pressure of the route's own service and of those below it. Calls of the
+ * target belong to requests that were admitted already. */
+static bool is_pressed(const http_request_t *request, double *pressure)
+{
+	node_t *node = request->worker->node;
+	usec_t now = clock_boot_usec();
+	importance_range_t range = {IMPORTANCE_LEVELS, 0};
+
+	if (request->of_target)
+		return false;
+	pthread_mutex_lock(&node->router_lock);
+	double own = router_service_pressure(node->router, request->service, now);
+	double below = backpressure_pressure(node->backpressure, request->route, now);
+	pthread_mutex_unlock(&node->router_lock);
+	*pressure = MAX(own, below);
+	config_t *config = node_config(node);
+	config_foreach(config, RECORD_ROUTE, find_importance, &range);
+	config_unref(config);
+	double draw = (double)(uint32_t)node_random_id() / (double)UINT32_MAX;
+	return !pressure_admits(*pressure, request->context.importance, &range, draw);
+}
+
 static bool is_shed(http_request_t *request)
 {
 	node_t *node = request->worker->node;
 	priority_t priority = request_context_priority(&request->context);
+	double pressure = 0;
 
 	pthread_mutex_lock(&node->router_lock);
 	priority_t level =
 		backpressure_level(node->backpressure, request->route, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
-	if (priority < level)
+	bool pressed = node->settings->dialect->target_calls_as_caller &&
+		       is_pressed(request, &pressure);
+	if (priority < level && !pressed)
 		return false;
 	counter_add(COUNTER_REFUSED_SHED, 1);
 	log_rec_t rec;
@@ -250,6 +299,7 @@
 	log_int(&rec, "importance", request->context.importance);
 	log_int(&rec, "rank", request->context.rank);
 	log_int(&rec, "level", level);
+	log_int(&rec, "pressure_milli", (int64_t)(pressure * 1000));
 	log_end(&rec);
 	return true;
 }
--- a/egretscaled/http_attempt.c
+++ b/egretscaled/http_attempt.c
@@ -13,6 +13,8 @@
 /* Of what is left, at most this part goes to the margin. */
 #define DEADLINE_MARGIN_SHARE 10
 #define EXCLUDED_MAX ROUTER_EXCLUDED_MAX
+/* Other instances asked after attempts that reached no target. */
+#define REROUTES_MAX 3
 
 static void log_route(const http_request_t *request, const router_choice_t *choice)
 {
@@ -30,6 +32,7 @@
 	log_int(&rec, "attempt", request->attempt_count);
 	log_int(&rec, "candidates", choice->candidates);
 	log_int(&rec, "passed_zone_out", choice->passed_zone_out);
+	log_int(&rec, "passed_silent", choice->passed_silent);
 	log_int(&rec, "passed_ejected", choice->passed_ejected);
 	log_int(&rec, "passed_level", choice->passed_level);
 	log_int(&rec, "passed_excluded", choice->passed_excluded);
@@ -49,8 +52,10 @@
 		g_strlcpy(wanted.excluded[i], request->excluded[i], ADDRESS_TEXT_BYTES);
 	pthread_mutex_lock(&node->router_lock);
 	router_pick(node->router, &wanted, clock_boot_usec(), choice);
-	/* With every instance tried, any one may be tried again. */
-	if (choice->why == ROUTER_NO_INSTANCE && choice->passed_excluded > 0) {
+	/* With every instance tried, any one may be tried again; not those that just
+	 * refused for lack of room. */
+	if (choice->why == ROUTER_NO_INSTANCE && choice->passed_excluded > 0 &&
+	    request->reroutes == 0) {
 		wanted.excluded_count = 0;
 		router_pick(node->router, &wanted, clock_boot_usec(), choice);
 	}
@@ -119,10 +124,14 @@
 	request->attempt_count++;
 	request->routed = true;
 	g_strlcpy(request->instance, choice.address, sizeof(request->instance));
-	request->lent = retry_lend(&request->retries);
+	/* Where the target's calls do not name their parent, none of them could use a
+	 * retry that was lent. */
+	if (!worker->node->settings->dialect->target_calls_as_caller)
+		request->lent = retry_lend(&request->retries);
 	request->context.retries = request->lent;
-	call_t *call = call_create(&request->context, node_random_id(), request->service,
-				   request->method, request->target_path);
+	call_line_t line = {request->service, request->route ? request->route : "",
+			    request->method, request->target_path};
+	call_t *call = call_create(&request->context, node_random_id(), &line);
 	request->call = call;
 	g_ptr_array_unref(call->headers);
 	call->headers = g_ptr_array_ref(request->headers);
@@ -190,6 +199,9 @@
 		    now);
 	if (reported && outcome == ROUTER_ANSWERED)
 		backpressure_note(node->backpressure, request->route, reply->below, now);
+	if (reported)
+		backpressure_note_pressure(node->backpressure, request->route,
+					   reply->pressure_below, now);
 	pthread_mutex_unlock(&node->router_lock);
 }
 
@@ -261,6 +273,48 @@
 	}
 }
 
+/* The attempt ended before a target's connection: another instance may be asked
+ * without a retry, since no target saw the request. */
+static bool reached_no_target(const call_reply_t *reply)
+{
+	if (reply->outcome != EGRET__OUTCOME__OUTCOME_NOT_RUN)
+		return false;
+	switch (reply->reason) {
+	case EGRET__REASON__REASON_SHED:
+	case EGRET__REASON__REASON_PEER_LOST:
+	case EGRET__REASON__REASON_TARGET_UNREACHABLE:
+	case EGRET__REASON__REASON_DRAINING:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void exclude_instance(http_request_t *request)
+{
+	if (request->excluded_count >= EXCLUDED_MAX)
+		return;
+	if (!request->excluded)
+		request->excluded = g_malloc0(EXCLUDED_MAX * ADDRESS_TEXT_BYTES);
+	g_strlcpy(request->excluded[request->excluded_count++], request->instance,
+		  ADDRESS_TEXT_BYTES);
+}
+
+static bool reroute(http_request_t *request, const call_reply_t *reply)
+{
+	if (!reached_no_target(reply) || !body_repeatable(request) ||
+	    request->reroutes >= REROUTES_MAX ||
+	    request->context.deadline <= clock_boot_usec())
+		return false;
+	request->reroutes++;
+	counter_add(COUNTER_REROUTES, 1);
+	exclude_instance(request);
+	call_destroy(request->call);
+	request->call = NULL;
+	start_attempt(request);
+	return true;
+}
+
 static bool retry_later(http_request_t *request, const call_reply_t *reply)
 {
 	node_t *node = request->worker->node;
@@ -277,12 +331,7 @@
 	}
 	retry_take(&request->retries);
 	counter_add(COUNTER_RETRIES, 1);
-	if (request->excluded_count < EXCLUDED_MAX) {
-		if (!request->excluded)
-			request->excluded = g_malloc0(EXCLUDED_MAX * ADDRESS_TEXT_BYTES);
-		g_strlcpy(request->excluded[request->excluded_count++], request->instance,
-			  ADDRESS_TEXT_BYTES);
-	}
+	exclude_instance(request);
 	call_destroy(request->call);
 	request->call = NULL;
 	request->retry_timer =
@@ -306,6 +355,6 @@
 			http_request_ready(request);
 		return;
 	}
-	if (!retry_later(request, reply))
+	if (!reroute(request, reply) && !retry_later(request, reply))
 		http_request_refuse(request, reply->outcome, reply->reason);
 }
--- a/egretscaled/ingress.c
+++ b/egretscaled/ingress.c
@@ -170,6 +170,17 @@
 	frame_link_send(il->link, &frame);
 }
 
+static void send_pong(ingress_link_t *il)
+{
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Ping pong = EGRET__PING__INIT;
+
+	pong.pong = true;
+	frame.kind_case = EGRET__FRAME__KIND_PING;
+	frame.ping = &pong;
+	frame_link_send(il->link, &frame);
+}
+
 static void handle_frame(void *ctx, const Egret__Frame *frame)
 {
 	ingress_link_t *il = ctx;
@@ -201,6 +212,9 @@
 	case EGRET__FRAME__KIND_LOAN_REQUEST:
 		accounts_io_handle_request(il->worker, il->link, frame->loan_request);
 		break;
+	case EGRET__FRAME__KIND_PING:
+		send_pong(il);
+		break;
 	case EGRET__FRAME__KIND_PULL:
 		pull_answer(il->worker->node, il->link, frame->pull);
 		break;
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -10,17 +10,25 @@
 #include "egretscaled/shares_io.h"
 #include "egretscaled/worker.h"
 
+#include "platform/settings.h"
+
 #include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define EXIT_FAILED 1
 #define CACHED_CONNECTIONS 8L
+#define SETTINGS_CHECK_PERIOD USEC_PER_SEC
 #define CONTROL_TICK (100 * USEC_PER_MSEC)
-/* Peers learn of a drain within this time, before the gate closes. */
+/* Peers learn of a drain within this time, before the listeners close. */
 #define DRAIN_NOTICE (1 * USEC_PER_SEC)
+/* The platform's clients turn away after two missed readiness checks, one a second. */
+#define PLATFORM_NOTICE (2300 * USEC_PER_MSEC)
+/* Of the time from SIGTERM to SIGKILL, what running requests may use. */
+#define STOP_SHARE(span) ((span) / 6 * 5)
 #define FAREWELL (300 * USEC_PER_MSEC)
 
 typedef enum stop_phase {
@@ -46,7 +54,10 @@
 	struct tevent_timer *timer;
 	stop_phase_t phase;
 	usec_t phase_started;
+	usec_t stop_started;
 	usec_t last_tick;
+	usec_t next_settings_check;
+	struct stat settings_stat;
 	bool hurry;
 } control_t;
 
@@ -74,6 +85,7 @@
 	if (control->leases)
 		leases_io_release(control->leases);
 	enter_phase(control, STOP_NOTICE);
+	control->stop_started = control->phase_started;
 }
 
 static void leave_directory(control_t *control)
@@ -107,22 +119,38 @@
 	log_end(&rec);
 }
 
+static usec_t notice_span(const node_t *node)
+{
+	if (!node->settings->on_platform)
+		return DRAIN_NOTICE;
+	return MIN(PLATFORM_NOTICE, node_bounds(node)->stop_within / 2);
+}
+
+/* From the begin of a stop until requests that still run are cut. */
+static usec_t stop_limit(const node_t *node)
+{
+	const settings_t *settings = node->settings;
+
+	if (!settings->on_platform)
+		return (usec_t)settings->drain_timeout_sec * USEC_PER_SEC + DRAIN_NOTICE;
+	return STOP_SHARE(node_bounds(node)->stop_within);
+}
+
 static void step_stop(control_t *control, usec_t now)
 {
 	node_t *node = control->node;
 	usec_t elapsed = now - control->phase_started;
-	usec_t limit = (usec_t)node->settings->drain_timeout_sec * USEC_PER_SEC;
+	bool waited = now - control->stop_started >= stop_limit(node);
 
 	switch (control->phase) {
 	case STOP_NOTICE:
-		if (elapsed < DRAIN_NOTICE && !control->hurry)
+		if (elapsed < notice_span(node) && !control->hurry)
 			return;
 		close_listeners(control);
 		enter_phase(control, STOP_FINISH);
 		break;
 	case STOP_FINISH:
-		if (atomic_load(&node->requests) > 0 && elapsed < limit &&
-		    !control->hurry)
+		if (atomic_load(&node->requests) > 0 && !waited && !control->hurry)
 			return;
 		count_cut(control);
 		leave_directory(control);
@@ -153,6 +181,50 @@
 	config_poll_hurry(control->poll);
 }
 
+/* Takes what the platform's file says now; a bad file changes nothing. */
+static void reread_settings(control_t *control)
+{
+	node_t *node = control->node;
+	const char *path = node->settings->settings_file;
+	settings_t fresh = {.bounds = *node_bounds(node)};
+	GError *error = NULL;
+	log_rec_t rec;
+
+	if (!path)
+		return;
+	if (!platform_settings_read(path, &fresh, &error)) {
+		log_failure(
+			"read the settings file again; the earlier ones stay in force",
+			error);
+		g_clear_error(&error);
+		return;
+	}
+	node_take_settings(node, &fresh);
+	settings_clear(&fresh);
+	log_begin(&rec, LOG_LEVEL_INFO, "reload");
+	log_str(&rec, "settings", path);
+	log_end(&rec);
+}
+
+/* The file may change without a signal. */
+static void check_settings_file(control_t *control)
+{
+	const char *path = control->node->settings->settings_file;
+	struct stat now;
+
+	if (!path || stat(path, &now) != 0)
+		return;
+	bool changed = control->settings_stat.st_ino != now.st_ino ||
+		       control->settings_stat.st_size != now.st_size ||
+		       control->settings_stat.st_mtim.tv_sec != now.st_mtim.tv_sec ||
+		       control->settings_stat.st_mtim.tv_nsec != now.st_mtim.tv_nsec;
+	bool first = control->settings_stat.st_ino == 0;
+
+	control->settings_stat = now;
+	if (changed && !first)
+		reread_settings(control);
+}
+
 static void schedule(control_t *control);
 
 static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
@@ -166,6 +238,10 @@
 
 	check_pause(control, now);
 	node_check_target(control->node);
+	if (now >= control->next_settings_check) {
+		control->next_settings_check = now + SETTINGS_CHECK_PERIOD;
+		check_settings_file(control);
+	}
 	step_stop(control, now);
 	schedule(control);
 }
@@ -223,6 +299,7 @@
 	node_t *node = control->node;
 	GError *error = NULL;
 
+	reread_settings(control);
 	if (!peer_auth_reload(node->auth, &error)) {
 		log_failure("read the peer secrets again", error);
 		g_clear_error(&error);
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -69,6 +69,8 @@
 		return NULL;
 	node_t *node = g_new0(node_t, 1);
 	node->settings = settings;
+	node->old_bounds = g_ptr_array_new_with_free_func(g_free);
+	atomic_init(&node->bounds, &settings->bounds);
 	node->auth = auth;
 	node->gossip_fd = -1;
 	node->node_id = node_random_id();
@@ -87,6 +89,7 @@
 	node->attempts = attempts_create();
 	node->router = router_create(settings->zone, node_random_id());
 	node->backpressure = backpressure_create();
+	node->onward = onward_create();
 	node->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->suspects = suspects_create();
 	return node;
@@ -106,15 +109,34 @@
 	attempts_destroy(node->attempts);
 	router_destroy(node->router);
 	backpressure_destroy(node->backpressure);
+	onward_destroy(node->onward);
 	g_hash_table_destroy(node->ratios);
 	suspects_destroy(node->suspects);
 	peer_auth_destroy(node->auth);
 	g_free(node->workers);
+	g_ptr_array_free(node->old_bounds, TRUE);
 	g_free(node->tls_cert);
 	g_free(node->tls_key);
 	g_free(node);
 }
 
+const bounds_t *node_bounds(const node_t *node)
+{
+	return atomic_load(&node->bounds);
+}
+
+void node_take_settings(node_t *node, const settings_t *fresh)
+{
+	bounds_t *bounds = g_memdup2(&fresh->bounds, sizeof(fresh->bounds));
+
+	g_ptr_array_add(node->old_bounds, bounds);
+	atomic_store(&node->bounds, bounds);
+	pthread_mutex_lock(&node->gossip_lock);
+	for (char **seed = fresh->seeds; seed && *seed; seed++)
+		gossip_add_seed(node->gossip, *seed);
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
 config_t *node_config(node_t *node)
 {
 	pthread_mutex_lock(&node->config_lock);
@@ -287,7 +309,7 @@
 /* A target that is cold bears so many requests in a second. Under gate_lock. */
 static void pace_gate(node_t *node, const service_record_t *service)
 {
-	const bounds_t *bounds = &node->settings->bounds;
+	const bounds_t *bounds = node_bounds(node);
 
 	if (!service || service->cold_rate <= 0)
 		return;
@@ -308,7 +330,7 @@
 
 	pthread_mutex_lock(&node->gate_lock);
 	target_change_t change = target_take_report(&node->target, report, now,
-						    node->settings->bounds.leave_within);
+						    node_bounds(node)->leave_within);
 	if (change == TARGET_STARTED || change == TARGET_CHANGED)
 		open_gate(node, service, now, change == TARGET_STARTED);
 	if (change != TARGET_REPORT_STALE)
@@ -325,6 +347,21 @@
 	node_run_gate(node);
 }
 
+void node_target_refuses(node_t *node)
+{
+	pthread_mutex_lock(&node->gate_lock);
+	bool news = target_refuses(&node->target);
+	if (news)
+		gate_close(node->gate);
+	target_t target = node->target;
+	pthread_mutex_unlock(&node->gate_lock);
+	if (!news)
+		return;
+	log_target(&target, "refuses");
+	node_update_member(node);
+	node_run_gate(node);
+}
+
 void node_leave_report(node_t *node, target_report_t *out)
 {
 	pthread_mutex_lock(&node->gate_lock);
@@ -364,6 +401,32 @@
 	pthread_mutex_unlock(&node->gate_lock);
 }
 
+typedef struct pressure_search {
+	node_t *node;
+	usec_t now;
+	double highest;
+} pressure_search_t;
+
+static void take_pressure(void *ctx, const char *call_route, const char *service)
+{
+	pressure_search_t *search = ctx;
+	node_t *node = search->node;
+	double own = router_service_pressure(node->router, service, search->now);
+	double below = backpressure_pressure(node->backpressure, call_route, search->now);
+
+	search->highest = MAX(search->highest, MAX(own, below));
+}
+
+double node_pressure_below(node_t *node, const char *route)
+{
+	pressure_search_t search = {.node = node, .now = clock_boot_usec()};
+
+	pthread_mutex_lock(&node->router_lock);
+	onward_foreach(node->onward, route, search.now, take_pressure, &search);
+	pthread_mutex_unlock(&node->router_lock);
+	return search.highest;
+}
+
 static retry_ratio_t *ratio_for(node_t *node, const char *service)
 {
 	retry_ratio_t *ratio = g_hash_table_lookup(node->ratios, service);
--- a/egretscaled/peer_client.c
+++ b/egretscaled/peer_client.c
@@ -1,6 +1,7 @@
 #include "egretscaled/peer_client.h"
 
 #include "common/counters.h"
+#include "common/error.h"
 #include "common/log.h"
 #include "egretscaled/accounts_io.h"
 #include "egretscaled/call_codec.h"
@@ -10,6 +11,12 @@
 
 #define FENCE_TIMEOUT (1 * USEC_PER_SEC)
 #define FENCE_RETRY (50 * USEC_PER_MSEC)
+/* A peer with calls under way that sent nothing for so long is asked for a sign. */
+#define PING_AFTER (100 * USEC_PER_MSEC)
+/* Without one it counts as silent; with one missing for long its link is given up. */
+#define SILENT_AFTER (250 * USEC_PER_MSEC)
+#define SILENT_PING (300 * USEC_PER_MSEC)
+#define GIVE_UP_AFTER USEC_PER_SEC
 
 typedef struct peer_call {
 	peer_client_t *client;
@@ -30,6 +37,10 @@
 	frame_link_t *link;
 	GHashTable *calls;  /* attempt -> peer_call_t on the present link */
 	GHashTable *fences; /* attempt -> peer_call_t waiting for a fence reply */
+	usec_t heard;	    /* last frame */
+	usec_t pinged;	    /* since then; 0 if not */
+	usec_t last_ping;
+	bool silent;
 };
 
 static const frame_link_ops_t link_ops;
@@ -236,11 +247,88 @@
 		stream_out_credit(&pc->out, credit->bytes);
 }
 
+static void log_peer(const peer_client_t *client)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "peer");
+	log_str(&rec, "address", client->address);
+	log_str(&rec, "change", client->silent ? "silent" : "heard");
+	log_int(&rec, "calls", g_hash_table_size(client->calls));
+	log_end(&rec);
+}
+
+/* Returns whether the peer's instance is still known. */
+static bool tell_router(peer_client_t *client, bool silent)
+{
+	node_t *node = client->worker->node;
+
+	pthread_mutex_lock(&node->router_lock);
+	bool known = router_set_silent(node->router, client->address, silent);
+	pthread_mutex_unlock(&node->router_lock);
+	if (client->silent != silent) {
+		client->silent = silent;
+		log_peer(client);
+	}
+	return known;
+}
+
+static void note_heard(peer_client_t *client)
+{
+	client->heard = clock_boot_usec();
+	client->pinged = 0;
+	if (client->silent)
+		tell_router(client, false);
+}
+
+static void send_ping(peer_client_t *client, usec_t now)
+{
+	Egret__Frame frame = EGRET__FRAME__INIT;
+	Egret__Ping ping = EGRET__PING__INIT;
+	frame_link_t *link = client_link(client);
+
+	if (!client->pinged)
+		client->pinged = now;
+	client->last_ping = now;
+	frame.kind_case = EGRET__FRAME__KIND_PING;
+	frame.ping = &ping;
+	if (link)
+		frame_link_send(link, &frame);
+}
+
+/* Looks after one peer: is it there while its calls take long? */
+static void check_peer(peer_client_t *client, usec_t now)
+{
+	bool waits = g_hash_table_size(client->calls) > 0 || client->silent;
+
+	if (!waits) {
+		client->pinged = 0;
+		return;
+	}
+	usec_t period = client->silent ? SILENT_PING : PING_AFTER;
+	if (now - client->heard >= PING_AFTER && now - client->last_ping >= period)
+		send_ping(client, now);
+	if (!client->pinged || now - client->pinged < SILENT_AFTER)
+		return;
+	/* A peer that left the directory is not waited for. */
+	if (!tell_router(client, true))
+		client->silent = false;
+	if (client->link && now - client->pinged >= GIVE_UP_AFTER) {
+		GError *error = g_error_new(EGRET_ERROR, EGRET_ERROR_SLOW,
+					    "%s sent nothing for %d ms", client->address,
+					    (int)((now - client->heard) / USEC_PER_MSEC));
+		client->pinged = now;
+		handle_closed(client, error);
+		g_error_free(error);
+	}
+}
+
 static void handle_frame(void *ctx, const Egret__Frame *frame)
 {
 	peer_client_t *client = ctx;
 	peer_call_t *pc;
 
+	note_heard(client);
 	switch (frame->kind_case) {
 	case EGRET__FRAME__KIND_REPLY:
 		take_reply(client, frame->reply);
@@ -325,6 +413,8 @@
 	wire.end = end;
 	frame.kind_case = EGRET__FRAME__KIND_CALL;
 	frame.call = &wire;
+	if (g_hash_table_size(client->calls) == 1 && !client->silent)
+		client->heard = now;
 	pc->position = frame_link_send(link, &frame);
 	call_encode_clear(&wire);
 	counter_add(COUNTER_CALLS_OUT, 1);
@@ -339,13 +429,24 @@
 		frame_link_send(link, frame);
 }
 
+void peer_clients_check(worker_t *worker, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, worker->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		check_peer(value, now);
+}
+
 static gboolean is_idle(gpointer key, gpointer value, gpointer data)
 {
 	(void)key;
 	const peer_client_t *client = value;
 	usec_t now = *(const usec_t *)data;
 
-	if (g_hash_table_size(client->calls) > 0 || g_hash_table_size(client->fences) > 0)
+	if (g_hash_table_size(client->calls) > 0 ||
+	    g_hash_table_size(client->fences) > 0 || client->silent)
 		return FALSE;
 	return !client->link || now - frame_link_last_used(client->link) > PEER_IDLE;
 }
--- a/egretscaled/shares_io.c
+++ b/egretscaled/shares_io.c
@@ -180,7 +180,7 @@
 
 static bool limits_of(node_t *node, const char *account, account_limits_t *out)
 {
-	const bounds_t *bounds = &node->settings->bounds;
+	const bounds_t *bounds = node_bounds(node);
 	config_t *config = node_config(node);
 	const client_account_t *record = config_client_account(config, account);
 
--- a/egretscaled/target_call.c
+++ b/egretscaled/target_call.c
@@ -63,8 +63,10 @@
 	log_end(&rec);
 }
 
-static void fill_load(call_reply_t *reply, const gate_load_t *load, priority_t below)
+static void fill_load(target_call_t *tc, call_reply_t *reply, const gate_load_t *load,
+		      priority_t below)
 {
+	reply->pressure_below = node_pressure_below(tc->worker->node, tc->call->route);
 	reply->has_load = true;
 	reply->level = load->level;
 	reply->below = below;
@@ -84,7 +86,7 @@
 	pthread_mutex_lock(&node->gate_lock);
 	gate_load(node->gate, clock_boot_usec(), &load);
 	pthread_mutex_unlock(&node->gate_lock);
-	fill_load(&reply, &load, PRIORITY_LEVEL_ALL);
+	fill_load(tc, &reply, &load, PRIORITY_LEVEL_ALL);
 	reply.retries_back = call->context.retries;
 	call_detach_done(call);
 	body_end(call->reply_body);
@@ -102,6 +104,11 @@
 	if (tc->attempt_started)
 		attempts_finish(node->attempts, tc->call->attempt, now);
 	pthread_mutex_unlock(&node->live_lock);
+	if (tc->live) {
+		pthread_mutex_lock(&node->router_lock);
+		onward_end(node->onward, tc->call->route);
+		pthread_mutex_unlock(&node->router_lock);
+	}
 	tc->live = false;
 	tc->attempt_started = false;
 	for (guint i = 0; summary->children && i < summary->children->len; i++)
@@ -235,7 +242,7 @@
 	pthread_mutex_lock(&node->live_lock);
 	live_report(node->live, tc->token, &summary);
 	pthread_mutex_unlock(&node->live_lock);
-	fill_load(&tc->reply, &load, summary.below);
+	fill_load(tc, &tc->reply, &load, summary.below);
 	tc->reply.retries_back = summary.retries_back;
 	call_reply_t reply = tc->reply;
 	tc->reply.headers = NULL;
@@ -308,6 +315,7 @@
 
 static void fail_transfer(target_call_t *tc, CURLcode code)
 {
+	node_t *node = tc->worker->node;
 	usec_t now = clock_boot_usec();
 	bool sent = curl_loop_request_sent(tc->easy);
 	live_summary_t summary;
@@ -315,6 +323,8 @@
 	end_live(tc, now, &summary);
 	if (sent && is_crash(code))
 		note_crash(tc, now);
+	if (code == CURLE_COULDNT_CONNECT && node->settings->on_platform)
+		node_target_refuses(node);
 	leave_gate(tc, now, 1, LIMIT_IGNORED, !sent || is_crash(code));
 	if (!sent)
 		refuse(tc, EGRET__OUTCOME__OUTCOME_NOT_RUN,
@@ -467,6 +477,9 @@
 		free_target_call(tc);
 		return;
 	}
+	pthread_mutex_lock(&node->router_lock);
+	onward_begin(node->onward, tc->call->route);
+	pthread_mutex_unlock(&node->router_lock);
 	log_decision(tc, "run", &load);
 	send_to_target(tc, address);
 }
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -235,6 +235,7 @@
 		atomic_store(&worker->node->ready, false);
 	worker->last_tick = now;
 	accounts_io_tick(worker, now);
+	peer_clients_check(worker, now);
 	node_run_gate(worker->node);
 	if (now >= worker->next_sweep) {
 		worker->next_sweep = now + SWEEP_PERIOD;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -12,7 +12,7 @@
  * DESCRIPTION
  *	A line is an event name and typed fields, written as text
  *	(event key=value ...) or as one JSON object. Lines are queued and written
- *	to standard error by one writer thread, so that no event loop blocks on
+ *	to standard output by one writer thread, so that no event loop blocks on
  *	the descriptor; lines beyond the queue's bound are dropped and counted in
  *	COUNTER_LOG_DROPPED.
  *
--- a/include/egretscaled/call.h
+++ b/include/egretscaled/call.h
@@ -58,6 +58,7 @@
 	uint32_t limit;
 	uint32_t inflight;
 	uint32_t queued;
+	double pressure_below; /* of the services below the route */
 	uint32_t retries_back;
 } call_reply_t;
 
@@ -70,6 +71,7 @@
 	uint64_t attempt;
 	request_context_t context;
 	char *service;
+	char *route; /* name of the route that the entry chose */
 	char *method;
 	char *path;
 	GPtrArray *headers;
@@ -84,8 +86,15 @@
 	call_detach_fn detach;
 };
 
+typedef struct call_line {
+	const char *service;
+	const char *route;
+	const char *method;
+	const char *path;
+} call_line_t;
+
 call_t *call_create(const request_context_t *context, uint64_t attempt,
-		    const char *service, const char *method, const char *path);
+		    const call_line_t *line);
 void call_destroy(call_t *call);
 
 void call_attach(call_t *call, void *sink, call_detach_fn detach);
--- a/include/egretscaled/http_request.h
+++ b/include/egretscaled/http_request.h
@@ -54,6 +54,7 @@
 
 	/* Filled in by entry or egress. */
 	bool prepared;
+	bool of_target; /* a call of the own target that came in as a caller's */
 	request_context_t context;
 	retry_count_t retries;
 	char *service;
@@ -68,6 +69,7 @@
 	call_t *call;
 	uint32_t lent;
 	uint32_t attempt_count;
+	uint32_t reroutes; /* attempts that reached no target */
 	char instance[ADDRESS_TEXT_BYTES];
 	struct tevent_timer *retry_timer;
 	struct tevent_timer *deadline_timer;
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node.h
@@ -12,6 +12,7 @@
 #include "membership/target.h"
 #include "retry/retry.h"
 #include "routing/backpressure.h"
+#include "routing/onward.h"
 #include "routing/router.h"
 #include "store/store.h"
 #include "wire/peer_auth.h"
@@ -37,6 +38,8 @@
 
 typedef struct node {
 	settings_t *settings;
+	_Atomic(const bounds_t *) bounds; /* in force; earlier ones live on */
+	GPtrArray *old_bounds;		  /* control thread */
 	peer_auth_t *auth;
 	char *tls_cert; /* PEM text, or NULL; guarded by config_lock */
 	char *tls_key;
@@ -67,6 +70,7 @@
 	pthread_mutex_t router_lock;
 	router_t *router;
 	backpressure_t *backpressure;
+	onward_t *onward;   /* what the own target calls, by route */
 	GHashTable *ratios; /* service -> retry_ratio_t */
 
 	pthread_mutex_t suspect_lock;
@@ -84,6 +88,12 @@
 node_t *node_create(settings_t *settings, GError **error);
 void node_destroy(node_t *node);
 
+/* The bounds in force; valid for the life of the node. Any thread. */
+const bounds_t *node_bounds(const node_t *node);
+
+/* Takes bounds and seeds that were read again. Control thread. */
+void node_take_settings(node_t *node, const settings_t *fresh);
+
 /* Takes a reference on the configuration in force. Any thread. */
 config_t *node_config(node_t *node);
 
@@ -108,6 +118,9 @@
 /* Closes the gate of a target that leaves or whose heartbeat has lapsed. */
 void node_check_target(node_t *node);
 
+/* The own target refused a connection. */
+void node_target_refuses(node_t *node);
+
 /* What a target that says nothing else reports when it leaves. */
 void node_leave_report(node_t *node, target_report_t *out);
 
@@ -118,6 +131,9 @@
 void node_ratio_call(node_t *node, const char *service);
 bool node_ratio_take(node_t *node, const char *service);
 
+/* Highest pressure of the services that requests of the route go on to. */
+double node_pressure_below(node_t *node, const char *route);
+
 /* A client of the platform on the loop. */
 store_t *node_store_create(const node_t *node, curl_loop_t *loop);
 
--- a/include/egretscaled/peer_client.h
+++ b/include/egretscaled/peer_client.h
@@ -30,6 +30,10 @@
 void peer_client_send(peer_client_t *client, const Egret__Frame *frame);
 
 /* Closes links that were idle for PEER_IDLE. */
+/* Asks peers whose calls take long for a sign of life; silent ones are told to the
+ * router. Called at every tick. */
+void peer_clients_check(worker_t *worker, usec_t now);
+
 void peer_clients_sweep(worker_t *worker, usec_t now);
 
 void peer_client_destroy(void *client);
--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -60,6 +60,10 @@
 /* Whether new requests may be handed to the target. */
 bool target_takes(const target_t *target, usec_t now);
 
+/* The target refuses connections: it is gone until it reports again. Returns whether
+ * that is news. */
+bool target_refuses(target_t *target);
+
 /* No report came for `timeout`: the target counts as gone. Returns whether that is
  * news. */
 bool target_lapse(target_t *target, usec_t now, usec_t timeout);
--- a/include/routing/backpressure.h
+++ b/include/routing/backpressure.h
@@ -25,6 +25,13 @@
 
 void backpressure_note(backpressure_t *backpressure, const char *key, priority_t below,
 		       usec_t now);
+/* Pressure below the key, see admission/pressure.h; smoothed, and gone after a second
+ * without an answer. */
+void backpressure_note_pressure(backpressure_t *backpressure, const char *key,
+				double pressure, usec_t now);
+double backpressure_pressure(const backpressure_t *backpressure, const char *key,
+			     usec_t now);
+
 priority_t backpressure_level(const backpressure_t *backpressure, const char *key,
 			      usec_t now);
 
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -17,7 +17,8 @@
  *	A state machine without I/O over the instances of all services. Own zone
  *	first, by two random choices on load; other zones by capacity when the
  *	own zone is saturated. Instances that drain, left, are in a zone that is
- *	out, or are ejected get nothing. An instance whose shed level does not
+ *	out, or whose node is silent get nothing; ejected and suspected ones are
+ *	the last resort. An instance whose shed level does not
  *	admit the call's priority is passed over, so that a call which every
  *	instance would shed is refused before any work.
  *
@@ -70,6 +71,7 @@
 	char zone[MEMBER_TEXT_BYTES];
 	uint32_t candidates;
 	uint32_t passed_zone_out;
+	uint32_t passed_silent;
 	uint32_t passed_ejected;
 	uint32_t passed_level;
 	uint32_t passed_excluded;
@@ -82,6 +84,10 @@
 void router_update(router_t *router, const member_t *member, usec_t now);
 void router_set_zone(router_t *router, const char *zone, bool in, usec_t now);
 
+/* The instance's node sends no sign of life, or does again; false if no instance has
+ * the address. */
+bool router_set_silent(router_t *router, const char *address, bool silent);
+
 /* Chooses and counts the call as running on the instance. */
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
 		 router_choice_t *out);
@@ -93,6 +99,10 @@
 /* The best level of the service's instances; ALL if none is known. */
 priority_t router_service_level(router_t *router, const char *service, usec_t now);
 
+/* Calls that run or wait at the service over those that it can run, by the reports
+ * of its instances in use and the own calls under way; 0 if nothing is known. */
+double router_service_pressure(router_t *router, const char *service, usec_t now);
+
 const char *router_why_name(router_why_t why);
 
 /* For status output: one call for each instance. */
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Egret__Row Egret__Row;
 typedef struct Egret__Pull Egret__Pull;
 typedef struct Egret__PullReply Egret__PullReply;
+typedef struct Egret__Ping Egret__Ping;
 typedef struct Egret__Frame Egret__Frame;
 typedef struct Egret__KeeperClaim Egret__KeeperClaim;
 typedef struct Egret__Member Egret__Member;
@@ -140,10 +141,14 @@
   uint32_t inflight;
   uint32_t queued;
   uint32_t below;
+  /*
+   * highest of the services below the route
+   */
+  uint32_t pressure_below_milli;
 };
 #define EGRET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Egret__Call
@@ -159,10 +164,11 @@
   int64_t content_length;
   ProtobufCBinaryData body;
   protobuf_c_boolean end;
+  char *route;
 };
 #define EGRET__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__call__descriptor) \
-    , 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL}, 0 }
+    , 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Egret__Reply
@@ -348,6 +354,19 @@
     , 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Asks for a pong; tells a silent peer from one whose calls take long.
+ */
+struct  Egret__Ping
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean pong;
+};
+#define EGRET__PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&egret__ping__descriptor) \
+    , 0 }
+
+
 typedef enum {
   EGRET__FRAME__KIND__NOT_SET = 0,
   EGRET__FRAME__KIND_CALL = 1,
@@ -362,7 +381,8 @@
   EGRET__FRAME__KIND_PULL = 10,
   EGRET__FRAME__KIND_PULL_REPLY = 11,
   EGRET__FRAME__KIND_KEEPER_CONFIRM = 12,
-  EGRET__FRAME__KIND_KEEPER_CONFIRM_REPLY = 13
+  EGRET__FRAME__KIND_KEEPER_CONFIRM_REPLY = 13,
+  EGRET__FRAME__KIND_PING = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(EGRET__FRAME__KIND__CASE)
 } Egret__Frame__KindCase;
 
@@ -384,6 +404,7 @@
     Egret__PullReply *pull_reply;
     Egret__KeeperConfirm *keeper_confirm;
     Egret__KeeperConfirmReply *keeper_confirm_reply;
+    Egret__Ping *ping;
   };
 };
 #define EGRET__FRAME__INIT \
@@ -796,6 +817,25 @@
 void   egret__pull_reply__free_unpacked
                      (Egret__PullReply *message,
                       ProtobufCAllocator *allocator);
+/* Egret__Ping methods */
+void   egret__ping__init
+                     (Egret__Ping         *message);
+size_t egret__ping__get_packed_size
+                     (const Egret__Ping   *message);
+size_t egret__ping__pack
+                     (const Egret__Ping   *message,
+                      uint8_t             *out);
+size_t egret__ping__pack_to_buffer
+                     (const Egret__Ping   *message,
+                      ProtobufCBuffer     *buffer);
+Egret__Ping *
+       egret__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   egret__ping__free_unpacked
+                     (Egret__Ping *message,
+                      ProtobufCAllocator *allocator);
 /* Egret__Frame methods */
 void   egret__frame__init
                      (Egret__Frame         *message);
@@ -963,6 +1003,9 @@
 typedef void (*Egret__PullReply_Closure)
                  (const Egret__PullReply *message,
                   void *closure_data);
+typedef void (*Egret__Ping_Closure)
+                 (const Egret__Ping *message,
+                  void *closure_data);
 typedef void (*Egret__Frame_Closure)
                  (const Egret__Frame *message,
                   void *closure_data);
@@ -1009,6 +1052,7 @@
 extern const ProtobufCMessageDescriptor egret__row__descriptor;
 extern const ProtobufCMessageDescriptor egret__pull__descriptor;
 extern const ProtobufCMessageDescriptor egret__pull_reply__descriptor;
+extern const ProtobufCMessageDescriptor egret__ping__descriptor;
 extern const ProtobufCMessageDescriptor egret__frame__descriptor;
 extern const ProtobufCMessageDescriptor egret__keeper_claim__descriptor;
 extern const ProtobufCMessageDescriptor egret__member__descriptor;
--- a/membership/target.c
+++ b/membership/target.c
@@ -69,6 +69,14 @@
 	return target->present && (!target->draining || now < target->takes_until);
 }
 
+bool target_refuses(target_t *target)
+{
+	bool news = target->present;
+
+	target->present = false;
+	return news;
+}
+
 bool target_lapse(target_t *target, usec_t now, usec_t timeout)
 {
 	if (!target->present || now - target->heard <= timeout)
--- a/routing/router.c
+++ b/routing/router.c
@@ -19,6 +19,7 @@
 	uint32_t failures;
 	uint32_t ejections;
 	usec_t ejected_until;
+	bool silent;
 } instance_t;
 
 typedef struct zone_status {
@@ -126,6 +127,15 @@
 	g_ptr_array_add(service_list(router, member->service), instance);
 }
 
+bool router_set_silent(router_t *router, const char *address, bool silent)
+{
+	instance_t *instance = g_hash_table_lookup(router->instances, address);
+
+	if (instance)
+		instance->silent = silent;
+	return instance != NULL;
+}
+
 void router_set_zone(router_t *router, const char *zone, bool in, usec_t now)
 {
 	zone_status_t *status = g_hash_table_lookup(router->zones, zone);
@@ -237,11 +247,14 @@
 		out->candidates++;
 		if (!zone_in(router, instance))
 			out->passed_zone_out++;
+		else if (instance->silent)
+			out->passed_silent++;
 		else if (is_excluded(request, instance))
 			out->passed_excluded++;
 		else if (effective_level(instance, now) <= request->priority)
 			out->passed_level++;
-		else if (instance->ejected_until > now)
+		else if (instance->ejected_until > now ||
+			 instance->member.state == EGRET__MEMBER_STATE__MEMBER_SUSPECT)
 			g_ptr_array_add(found->ejected, instance);
 		else if (strcmp(instance->member.zone, router->own_zone) == 0)
 			g_ptr_array_add(found->own, instance);
@@ -344,6 +357,26 @@
 	return best;
 }
 
+double router_service_pressure(router_t *router, const char *service, usec_t now)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+	double load = 0;
+	double limit = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		double weight = report_weight(instance, now);
+
+		if (!zone_in(router, instance) || instance->silent)
+			continue;
+		double reported = weight * (instance->report.inflight +
+					    (double)instance->report.queued);
+		load += MAX(reported, instance->inflight);
+		limit += MAX(instance->report.limit, 1);
+	}
+	return limit > 0 ? load / limit : 0;
+}
+
 void router_foreach(router_t *router, usec_t now, router_instance_fn fn, void *ctx)
 {
 	GHashTableIter iter;
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -4,6 +4,8 @@
 #include "admission/gate.h"
 #include "admission/shed_level.h"
 
+#include "admission/pressure.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -406,6 +408,40 @@
 	{"random arrivals, seed 2", 2, 20},
 };
 
+/* --- pressure -------------------------------------------------------------------- */
+
+typedef struct pressure_case {
+	const char *name;
+	double pressure;
+	uint32_t importance;
+	double share_min;
+	double share_max;
+} pressure_case_t;
+
+static void test_pressure(void **state)
+{
+	const pressure_case_t *c = *state;
+	static const importance_range_t range = {.lowest = 5, .highest = 9};
+	double share = pressure_share(c->pressure, c->importance, &range);
+
+	assert_true(share >= c->share_min && share <= c->share_max);
+	assert_int_equal(pressure_admits(c->pressure, c->importance, &range, 0.0),
+			 share > 0);
+	assert_false(pressure_admits(c->pressure, c->importance, &range, 1.0));
+}
+
+static const pressure_case_t pressure_cases[] = {
+	{"pressure: nothing is refused while there is room", 0.89, 5, 1, 1},
+	{"pressure: the least important is shed first", 1.2, 5, 0.01, 0.3},
+	{"pressure: the most important is not shed then", 1.2, 9, 1, 1},
+	{"pressure: those between lie between", 1.2, 7, 0.5, 1},
+	{"pressure: the least important is shed whole before the most important", 1.3, 5,
+	 0, 0},
+	{"pressure: all is shed in the end", 1.8, 9, 0, 0},
+	{"pressure: an importance outside the range counts as its end", 1.2, 1, 0.01,
+	 0.3},
+};
+
 int main(void)
 {
 	int failed = RUN_CASES("priority", priority_cases, test_priority);
@@ -416,5 +452,6 @@
 	failed += RUN_CASES("shed_level_rise", rise_cases, test_level_rise);
 	failed += RUN_CASES("gate", gate_cases, test_gate);
 	failed += RUN_CASES("gate_order", order_cases, test_order);
+	failed += RUN_CASES("pressure", pressure_cases, test_pressure);
 	return failed;
 }
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -3,6 +3,7 @@
 
 #include "retry/retry.h"
 #include "routing/backpressure.h"
+#include "routing/onward.h"
 #include "routing/router.h"
 
 #include <glib.h>
@@ -49,6 +50,7 @@
 #define DRAINING EGRET__TARGET_STATE__TARGET_DRAINING
 #define ALIVE EGRET__MEMBER_STATE__MEMBER_ALIVE
 #define DEAD EGRET__MEMBER_STATE__MEMBER_DEAD
+#define SUSPECT EGRET__MEMBER_STATE__MEMBER_SUSPECT
 #define LEFT EGRET__MEMBER_STATE__MEMBER_LEFT
 #define ALL PRIORITY_LEVEL_ALL
 
@@ -138,6 +140,18 @@
 	 5,
 	 {false, false, false, true},
 	 ROUTER_OWN_ZONE},
+	{"a suspected instance is passed over",
+	 {{"a", UP, SUSPECT, 0, ALL, 0}, {"b", UP, ALIVE, 5, ALL, 0}},
+	 NULL,
+	 5,
+	 {false, true},
+	 ROUTER_SPILL},
+	{"a suspected instance is the last resort",
+	 {{"a", UP, SUSPECT, 0, ALL, 0}},
+	 NULL,
+	 5,
+	 {true},
+	 ROUTER_LAST_RESORT},
 	{"a level that refuses the priority is passed over",
 	 {{"a", UP, ALIVE, 0, 5u << 16, 0}, {"a", UP, ALIVE, 9, ALL, 0}},
 	 NULL,
@@ -338,10 +352,113 @@
 	{"none", 0, 1000, 0, 0},
 };
 
+/* An instance whose node is silent gets nothing, not even as the last resort. */
+static void test_silent(void **state)
+{
+	(void)state;
+	router_t *router = router_create("a", 7);
+	member_t member = make_member(0, "a", UP);
+	router_request_t request = {.service = SERVICE,
+				    .priority = priority_make(5, 100)};
+	router_choice_t choice;
+
+	assert_false(router_set_silent(router, member.address, true));
+	router_update(router, &member, START);
+	assert_true(router_set_silent(router, member.address, true));
+	router_pick(router, &request, START, &choice);
+	assert_int_equal(choice.why, ROUTER_NO_INSTANCE);
+	assert_int_equal(choice.passed_silent, 1);
+	assert_true(router_set_silent(router, member.address, false));
+	router_pick(router, &request, START, &choice);
+	assert_int_equal(choice.why, ROUTER_OWN_ZONE);
+	router_destroy(router);
+}
+
+static void count_calls(void *ctx, const char *call_route, const char *service)
+{
+	GString *found = ctx;
+
+	g_string_append_printf(found, "%s>%s ", call_route, service);
+}
+
+static void assert_calls(onward_t *onward, const char *route, usec_t now,
+			 const char *expected)
+{
+	GString *found = g_string_new(NULL);
+
+	onward_foreach(onward, route, now, count_calls, found);
+	assert_string_equal(found->str, expected);
+	g_string_free(found, TRUE);
+}
+
+/* Calls are laid to a route only while requests of no other run. */
+static void test_onward(void **state)
+{
+	(void)state;
+	onward_t *onward = onward_create();
+
+	onward_call(onward, "c", "deep", START);
+	onward_begin(onward, "upload");
+	onward_begin(onward, "read");
+	onward_call(onward, "c", "deep", START);
+	assert_calls(onward, "upload", START, "");
+	assert_calls(onward, "read", START, "");
+	onward_end(onward, "upload");
+	onward_begin(onward, "read");
+	onward_call(onward, "c", "deep", START);
+	assert_calls(onward, "read", START + 1, "c>deep ");
+	assert_calls(onward, "upload", START + 1, "");
+	assert_calls(onward, "read", START + ONWARD_MEMORY, "");
+	onward_destroy(onward);
+}
+
+/* The router's pressure follows reports and loses them with their age. */
+static void test_service_pressure(void **state)
+{
+	(void)state;
+	router_t *router = router_create("a", 7);
+	router_report_t report = {.level = ALL, .limit = 10, .inflight = 10, .queued = 5};
+
+	assert_true(router_service_pressure(router, SERVICE, START) == 0);
+	for (int i = 0; i < 2; i++) {
+		member_t member = make_member(i, "a", UP);
+		router_update(router, &member, START);
+	}
+	router_done(router, "127.0.0.1:1000", ROUTER_ANSWERED, &report, START);
+	report.inflight = 5;
+	report.queued = 0;
+	router_done(router, "127.0.0.1:1001", ROUTER_ANSWERED, &report, START);
+	assert_true(router_service_pressure(router, SERVICE, START) == 1.0);
+	assert_true(router_service_pressure(router, SERVICE,
+					    START + ROUTER_REPORT_LIFE) == 0);
+	router_destroy(router);
+}
+
+/* Pressure below a route rises with what answers tell and is gone without them. */
+static void test_pressure_below(void **state)
+{
+	(void)state;
+	backpressure_t *backpressure = backpressure_create();
+
+	for (int i = 0; i < 100; i++)
+		backpressure_note_pressure(backpressure, "r", 1.5, START);
+	double pressure = backpressure_pressure(backpressure, "r", START);
+	assert_true(pressure > 1.4 && pressure <= 1.5);
+	assert_true(backpressure_pressure(backpressure, "other", START) == 0);
+	assert_true(backpressure_pressure(backpressure, "r", START + USEC_PER_SEC) == 0);
+	backpressure_destroy(backpressure);
+}
+
 int main(void)
 {
+	const struct CMUnitTest single[] = {cmocka_unit_test(test_silent),
+					    cmocka_unit_test(test_onward),
+					    cmocka_unit_test(test_service_pressure),
+					    cmocka_unit_test(test_pressure_below)};
 	int failed = RUN_CASES("router", pick_cases, test_pick);
 
+	failed += cmocka_run_group_tests(single, NULL, NULL);
+
 	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
 	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -149,11 +149,30 @@
 			 TARGET_STARTED);
 }
 
+/* A target that refuses connections is gone until it reports again. */
+static void test_refuses(void **state)
+{
+	(void)state;
+	target_t target = {0};
+	target_report_t report = {
+		.id = "a", .service = "s", .address = "10.0.0.1:80", .sequence = 1};
+
+	target_take_report(&target, &report, 100, LEAVE_WITHIN);
+	assert_true(target_refuses(&target));
+	assert_false(target_refuses(&target));
+	assert_false(target_takes(&target, 101));
+	report.sequence++;
+	assert_int_equal(target_take_report(&target, &report, 102, LEAVE_WITHIN),
+			 TARGET_STARTED);
+	assert_true(target_takes(&target, 102));
+}
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {
 		cmocka_unit_test(test_pace_counts_earlier_starts),
 		cmocka_unit_test(test_lapse),
+		cmocka_unit_test(test_refuses),
 	};
 
 	return RUN_CASES("target", target_cases, test_target) +
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &egret__pull_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   egret__ping__init
+                     (Egret__Ping         *message)
+{
+  static const Egret__Ping init_value = EGRET__PING__INIT;
+  *message = init_value;
+}
+size_t egret__ping__get_packed_size
+                     (const Egret__Ping *message)
+{
+  assert(message->base.descriptor == &egret__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t egret__ping__pack
+                     (const Egret__Ping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &egret__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t egret__ping__pack_to_buffer
+                     (const Egret__Ping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &egret__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Egret__Ping *
+       egret__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Egret__Ping *)
+     protobuf_c_message_unpack (&egret__ping__descriptor,
+                                allocator, len, data);
+}
+void   egret__ping__free_unpacked
+                     (Egret__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &egret__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   egret__frame__init
                      (Egret__Frame         *message)
 {
@@ -1235,7 +1280,7 @@
   (ProtobufCMessageInit) egret__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor egret__load__field_descriptors[6] =
 {
   {
     "level",
@@ -1297,18 +1342,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure_below_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Load, pressure_below_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__load__field_indices_by_name[] = {
   4,   /* field[4] = below */
   2,   /* field[2] = inflight */
   0,   /* field[0] = level */
   1,   /* field[1] = limit */
+  5,   /* field[5] = pressure_below_milli */
   3,   /* field[3] = queued */
 };
 static const ProtobufCIntRange egret__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor egret__load__descriptor =
 {
@@ -1318,14 +1376,14 @@
   "Egret__Load",
   "egret",
   sizeof(Egret__Load),
-  5,
+  6,
   egret__load__field_descriptors,
   egret__load__field_indices_by_name,
   1,  egret__load__number_ranges,
   (ProtobufCMessageInit) egret__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__call__field_descriptors[9] =
+static const ProtobufCFieldDescriptor egret__call__field_descriptors[10] =
 {
   {
     "attempt",
@@ -1435,6 +1493,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Call, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__call__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
@@ -1445,12 +1515,13 @@
   5,   /* field[5] = headers */
   3,   /* field[3] = method */
   4,   /* field[4] = path */
+  9,   /* field[9] = route */
   2,   /* field[2] = service */
 };
 static const ProtobufCIntRange egret__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor egret__call__descriptor =
 {
@@ -1460,7 +1531,7 @@
   "Egret__Call",
   "egret",
   sizeof(Egret__Call),
-  9,
+  10,
   egret__call__field_descriptors,
   egret__call__field_indices_by_name,
   1,  egret__call__number_ranges,
@@ -2482,7 +2553,45 @@
   (ProtobufCMessageInit) egret__pull_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor egret__ping__field_descriptors[1] =
+{
+  {
+    "pong",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Ping, pong),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned egret__ping__field_indices_by_name[] = {
+  0,   /* field[0] = pong */
+};
+static const ProtobufCIntRange egret__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor egret__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "egret.Ping",
+  "Ping",
+  "Egret__Ping",
+  "egret",
+  sizeof(Egret__Ping),
+  1,
+  egret__ping__field_descriptors,
+  egret__ping__field_indices_by_name,
+  1,  egret__ping__number_ranges,
+  (ProtobufCMessageInit) egret__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor egret__frame__field_descriptors[14] =
 {
   {
     "call",
@@ -2640,6 +2749,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ping",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Egret__Frame, kind_case),
+    offsetof(Egret__Frame, ping),
+    &egret__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__frame__field_indices_by_name[] = {
   0,   /* field[0] = call */
@@ -2652,6 +2773,7 @@
   12,   /* field[12] = keeper_confirm_reply */
   8,   /* field[8] = loan_reply */
   7,   /* field[7] = loan_request */
+  13,   /* field[13] = ping */
   9,   /* field[9] = pull */
   10,   /* field[10] = pull_reply */
   1,   /* field[1] = reply */
@@ -2659,7 +2781,7 @@
 static const ProtobufCIntRange egret__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor egret__frame__descriptor =
 {
@@ -2669,7 +2791,7 @@
   "Egret__Frame",
   "egret",
   sizeof(Egret__Frame),
-  13,
+  14,
   egret__frame__field_descriptors,
   egret__frame__field_indices_by_name,
   1,  egret__frame__number_ranges,
