node: bound a cold target also when its report came before the configuration

The pace is now set when a configuration comes, too. Ruled out: reports without cold_remaining (the log has cold_ms 3000 on both).

--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -201,6 +201,17 @@
 		  service ? service->queue_slots : 0, fresh);
 }
 
+/* A target that is cold bears so many requests in a second. Under gate_lock. */
+static void pace_gate(node_t *node, const service_record_t *service)
+{
+	const bounds_t *bounds = node_bounds(node);
+
+	if (!service || service->cold_rate <= 0)
+		return;
+	gate_set_cold(node->gate, (uint32_t)(service->cold_rate * bounds->cold_overage),
+		      node->target.cold_until);
+}
+
 static void apply_service(node_t *node, const config_t *config)
 {
 	pthread_mutex_lock(&node->gate_lock);
@@ -208,6 +219,9 @@
 		config_service(config, node->target.last.service);
 	if (node->target.present && !node->target.draining && service)
 		open_gate(node, service, clock_boot_usec(), false);
+	/* The report may have come before the configuration that bounds it. */
+	if (node->target.present)
+		pace_gate(node, service);
 	pthread_mutex_unlock(&node->gate_lock);
 }
 
@@ -306,17 +320,6 @@
 	log_end(&rec);
 }
 
-/* A target that is cold bears so many requests in a second. Under gate_lock. */
-static void pace_gate(node_t *node, const service_record_t *service)
-{
-	const bounds_t *bounds = node_bounds(node);
-
-	if (!service || service->cold_rate <= 0)
-		return;
-	gate_set_cold(node->gate, (uint32_t)(service->cold_rate * bounds->cold_overage),
-		      node->target.cold_until);
-}
-
 void node_take_report(node_t *node, const target_report_t *report)
 {
 	static const char *const words[] = {
