accounts: ask peers for a token when short; admission: pace a cold target by tenths

A node that is short of an account inside 1.5 times its rate asks up to 8 peers, which take the token off before they grant it; the allowance handed out is what the bound tolerates less 1.5 s of the rate. The pace also bounds tenths of a second and uses 0.85 of the bound.

--- a/accounts/shares.c
+++ b/accounts/shares.c
@@ -12,7 +12,10 @@
 #define DEMAND_MIN 0.05
 /* How often the parts of the peers are remembered. */
 #define RESERVE_PERIOD (400 * USEC_PER_MSEC)
-#define PRESSURE_WAITS_MAX 1.0
+/* Demand over rate up to which an account counts as inside its rate: the demand of a
+ * small one is known only roughly. */
+#define PRESSURE_SHORT_MAX 1.5
+#define RATE_MIN 1e-6
 #define TOKENS_MIN 1.0
 
 typedef struct account {
@@ -302,27 +305,49 @@
 	account->filled = now;
 }
 
-usec_t shares_take(shares_t *shares, const char *name, const account_limits_t *limits,
-		   usec_t wait_max, usec_t now)
+shares_verdict_t shares_take(shares_t *shares, const char *name,
+			     const account_limits_t *limits, usec_t now)
 {
 	account_t *account = account_for(shares, name, now);
 
 	account->demand = own_demand(account, now) + USEC_PER_SEC / DEMAND_TIME_CONSTANT;
 	account->counted = now;
 	account->rate = limits->rate;
-	double part = part_now(shares, name, account, now);
-	fill(account, limits, part, now);
+	fill(account, limits, part_now(shares, name, account, now), now);
 	if (account->tokens >= 1) {
 		account->tokens -= 1;
-		return 0;
+		return SHARES_GRANTED;
 	}
-	if (shares_pressure(shares, name, now) > PRESSURE_WAITS_MAX)
-		return SHARES_REFUSED;
-	double wait = (1 - account->tokens) / MAX(part * limits->rate, 1e-6);
-	if (wait * USEC_PER_SEC > (double)wait_max)
+	if (shares_pressure(shares, name, now) > PRESSURE_SHORT_MAX)
 		return SHARES_REFUSED;
+	return SHARES_SHORT;
+}
+
+bool shares_give(shares_t *shares, const char *name, const account_limits_t *limits,
+		 usec_t now)
+{
+	account_t *account = account_for(shares, name, now);
+
+	fill(account, limits, part_now(shares, name, account, now), now);
+	if (account->tokens < 1)
+		return false;
+	account->tokens -= 1;
+	return true;
+}
+
+usec_t shares_wait(shares_t *shares, const char *name, const account_limits_t *limits,
+		   usec_t wait_max, usec_t now)
+{
+	account_t *account = account_for(shares, name, now);
+	double part = part_now(shares, name, account, now);
+
+	fill(account, limits, part, now);
+	double wait =
+		(1 - account->tokens) / MAX(part * limits->rate, RATE_MIN) * USEC_PER_SEC;
+	if (wait > (double)wait_max)
+		return -1;
 	account->tokens -= 1;
-	return (usec_t)(wait * USEC_PER_SEC) + 1;
+	return (usec_t)MAX(wait, 0) + 1;
 }
 
 void shares_own_demands(shares_t *shares, usec_t now, shares_demand_fn fn, void *ctx)
--- a/admission/pace.c
+++ b/admission/pace.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 
 #define STARTS_MAX 4096
+/* The bound also holds, in proportion, for tenths of a second: connections that are
+ * opened late move starts from one second into the next. */
+#define SHORT_SPANS 10
 
 struct pace {
 	uint32_t per_second;
@@ -37,12 +40,22 @@
 	return now < pace->until;
 }
 
+/* Whether a start now is at most the count-th of a span. */
+static bool within(const pace_t *pace, uint32_t count, usec_t span, usec_t now)
+{
+	uint32_t oldest = (pace->next + STARTS_MAX - count) % STARTS_MAX;
+
+	return now - pace->starts[oldest] >= span;
+}
+
 bool pace_allows(const pace_t *pace, usec_t now)
 {
 	if (!pace_is_on(pace, now))
 		return true;
-	uint32_t oldest = (pace->next + STARTS_MAX - pace->per_second) % STARTS_MAX;
-	return now - pace->starts[oldest] >= USEC_PER_SEC;
+	uint32_t short_count = MAX(pace->per_second / SHORT_SPANS, 1);
+
+	return within(pace, pace->per_second, USEC_PER_SEC, now) &&
+	       within(pace, short_count, USEC_PER_SEC / SHORT_SPANS, now);
 }
 
 void pace_start(pace_t *pace, usec_t now)
--- a/egretscaled/gossip_io.c
+++ b/egretscaled/gossip_io.c
@@ -133,8 +133,11 @@
 	}
 	counter_add(COUNTER_GOSSIP_RECEIVED, 1);
 	counter_add(COUNTER_GOSSIP_RECEIVED_BYTES, len);
-	if (message->kind == EGRET__GOSSIP_KIND__GOSSIP_DEMAND) {
-		shares_io_handle_demand(node, message);
+	if (message->kind >= EGRET__GOSSIP_KIND__GOSSIP_DEMAND) {
+		if (message->kind == EGRET__GOSSIP_KIND__GOSSIP_DEMAND)
+			shares_io_handle_demand(node, message);
+		else
+			shares_io_handle_token(node, message);
 		egret__gossip__free_unpacked(message, NULL);
 		return;
 	}
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -14,6 +14,8 @@
 
 #define TARGET_HEARTBEAT_TIMEOUT (5 * USEC_PER_SEC)
 #define RETRY_RATIO_DEFAULT 0.1
+/* Part of the bound of a cold target that the gate uses: requests arrive unevenly. */
+#define COLD_SHARE 0.85
 #define RETRY_TOKENS_START 10.0
 
 uint64_t node_random_id(void)
@@ -208,7 +210,8 @@
 
 	if (!service || service->cold_rate <= 0)
 		return;
-	gate_set_cold(node->gate, (uint32_t)(service->cold_rate * bounds->cold_overage),
+	gate_set_cold(node->gate,
+		      (uint32_t)(service->cold_rate * bounds->cold_overage * COLD_SHARE),
 		      node->target.cold_until);
 }
 
--- a/egretscaled/shares_io.c
+++ b/egretscaled/shares_io.c
@@ -15,9 +15,14 @@
 #define DEMANDS_MAX 64
 /* How long a request waits for a token. */
 #define WAIT_MAX (120 * USEC_PER_MSEC)
-/* Part of what the deployment tolerates that is handed out; the rest covers views
- * that lag. */
-#define ALLOWANCE_PART 0.2
+/* Peers asked for a token, one after the other, before waiting for the next here. */
+#define ASKS_MAX 8
+#define ASK_TIMEOUT (15 * USEC_PER_MSEC)
+#define WORKER_MASK 0xff
+/* What the deployment tolerates is handed out less what views that lag may cost: the
+ * rate for so long. At least a part of it is handed out. */
+#define LAG_RESERVE_SEC 1.5
+#define ALLOWANCE_PART_MIN 0.2
 
 struct shares_io {
 	node_t *node;
@@ -26,11 +31,14 @@
 	usec_t told;
 };
 
-/* A request whose token comes due. */
+/* A request that waits for a token: from a peer, or the next one here. */
 typedef struct delayed {
 	worker_t *worker;
 	admit_fn fn;
 	void *ctx;
+	char *account;
+	uint64_t number; /* of the ask under way; its low bits name the worker */
+	uint32_t asks;
 	struct tevent_timer *timer;
 } delayed_t;
 
@@ -190,8 +198,9 @@
 
 		out->rate = record->rate;
 		out->burst = record->burst;
-		out->allowance = ALLOWANCE_PART *
-				 (most * bounds->rate_overage + bounds->rate_slack);
+		double allowed = most * bounds->rate_overage + bounds->rate_slack;
+		out->allowance = MAX(allowed - LAG_RESERVE_SEC * record->rate,
+				     ALLOWANCE_PART_MIN * allowed);
 	}
 	config_unref(config);
 	return record != NULL;
@@ -202,6 +211,7 @@
 	delayed_t *delayed = data;
 
 	TALLOC_FREE(delayed->timer);
+	g_free(delayed->account);
 	g_free(delayed);
 }
 
@@ -210,6 +220,15 @@
 	return g_hash_table_new_full(NULL, NULL, NULL, delayed_destroy);
 }
 
+/* Ends the wait; the entry is freed before the callback runs. */
+static void finish(delayed_t *delayed, bool admitted)
+{
+	delayed_t copy = *delayed;
+
+	g_hash_table_remove(copy.worker->delayed, copy.ctx);
+	copy.fn(copy.ctx, admitted);
+}
+
 static void handle_due(struct tevent_context *ev, struct tevent_timer *te,
 		       struct timeval when, void *private_data)
 {
@@ -217,22 +236,146 @@
 	(void)te;
 	(void)when;
 	delayed_t *delayed = private_data;
-	delayed_t copy = *delayed;
 
 	delayed->timer = NULL; /* tevent frees it after this call */
-	g_hash_table_remove(copy.worker->delayed, copy.ctx);
-	copy.fn(copy.ctx, true);
+	finish(delayed, true);
+}
+
+/* No peer had a token: the next one here, if it comes soon. */
+static void wait_here(delayed_t *delayed)
+{
+	worker_t *worker = delayed->worker;
+	node_t *node = worker->node;
+	account_limits_t limits;
+	usec_t wait = -1;
+
+	if (limits_of(node, delayed->account, &limits)) {
+		pthread_mutex_lock(&node->account_lock);
+		wait = shares_wait(node->shares, delayed->account, &limits, WAIT_MAX,
+				   clock_boot_usec());
+		pthread_mutex_unlock(&node->account_lock);
+	}
+	if (wait < 0)
+		finish(delayed, false);
+	else
+		delayed->timer = worker_timer(worker, wait, handle_due, delayed);
+}
+
+static bool send_ask(const delayed_t *delayed)
+{
+	node_t *node = delayed->worker->node;
+	Egret__Gossip message = EGRET__GOSSIP__INIT;
+
+	message.kind = EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK;
+	message.sender = node->address;
+	message.subject = delayed->account;
+	message.sequence = delayed->number;
+	pthread_mutex_lock(&node->gossip_lock);
+	const member_t *member = gossip_random_member(node->gossip);
+	if (member)
+		gossip_io_send(node, member->address, &message);
+	pthread_mutex_unlock(&node->gossip_lock);
+	return member != NULL;
+}
+
+static void ask_next(delayed_t *delayed);
+
+static void handle_no_answer(struct tevent_context *ev, struct tevent_timer *te,
+			     struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	delayed_t *delayed = private_data;
+
+	delayed->timer = NULL;
+	ask_next(delayed);
+}
+
+static void ask_next(delayed_t *delayed)
+{
+	worker_t *worker = delayed->worker;
+
+	delayed->number = (node_random_id() & ~(uint64_t)WORKER_MASK) |
+			  (worker->index & WORKER_MASK);
+	if (delayed->asks++ >= ASKS_MAX || !send_ask(delayed)) {
+		delayed->number = 0;
+		wait_here(delayed);
+		return;
+	}
+	delayed->timer = worker_timer(worker, ASK_TIMEOUT, handle_no_answer, delayed);
 }
 
-static void delay(worker_t *worker, admit_fn fn, void *ctx, usec_t wait)
+static void start_asking(worker_t *worker, const char *account, admit_fn fn, void *ctx)
 {
 	delayed_t *delayed = g_new0(delayed_t, 1);
 
 	delayed->worker = worker;
 	delayed->fn = fn;
 	delayed->ctx = ctx;
-	delayed->timer = worker_timer(worker, wait, handle_due, delayed);
+	delayed->account = g_strdup(account);
 	g_hash_table_insert(worker->delayed, ctx, delayed);
+	ask_next(delayed);
+}
+
+typedef struct answer {
+	uint64_t number;
+	bool granted;
+} answer_t;
+
+/* A grant that finds nobody waiting is lost; that errs on the safe side. */
+static void take_answer(worker_t *worker, void *ctx)
+{
+	answer_t *answer = ctx;
+	GHashTableIter iter;
+	void *value;
+	delayed_t *found = NULL;
+
+	g_hash_table_iter_init(&iter, worker->delayed);
+	while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((delayed_t *)value)->number == answer->number)
+			found = value;
+	}
+	if (found) {
+		TALLOC_FREE(found->timer);
+		if (answer->granted)
+			finish(found, true);
+		else
+			ask_next(found);
+	}
+	g_free(answer);
+}
+
+void shares_io_handle_token(node_t *node, const Egret__Gossip *message)
+{
+	account_limits_t limits;
+	Egret__Gossip reply = EGRET__GOSSIP__INIT;
+	struct sockaddr_in address;
+
+	if (!node->shares || !address_parse(message->sender, &address, NULL))
+		return;
+	if (message->kind != EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK) {
+		uint64_t index = message->sequence & WORKER_MASK;
+		if (index >= node->worker_count)
+			return;
+		answer_t *answer = g_new0(answer_t, 1);
+		answer->number = message->sequence;
+		answer->granted = message->kind == EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT;
+		worker_post(node->workers[index], take_answer, answer);
+		return;
+	}
+	bool given = false;
+	if (limits_of(node, message->subject, &limits)) {
+		pthread_mutex_lock(&node->account_lock);
+		given = shares_give(node->shares, message->subject, &limits,
+				    clock_boot_usec());
+		pthread_mutex_unlock(&node->account_lock);
+	}
+	reply.kind = given ? EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT
+			   : EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY;
+	reply.sender = node->address;
+	reply.sequence = message->sequence;
+	gossip_io_send(node, message->sender, &reply);
 }
 
 admit_result_t shares_io_admit(worker_t *worker, const char *account, admit_fn fn,
@@ -244,14 +387,15 @@
 	if (!limits_of(node, account, &limits))
 		return ADMIT_REFUSED;
 	pthread_mutex_lock(&node->account_lock);
-	usec_t wait =
-		shares_take(node->shares, account, &limits, WAIT_MAX, clock_boot_usec());
+	shares_verdict_t verdict =
+		shares_take(node->shares, account, &limits, clock_boot_usec());
 	pthread_mutex_unlock(&node->account_lock);
-	if (wait == SHARES_REFUSED)
-		return ADMIT_REFUSED;
-	if (wait == 0)
+	if (verdict == SHARES_GRANTED)
 		return ADMIT_GRANTED;
-	delay(worker, fn, ctx, wait);
+	if (verdict == SHARES_REFUSED)
+		return ADMIT_REFUSED;
+	counter_add(COUNTER_BORROWS, 1);
+	start_asking(worker, account, fn, ctx);
 	return ADMIT_WAITING;
 }
 
--- a/include/accounts/shares.h
+++ b/include/accounts/shares.h
@@ -21,6 +21,9 @@
  *	as long as it lasts. A node that starts takes an even part until it has
  *	heard from every peer, or SHARES_SETTLE is over.
  *
+ *	A node that is short of an account inside its rate may ask peers for a
+ *	token: the giver takes it off first, so that none is doubled.
+ *
  *	Views lag by the period in which demand is told; the part of the bound
  *	that the deployment tolerates (allowance) covers it. Deployments that
  *	tolerate none use accounts/lender.h.
@@ -60,13 +63,23 @@
 /* Marks peers that fell silent. To be called now and then. */
 void shares_tick(shares_t *shares, usec_t now);
 
-/*
- * Counts a request. Returns 0 if it may go on, the wait after which it may (its
- * token is taken), or SHARES_REFUSED. Nothing waits longer than `wait_max`, and
- * nothing waits for an account whose demand exceeds its rate.
- */
-#define SHARES_REFUSED (-1)
-usec_t shares_take(shares_t *shares, const char *account, const account_limits_t *limits,
+typedef enum shares_verdict {
+	SHARES_GRANTED,
+	SHARES_SHORT,	/* the account is inside its rate, but no token is here */
+	SHARES_REFUSED, /* the demand of all nodes exceeds the rate */
+} shares_verdict_t;
+
+/* Counts a request and takes a token for it. */
+shares_verdict_t shares_take(shares_t *shares, const char *account,
+			     const account_limits_t *limits, usec_t now);
+
+/* Gives one token away to a peer that is short; false if none is left. */
+bool shares_give(shares_t *shares, const char *account, const account_limits_t *limits,
+		 usec_t now);
+
+/* Takes the token that comes next: returns the wait until then, or -1 if it is more
+ * than `wait_max`. */
+usec_t shares_wait(shares_t *shares, const char *account, const account_limits_t *limits,
 		   usec_t wait_max, usec_t now);
 
 /* Demand of all nodes over the rate, as far as known. */
--- a/include/admission/pace.h
+++ b/include/admission/pace.h
@@ -13,7 +13,8 @@
  * DESCRIPTION
  *	A state machine without I/O for a target that is cold. The span is
  *	sliding: the starts of the last second are remembered one by one, so that
- *	no second holds more than the bound, wherever it begins.
+ *	no second holds more than the bound, wherever it begins, and no tenth of
+ *	one more than a tenth of it (at least 1).
  */
 
 typedef struct pace pace_t;
--- a/include/egretscaled/shares_io.h
+++ b/include/egretscaled/shares_io.h
@@ -31,6 +31,9 @@
 /* A peer told its demand. */
 void shares_io_handle_demand(node_t *node, const Egret__Gossip *message);
 
+/* A peer asks for a token, or answers. */
+void shares_io_handle_token(node_t *node, const Egret__Gossip *message);
+
 /* As accounts_io_admit() and accounts_io_forget(). */
 admit_result_t shares_io_admit(worker_t *worker, const char *account, admit_fn fn,
 			       void *ctx);
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -3432,24 +3432,30 @@
   egret__target_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[5] =
+static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[8] =
 {
   { "GOSSIP_PING", "EGRET__GOSSIP_KIND__GOSSIP_PING", 0 },
   { "GOSSIP_ACK", "EGRET__GOSSIP_KIND__GOSSIP_ACK", 1 },
   { "GOSSIP_PING_REQUEST", "EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST", 2 },
   { "GOSSIP_NEWS", "EGRET__GOSSIP_KIND__GOSSIP_NEWS", 3 },
   { "GOSSIP_DEMAND", "EGRET__GOSSIP_KIND__GOSSIP_DEMAND", 4 },
+  { "GOSSIP_TOKEN_ASK", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK", 5 },
+  { "GOSSIP_TOKEN_GRANT", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT", 6 },
+  { "GOSSIP_TOKEN_DENY", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY", 7 },
 };
 static const ProtobufCIntRange egret__gossip_kind__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[8] =
 {
   { "GOSSIP_ACK", 1 },
   { "GOSSIP_DEMAND", 4 },
   { "GOSSIP_NEWS", 3 },
   { "GOSSIP_PING", 0 },
   { "GOSSIP_PING_REQUEST", 2 },
+  { "GOSSIP_TOKEN_ASK", 5 },
+  { "GOSSIP_TOKEN_DENY", 7 },
+  { "GOSSIP_TOKEN_GRANT", 6 },
 };
 const ProtobufCEnumDescriptor egret__gossip_kind__descriptor =
 {
@@ -3458,9 +3464,9 @@
   "GossipKind",
   "Egret__GossipKind",
   "egret",
-  5,
+  8,
   egret__gossip_kind__enum_values_by_number,
-  5,
+  8,
   egret__gossip_kind__enum_values_by_name,
   1,
   egret__gossip_kind__value_ranges,
