--- a/egretscaled/shares_io.c
+++ b/egretscaled/shares_io.c
@@ -16,12 +16,12 @@
 /* How long a request waits for a token. */
 #define WAIT_MAX (120 * USEC_PER_MSEC)
 /* Peers asked for a token, one after the other, before waiting for the next here. */
-#define ASKS_MAX 8
+#define ASKS_MAX 12
 #define ASK_TIMEOUT (15 * USEC_PER_MSEC)
 #define WORKER_MASK 0xff
 /* What the deployment tolerates is handed out less what views that lag may cost: the
  * rate for so long. At least a part of it is handed out. */
-#define LAG_RESERVE_SEC 1.5
+#define LAG_RESERVE_SEC 2.0
 #define ALLOWANCE_PART_MIN 0.2
 
 struct shares_io {
--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -20,8 +20,8 @@
 #define OVERAGE 0.1
 #define SLACK 20.0
 #define ALLOWANCE_PART_MIN 0.2
-#define LAG_RESERVE_SEC 1.5
-#define ASKS_MAX 8
+#define LAG_RESERVE_SEC 2.0
+#define ASKS_MAX 12
 #define WAIT_MAX (120 * USEC_PER_MSEC)
 #define SEEDS_DEFAULT 20
 /* Nodes are up before their clients come. */
