--- a/common/clock.c
+++ b/common/clock.c
@@ -1,5 +1,6 @@
 #include "common/clock.h"
 
+#include <sys/time.h>
 #include <time.h>
 
 static usec_t read_clock(clockid_t id)
@@ -19,3 +20,15 @@
 {
 	return read_clock(CLOCK_REALTIME);
 }
+
+/* libtevent counts its timers by gettimeofday(): a step of the time of day would stall
+ * them or let them all fire. Nothing else here may call it. */
+int gettimeofday(struct timeval *restrict now, void *restrict zone)
+{
+	(void)zone;
+	usec_t usec = read_clock(CLOCK_MONOTONIC);
+
+	now->tv_sec = (time_t)(usec / USEC_PER_SEC);
+	now->tv_usec = (suseconds_t)(usec % USEC_PER_SEC);
+	return 0;
+}
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -11,6 +11,9 @@
  *	All instants and durations inside the project are microseconds in
  *	usec_t. Decision modules never call these functions: they take `now`
  *	as a parameter.
+ *
+ *	The package also gives gettimeofday(2) of the process the monotonic clock,
+ *	by which libtevent counts its timers.
  */
 
 typedef int64_t usec_t;
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -6,6 +6,8 @@
 
 #include <glib.h>
 #include <string.h>
+#include <tevent.h>
+#include <time.h>
 
 #define LEAVE_WITHIN (2 * USEC_PER_SEC)
 #define STEPS_MAX 6
@@ -170,11 +172,26 @@
 	assert_true(target_takes(&target, 102));
 }
 
+/* Timers of the event loop do not follow the time of day. */
+static void test_timers_are_monotonic(void **state)
+{
+	(void)state;
+	struct timespec before;
+	struct timespec after;
+
+	clock_gettime(CLOCK_MONOTONIC, &before);
+	struct timeval now = tevent_timeval_current();
+	clock_gettime(CLOCK_MONOTONIC, &after);
+	assert_true(clock_boot_usec() > 0);
+	assert_true(now.tv_sec >= before.tv_sec && now.tv_sec <= after.tv_sec);
+}
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {
 		cmocka_unit_test(test_pace_counts_earlier_starts),
 		cmocka_unit_test(test_lapse),
+		cmocka_unit_test(test_timers_are_monotonic),
 		cmocka_unit_test(test_refuses),
 	};
 
