--- a/egretscaled/entry.c
+++ b/egretscaled/entry.c
@@ -174,6 +174,7 @@
 	const record_t *record =
 		config_route(config, request->host, request->method, request->path);
 
+	request->config_revision = config_revision(config);
 	if (!record)
 		return refuse(request, EGRET__REASON__REASON_NO_ROUTE);
 	const route_t *route = &record->route;
--- a/egretscaled/http_attempt.c
+++ b/egretscaled/http_attempt.c
@@ -339,6 +339,24 @@
 	return true;
 }
 
+static void log_failed_attempt(const http_request_t *request, const call_reply_t *reply)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "attempt");
+	log_str(&rec, "request", request->context.request_id);
+	log_str(&rec, "service", request->service);
+	log_str(&rec, "instance", request->instance);
+	log_str(&rec, "outcome", outcome_word(reply->outcome));
+	log_str(&rec, "reason", reason_word(reply->reason));
+	log_int(&rec, "attempt", request->attempt_count);
+	log_int(&rec, "retries_left", request->retries.left);
+	log_int(&rec, "limit", reply->limit);
+	log_int(&rec, "inflight", reply->inflight);
+	log_int(&rec, "queued", reply->queued);
+	log_end(&rec);
+}
+
 /* The call was answered: deliver, try again or refuse. */
 static void take_answer(http_request_t *request)
 {
@@ -355,6 +373,7 @@
 			http_request_ready(request);
 		return;
 	}
+	log_failed_attempt(request, reply);
 	if (!reroute(request, reply) && !retry_later(request, reply))
 		http_request_refuse(request, reply->outcome, reply->reason);
 }
--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -102,6 +102,7 @@
 	log_str(&rec, "outcome", outcome_word(request->outcome));
 	log_str(&rec, "reason", reason_word(request->reason));
 	log_int(&rec, "status", request->status);
+	log_int(&rec, "config", (int64_t)request->config_revision);
 	log_int(&rec, "depth", request->context.depth);
 	log_int(&rec, "attempts", request->attempt_count);
 	log_int(&rec, "usec", clock_boot_usec() - request->arrived);
--- a/include/egretscaled/http_request.h
+++ b/include/egretscaled/http_request.h
@@ -54,6 +54,7 @@
 
 	/* Filled in by entry or egress. */
 	bool prepared;
+	uint64_t config_revision; /* that the route was looked up in */
 	bool of_target; /* a call of the own target that came in as a caller's */
 	request_context_t context;
 	retry_count_t retries;
