retry: size each node's tokens by the deployment's bound and the nodes alive

Cause: each node started with 10 retries a service: 130 on 13 nodes and 160 on 16, where a window of the sites allows 48 beside a fifth of the requests. Half of the bound is divided among the nodes that are alive, at least one each. Test: test_shared_budget, 1 to 48 nodes spend at most 48; 10 a node fails from 5 nodes on.

--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -16,7 +16,6 @@
 #define RETRY_RATIO_DEFAULT 0.1
 /* Part of the bound of a cold target that the gate uses: requests arrive unevenly. */
 #define COLD_SHARE 0.85
-#define RETRY_TOKENS_START 10.0
 
 uint64_t node_random_id(void)
 {
@@ -433,13 +432,25 @@
 	return search.highest;
 }
 
-static retry_ratio_t *ratio_for(node_t *node, const char *service)
+/* Tokens that may gather for one service on this node. */
+static double ratio_most(node_t *node)
+{
+	if (!node->settings->on_platform)
+		return RETRY_TOKENS_MAX;
+	pthread_mutex_lock(&node->gossip_lock);
+	uint32_t nodes = directory_live_count(gossip_directory(node->gossip));
+	pthread_mutex_unlock(&node->gossip_lock);
+	return retry_tokens_part(node_bounds(node)->retry_min, nodes);
+}
+
+/* A service that is called for the first time may be retried at once. */
+static retry_ratio_t *ratio_for(node_t *node, const char *service, double most)
 {
 	retry_ratio_t *ratio = g_hash_table_lookup(node->ratios, service);
 
 	if (!ratio) {
 		ratio = g_new0(retry_ratio_t, 1);
-		ratio->tokens = RETRY_TOKENS_START;
+		ratio->tokens = most;
 		g_hash_table_insert(node->ratios, g_strdup(service), ratio);
 	}
 	return ratio;
@@ -450,17 +461,18 @@
 	config_t *config = node_config(node);
 	const service_record_t *record = config_service(config, service);
 	double ratio = record ? record->retry_ratio : RETRY_RATIO_DEFAULT;
+	double most = ratio_most(node);
 
 	config_unref(config);
 	pthread_mutex_lock(&node->router_lock);
-	retry_ratio_call(ratio_for(node, service), ratio);
+	retry_ratio_call(ratio_for(node, service, most), ratio, most);
 	pthread_mutex_unlock(&node->router_lock);
 }
 
 bool node_ratio_take(node_t *node, const char *service)
 {
 	pthread_mutex_lock(&node->router_lock);
-	bool taken = retry_ratio_take(ratio_for(node, service));
+	bool taken = retry_ratio_take(ratio_for(node, service, RETRY_TOKENS_MAX));
 	pthread_mutex_unlock(&node->router_lock);
 	return taken;
 }
--- a/include/retry/retry.h
+++ b/include/retry/retry.h
@@ -37,7 +37,15 @@
 	double tokens;
 } retry_ratio_t;
 
-void retry_ratio_call(retry_ratio_t *ratio, double retries_per_call);
+#define RETRY_TOKENS_MAX 10.0
+
+/* A call was made: adds retries_per_call tokens, up to `most`. */
+void retry_ratio_call(retry_ratio_t *ratio, double retries_per_call, double most);
+
+/* One node's part of a budget that all nodes share: tokens that may gather, for a
+ * bound of `least` retries in a window beside those that calls earn. */
+double retry_tokens_part(uint32_t least, uint32_t nodes);
+
 bool retry_ratio_take(retry_ratio_t *ratio);
 
 /* Full jitter: a wait in [0, base * 2^attempt), from a uniform random value. */
--- a/retry/retry.c
+++ b/retry/retry.c
@@ -2,7 +2,9 @@
 
 #include <glib.h>
 
-#define RATIO_TOKENS_MAX 10.0
+/* Part of the shared bound that nodes use: an instance counts arrivals in sliding
+ * windows, and a repeated request repeats its calls. */
+#define BUDGET_SHARE 0.5
 #define BACKOFF_BASE (2 * USEC_PER_MSEC)
 #define BACKOFF_DOUBLINGS_MAX 6
 
@@ -27,9 +29,14 @@
 	return true;
 }
 
-void retry_ratio_call(retry_ratio_t *ratio, double retries_per_call)
+void retry_ratio_call(retry_ratio_t *ratio, double retries_per_call, double most)
 {
-	ratio->tokens = MIN(ratio->tokens + retries_per_call, RATIO_TOKENS_MAX);
+	ratio->tokens = MIN(ratio->tokens + retries_per_call, most);
+}
+
+double retry_tokens_part(uint32_t least, uint32_t nodes)
+{
+	return MAX(BUDGET_SHARE * least / MAX(nodes, 1), 1.0);
 }
 
 bool retry_ratio_take(retry_ratio_t *ratio)
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -341,7 +341,7 @@
 	int retries = 0;
 
 	for (int i = 0; i < c->calls; i++) {
-		retry_ratio_call(&ratio, c->ratio);
+		retry_ratio_call(&ratio, c->ratio, RETRY_TOKENS_MAX);
 		retries += retry_ratio_take(&ratio);
 	}
 	assert_in_range(retries, c->low, c->high);
@@ -449,12 +449,30 @@
 	backpressure_destroy(backpressure);
 }
 
+/* All nodes together keep to the bound, from the start on, for as many as there are. */
+static void test_shared_budget(void **state)
+{
+	(void)state;
+	for (uint32_t nodes = 1; nodes <= 48; nodes++) {
+		uint32_t retries = 0;
+		double most = retry_tokens_part(48, nodes);
+
+		for (uint32_t i = 0; i < nodes; i++) {
+			retry_ratio_t ratio = {.tokens = most};
+			while (retry_ratio_take(&ratio))
+				retries++;
+		}
+		assert_true(retries >= 1 && retries <= 48);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {cmocka_unit_test(test_silent),
 					    cmocka_unit_test(test_onward),
 					    cmocka_unit_test(test_service_pressure),
-					    cmocka_unit_test(test_pressure_below)};
+					    cmocka_unit_test(test_pressure_below),
+					    cmocka_unit_test(test_shared_budget)};
 	int failed = RUN_CASES("router", pick_cases, test_pick);
 
 	failed += cmocka_run_group_tests(single, NULL, NULL);
