--- /dev/null
+++ b/tests/fuzz/fuzz_platform.c
@@ -0,0 +1,63 @@
+/* Rows, the operator's configuration, reports and heads as the platform may send them. */
+#include "platform/config.h"
+#include "platform/dialect.h"
+#include "platform/instance.h"
+#include "platform/rows.h"
+#include "platform/values.h"
+
+#include <stddef.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static const char *lookup(void *ctx, const char *name)
+{
+	return *name == 'X' ? NULL : ctx;
+}
+
+static void decode_rows(const json_t *json, const char *text)
+{
+	static const char *const zones[] = {"z", NULL};
+	row_list_t *rows = row_list_create();
+	row_list_t *records = row_list_create();
+	GError *error = NULL;
+
+	row_list_decode(rows, json, "op", 0, false, NULL);
+	row_list_decode(rows, json, "op", 0, true, NULL);
+	row_list_add(rows, "config", 1, text, NULL);
+	row_list_add(rows, text, 2, text, NULL);
+	platform_config_decode(rows, true, zones, 3, records, &error);
+	g_clear_error(&error);
+	row_list_destroy(rows);
+	row_list_destroy(records);
+}
+
+static void decode_head(char *text)
+{
+	request_head_t head;
+	answer_head_t answer = {0};
+	usec_t duration;
+
+	platform_dialect()->read_head(lookup, text, &head);
+	platform_dialect()->read_answer("Keep-Alive", text, 200, "id", &answer);
+	platform_dialect()->read_answer(text, text, 421, "id", &answer);
+	value_duration(text, &duration);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	json_t *json = json_loadb((const char *)data, size, 0, NULL);
+	char *text = g_strndup((const char *)data, size);
+	target_report_t report;
+	GError *error = NULL;
+
+	decode_rows(json, text);
+	decode_head(text);
+	platform_read_report("PUT", "/instances/i-1", data, size, &report, &error);
+	g_clear_error(&error);
+	platform_read_report("DELETE", text, data, size, &report, &error);
+	g_clear_error(&error);
+	json_decref(json);
+	g_free(text);
+	return 0;
+}
