--- a/admission/gate.c
+++ b/admission/gate.c
@@ -4,6 +4,9 @@
 #include "admission/shed_level.h"
 #include "common/counters.h"
 
+/* Longest wait behind the pace of a cold target. */
+#define PACE_QUEUE_SPAN (200 * USEC_PER_MSEC)
+
 struct gate {
 	limit_t *limit;
 	shed_level_t *level;
@@ -119,11 +122,21 @@
 	return now + need <= ticket->deadline;
 }
 
+/* Calls that may wait. Behind a pace they would wait for seconds, so only as many may
+ * as start soon. */
+static uint32_t queue_bound(const gate_t *gate, usec_t now)
+{
+	if (!pace_is_on(gate->pace, now))
+		return gate->queue_slots;
+	usec_t soon = pace_per_second(gate->pace) * PACE_QUEUE_SPAN / USEC_PER_SEC;
+	return (uint32_t)CLAMP(soon, 1, MAX(gate->queue_slots, 1));
+}
+
 static gate_verdict_t enqueue(gate_t *gate, gate_ticket_t *ticket, usec_t now)
 {
 	uint32_t length = (uint32_t)g_sequence_get_length(gate->queue);
 
-	if (length >= gate->queue_slots) {
+	if (length >= queue_bound(gate, now)) {
 		GSequenceIter *last =
 			g_sequence_iter_prev(g_sequence_get_end_iter(gate->queue));
 		gate_ticket_t *worst = length ? g_sequence_get(last) : NULL;
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -442,6 +442,26 @@
 	 0.3},
 };
 
+/* Behind a pace only as many calls wait as start soon; the others may go elsewhere. */
+static void test_cold_queue(void **state)
+{
+	(void)state;
+	gate_t *gate = gate_create(LIMIT_SLOTS);
+	gate_ticket_t tickets[100];
+	uint32_t counts[GATE_CLOSED + 1] = {0};
+
+	gate_open(gate, 1, 200, 200, 200, true);
+	gate_set_cold(gate, 50, 10 * USEC_PER_SEC);
+	for (int i = 0; i < 100; i++) {
+		tickets[i] = (gate_ticket_t){.priority = 1, .deadline = 5 * USEC_PER_SEC};
+		counts[gate_request(gate, &tickets[i], 1000)]++;
+	}
+	assert_int_equal(counts[GATE_RUN], 5);
+	assert_int_equal(counts[GATE_WAIT], 10);
+	assert_int_equal(counts[GATE_SHED], 85);
+	gate_destroy(gate);
+}
+
 int main(void)
 {
 	int failed = RUN_CASES("priority", priority_cases, test_priority);
@@ -452,6 +472,9 @@
 	failed += RUN_CASES("shed_level_rise", rise_cases, test_level_rise);
 	failed += RUN_CASES("gate", gate_cases, test_gate);
 	failed += RUN_CASES("gate_order", order_cases, test_order);
+	const struct CMUnitTest single[] = {cmocka_unit_test(test_cold_queue)};
+
 	failed += RUN_CASES("pressure", pressure_cases, test_pressure);
+	failed += cmocka_run_group_tests(single, NULL, NULL);
 	return failed;
 }
