--- a/tests/unit/test_accounts.c
+++ b/tests/unit/test_accounts.c
@@ -2,6 +2,8 @@
 #include "case.h"
 #include "world.h"
 
+#include "accounts/borrower.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -176,10 +178,46 @@
 	 0.01},
 };
 
+/* --- the end of a loan ------------------------------------------------------------ */
+
+typedef struct term_case {
+	const char *name;
+	usec_t answered; /* after the request */
+	usec_t spent;	 /* after the request */
+	bool granted;
+} term_case_t;
+
+/* The term counts from the asking: what the lender takes back after its own, longer
+ * term is never spent here any more. */
+static void test_term(void **state)
+{
+	const term_case_t *c = *state;
+	const usec_t asked = 100 * USEC_PER_SEC;
+	borrower_t *borrower = borrower_create("a");
+	loan_request_t request;
+
+	assert_true(borrower_ask(borrower, "a", 0, 7, asked, &request));
+	loan_reply_t reply = {.loan = request.loan,
+			      .sequence = request.sequence,
+			      .granted = true,
+			      .tokens = 5};
+	borrower_reply(borrower, &reply, asked + c->answered);
+	assert_int_equal(borrower_take(borrower, asked + c->spent), c->granted);
+	borrower_destroy(borrower);
+}
+
+static const term_case_t term_cases[] = {
+	{"a loan is spent inside its term", 10, LOAN_TERM - 1, true},
+	{"a loan is not spent past its end", 10, LOAN_TERM, false},
+	{"a late answer does not make the term longer", LOAN_TERM / 2, LOAN_TERM, false},
+	{"an answer after the term brings nothing", LOAN_TERM, LOAN_TERM, false},
+};
+
 int main(void)
 {
 	int failed = RUN_CASES("accounts_bound", bound_cases, test_bound);
 
+	failed += RUN_CASES("accounts_term", term_cases, test_term);
 	failed += RUN_CASES("accounts_mutation", mutation_cases, test_mutation);
 	failed += RUN_CASES("accounts_refusals", fair_cases, test_refusals);
 	return failed;
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -324,13 +324,34 @@
 	{"not a record's key", "record/route/r", false},
 };
 
+/* An older row never takes the place of a newer one, nor does the same again. */
+static void test_merge_keeps_newest(void **state)
+{
+	(void)state;
+	static const char key[] = "record/service/s@1";
+	config_log_t *log = config_log_create();
+	GPtrArray *rows = g_ptr_array_new();
+
+	assert_true(config_log_merge(log, key, 7, "{\"n\":7}"));
+	assert_false(config_log_merge(log, key, 5, "{\"n\":5}"));
+	assert_false(config_log_merge(log, key, 7, NULL));
+	config_log_advance(log, 7);
+	assert_int_equal(config_log_changes(log, 0, 1000, rows), 7);
+	assert_int_equal(rows->len, 1);
+	assert_string_equal(((config_row_t *)rows->pdata[0])->value, "{\"n\":7}");
+	g_ptr_array_free(rows, TRUE);
+	config_log_destroy(log);
+}
+
 int main(void)
 {
+	const struct CMUnitTest single[] = {cmocka_unit_test(test_merge_keeps_newest)};
 	int failed = RUN_CASES("records", record_cases, test_record);
 
 	failed += RUN_CASES("config_merge", merge_cases, test_merge);
 	failed += RUN_CASES("routes", route_cases, test_route);
 	failed += RUN_CASES("schema_versions", version_cases, test_versions);
 	failed += RUN_CASES("rows", row_cases, test_row);
+	failed += cmocka_run_group_tests(single, NULL, NULL);
 	return failed;
 }
