--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -20,6 +20,8 @@
 sys.path[:0] = [os.path.join(os.path.dirname(HERE), folder) for folder in ("harness", "history")]
 
 import check  # noqa: E402  pylint: disable=wrong-import-position
+from on_platform import case_on_platform_changes, case_on_platform_edge  # noqa: E402,F401
+# pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
