--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -157,6 +157,9 @@
 		enter_phase(control, STOP_LEAVE);
 		break;
 	case STOP_LEAVE:
+		/* Callers may still use the connections that they have open. */
+		if (atomic_load(&node->requests) > 0 && !waited && !control->hurry)
+			return;
 		if (elapsed >= FAREWELL || control->hurry)
 			enter_phase(control, STOP_DONE);
 		break;
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -16,6 +16,8 @@
 SERVICES = ("front", "back")
 IN_FORCE_SEC = 2  # the deployment's bound on a configuration, in the settings below
 LEAVE_SEC = 2
+# After SIGTERM: the node has seen no request for a while and is about to go.
+LAST_USE_SEC = 2.57
 PORTS = ("peer", "outbound", "readiness", "control", "app")
 ROUTE_COLUMNS = ["name", "authority", "prefix", "kind", "timeout", "target_latency", "priority",
                  "backends", "attempts", "public", "service"]
@@ -242,3 +244,44 @@
         wait_for("not ready", lambda: not d.ready(0), 1)
         running.join()
         assert statuses == [200] and d.daemons[0].wait(6) == 0, statuses
+
+
+def case_on_platform_stop():
+    """No request that a target saw goes without an answer at a stop, while clients use
+    the connections that they kept open, some after a long silence."""
+    with OnPlatform() as d:
+        other = d.targets[1]  # the stopping node's own target gets nothing more
+        host, port = d.at(0, "outbound").split(":")
+        lost = []
+
+        def ask_on(connection, name):
+            connection.request("POST", "/f/deep/x", headers={
+                "Host": "h.example", "Request-Attempt-Id": name, "Deadline-Ms": "2000",
+                "Authorization": "Bearer key-a"})
+            connection.getresponse().read()
+
+        def use_connection(connection, n, began):
+            time.sleep(max(0, began + LAST_USE_SEC - time.monotonic()))
+            try:
+                ask_on(connection, f"late-{n}")
+            except (OSError, http.client.HTTPException):
+                lost.append(f"late-{n}")
+
+        connections = [http.client.HTTPConnection(host, int(port), timeout=5)
+                       for _ in range(2)]
+        for n, connection in enumerate(connections):
+            ask_on(connection, f"early-{n}")
+        other.slow_sec = 0.25
+        assert other.report() == 200
+        d.daemons[0].send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        threads = [threading.Thread(target=use_connection, args=(c, n, began))
+                   for n, c in enumerate(connections)]
+        for thread in threads:
+            thread.start()
+        assert d.daemons[0].wait(7) == 0
+        for thread in threads:
+            thread.join()
+        seen = {headers["Request-Attempt-Id"] for _, _, headers, _ in other.seen}
+        assert any(name.startswith("late") for name in seen), "no late request ran"
+        assert not seen & set(lost), seen & set(lost)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -20,7 +20,8 @@
 sys.path[:0] = [os.path.join(os.path.dirname(HERE), folder) for folder in ("harness", "history")]
 
 import check  # noqa: E402  pylint: disable=wrong-import-position
-from on_platform import case_on_platform_changes, case_on_platform_edge  # noqa: E402,F401
+from on_platform import (  # noqa: E402,F401
+    case_on_platform_changes, case_on_platform_edge, case_on_platform_stop)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
 
