tests: a hurried stop with a request under way, known red

Seen while the last phase of a stop was mended: exit status -6 twice of two, libmicrohttpd aborts on suspended connections.

--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -285,3 +285,26 @@
         seen = {headers["Request-Attempt-Id"] for _, _, headers, _ in other.seen}
         assert any(name.startswith("late") for name in seen), "no late request ran"
         assert not seen & set(lost), seen & set(lost)
+
+
+def case_on_platform_hurried_stop():
+    """A second SIGTERM ends a node at once, also with a request under way, in good order."""
+    with OnPlatform() as d:
+        d.targets[1].slow_sec = 1.5
+        ended = []
+
+        def ask():
+            try:
+                ended.append(d.ask("/f/deep/x", "POST")[0])
+            except (OSError, http.client.HTTPException):
+                ended.append("closed")
+
+        client = threading.Thread(target=ask)
+        client.start()
+        time.sleep(0.2)
+        d.daemons[0].send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        d.daemons[0].send_signal(signal.SIGTERM)
+        status = d.daemons[0].wait(5)
+        client.join()
+        assert status == 0, f"exit status {status}, the client got {ended}"
