egretscaled: resume suspended connections before a hurried stop

Cause: libmicrohttpd aborts in MHD_stop_daemon() when connections are suspended, as those of requests under way are; exit status -6 each time in on_platform_hurried_stop. Ruled out: waiting for the requests, a second SIGTERM must end the node at once.

--- a/egretscaled/http_request.c
+++ b/egretscaled/http_request.c
@@ -555,3 +555,17 @@
 
 	worker_post(node->workers[index], cancel_here, (void *)(uintptr_t)number);
 }
+
+void http_requests_abandon(worker_t *worker)
+{
+	GList *requests = g_hash_table_get_values(worker->requests);
+
+	for (GList *item = requests; item; item = item->next) {
+		http_request_t *request = item->data;
+
+		if (request->suspended)
+			mhd_loop_unwatch(request->loop, request->connection);
+		handle_client_gone(request);
+	}
+	g_list_free(requests);
+}
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -323,6 +323,7 @@
 {
 	if (!worker)
 		return;
+	http_requests_abandon(worker);
 	for (guint i = 0; i < worker->old_callers->len; i++)
 		mhd_loop_destroy(worker->old_callers->pdata[i]);
 	g_ptr_array_free(worker->old_callers, TRUE);
--- a/include/egretscaled/http_request.h
+++ b/include/egretscaled/http_request.h
@@ -113,6 +113,10 @@
 /* Cancels the request with this number, whichever worker it is on. */
 void http_request_cancel(node_t *node, uint64_t number);
 
+/* Drops every request of the worker and resumes its connection: libmicrohttpd aborts
+ * when it is stopped with suspended ones. */
+void http_requests_abandon(worker_t *worker);
+
 /* The request's lookup by number on its worker; NULL once it is over. */
 http_request_t *http_request_find(worker_t *worker, uint64_t number);
 
