log: append without a printf for each character

Cause: each character of a text field went through vsnprintf(), 28 % of the instructions of an entry and 10 % of a gate (callgrind, 520 requests through two nodes). libmicrohttpd clears 32 KiB a request, 24 % of the entry's; curl's buffer of 64 KiB makes free() consolidate. Both are 16 KiB now. Ruled out: curl's own setup of a transfer, which stays.

--- a/common/log.c
+++ b/common/log.c
@@ -4,10 +4,8 @@
 #include "common/counters.h"
 #include "common/error.h"
 
-#include <inttypes.h>
 #include <log4c.h>
 #include <pthread.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -16,6 +14,8 @@
 /* Lines gather for so long, so that a busy node wakes its writer seldom. */
 #define GATHER_USEC 50000
 #define CATEGORY_NAME "egretscale"
+/* The sign and digits of any int64_t. */
+#define INT_TEXT_BYTES 24
 
 static struct {
 	log_level_t level;
@@ -184,32 +184,73 @@
 	return state.running && level <= state.level;
 }
 
-G_GNUC_PRINTF(2, 3)
-static void append(log_rec_t *rec, const char *format, ...)
+/* Appends what fits; leaves room for the closing brace and the newline. */
+static void append(log_rec_t *rec, const char *data, size_t len)
 {
-	va_list args;
-	/* Room for the closing brace and the newline. */
 	size_t room = sizeof(rec->line) - rec->len - 3;
 
-	va_start(args, format);
-	int n = vsnprintf(rec->line + rec->len, room, format, args);
-	va_end(args);
-	if (n > 0)
-		rec->len += MIN((uint32_t)n, (uint32_t)room - 1);
+	len = MIN(len, room);
+	memcpy(rec->line + rec->len, data, len);
+	rec->len += (uint32_t)len;
+}
+
+static void append_text(log_rec_t *rec, const char *text)
+{
+	append(rec, text, strlen(text));
+}
+
+/* Pads with zeros to the given number of digits. */
+static void append_int(log_rec_t *rec, int64_t value, int digits)
+{
+	char text[INT_TEXT_BYTES];
+	char *p = text + sizeof(text);
+	uint64_t rest = value < 0 ? -(uint64_t)value : (uint64_t)value;
+
+	do {
+		*--p = (char)('0' + rest % 10);
+		rest /= 10;
+		digits--;
+	} while (rest > 0 || digits > 0);
+	if (value < 0)
+		*--p = '-';
+	append(rec, p, (size_t)(text + sizeof(text) - p));
+}
+
+static bool is_plain(unsigned char c)
+{
+	return c >= 0x20 && c < 0x7f && c != '"' && c != '\\';
 }
 
 static void append_escaped(log_rec_t *rec, const char *value)
 {
-	for (const unsigned char *p = (const unsigned char *)value; *p; p++) {
-		if (*p == '"' || *p == '\\')
-			append(rec, "\\%c", *p);
-		else if (*p < 0x20 || *p >= 0x7f)
-			append(rec, "\\u%04x", *p);
-		else
-			append(rec, "%c", *p);
+	static const char hex[] = "0123456789abcdef";
+	const unsigned char *p = (const unsigned char *)value;
+
+	while (*p) {
+		const unsigned char *start = p;
+
+		while (is_plain(*p))
+			p++;
+		append(rec, (const char *)start, (size_t)(p - start));
+		if (*p == '"' || *p == '\\') {
+			append(rec, (char[]){'\\', (char)*p++}, 2);
+		} else if (*p) {
+			char code[] = {'\\', 'u', '0', '0', hex[*p >> 4], hex[*p & 15]};
+			append(rec, code, sizeof(code));
+			p++;
+		}
 	}
 }
 
+static void append_key(log_rec_t *rec, const char *key)
+{
+	bool json = state.format == LOG_FORMAT_JSON;
+
+	append_text(rec, json ? ",\"" : " ");
+	append_text(rec, key);
+	append_text(rec, json ? "\":" : "=");
+}
+
 void log_begin(log_rec_t *rec, log_level_t level, const char *event)
 {
 	rec->enabled = log_enabled(level);
@@ -218,14 +259,16 @@
 	rec->level = level;
 	rec->len = 0;
 	usec_t now = clock_wall_usec();
-	if (state.format == LOG_FORMAT_JSON)
-		append(rec,
-		       "{\"time\":%" PRId64 ".%06" PRId64
-		       ",\"level\":\"%s\",\"event\":\"%s\"",
-		       now / USEC_PER_SEC, now % USEC_PER_SEC, level_names[level], event);
-	else
-		append(rec, "%" PRId64 ".%06" PRId64 " %s %s", now / USEC_PER_SEC,
-		       now % USEC_PER_SEC, level_names[level], event);
+	bool json = state.format == LOG_FORMAT_JSON;
+	append_text(rec, json ? "{\"time\":" : "");
+	append_int(rec, now / USEC_PER_SEC, 1);
+	append_text(rec, ".");
+	append_int(rec, now % USEC_PER_SEC, 6);
+	append_text(rec, json ? ",\"level\":\"" : " ");
+	append_text(rec, level_names[level]);
+	append_text(rec, json ? "\",\"event\":\"" : " ");
+	append_text(rec, event);
+	append_text(rec, json ? "\"" : "");
 }
 
 void log_str(log_rec_t *rec, const char *key, const char *value)
@@ -234,20 +277,20 @@
 		return;
 	if (!value)
 		value = "";
-	bool json = state.format == LOG_FORMAT_JSON;
 	if (sizeof(rec->line) - rec->len < strlen(key) + 6 * strlen(value) + 16)
 		value = "(too long)";
-	append(rec, json ? ",\"%s\":\"" : " %s=\"", key);
+	append_key(rec, key);
+	append_text(rec, "\"");
 	append_escaped(rec, value);
-	append(rec, "\"");
+	append_text(rec, "\"");
 }
 
 void log_int(log_rec_t *rec, const char *key, int64_t value)
 {
 	if (!rec->enabled)
 		return;
-	bool json = state.format == LOG_FORMAT_JSON;
-	append(rec, json ? ",\"%s\":%" PRId64 : " %s=%" PRId64, key, value);
+	append_key(rec, key);
+	append_int(rec, value, 1);
 }
 
 void log_hex(log_rec_t *rec, const char *key, const uint8_t *bytes, size_t len)
--- a/egretscaled/target_call.c
+++ b/egretscaled/target_call.c
@@ -9,7 +9,8 @@
 #include <strings.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
-#define CURL_BUFFER_BYTES (64L << 10)
+/* Frees of 64 KiB and more make malloc() merge all of its free chunks. */
+#define CURL_BUFFER_BYTES (16L << 10)
 
 typedef struct target_call {
 	worker_t *worker;
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -10,7 +10,8 @@
 
 #define HANGUP_EVENTS_MAX 64
 #define CONNECTIONS_MAX 20000
-#define CONNECTION_MEMORY_BYTES (32u << 10)
+/* Head of a request and of its answer; cleared by libmicrohttpd for each request. */
+#define CONNECTION_MEMORY_BYTES (16u << 10)
 
 struct mhd_loop {
 	struct tevent_context *ev;
