membership: a node that joins pulls the directory before it serves

Cause: gossip carries news only, and the first pull was put off by 30 s when no member was known yet at the first tick. Ruled out: account parts (rate refusals did not change) and the cold pace (two sheds).

Now membership/sync decides: pulls 0.1, 0.2, 0.4 ... s apart up to 30 s, from a seed while no member is known, and readiness waits for the first answer, 2 s at most. e2e on_platform_join: 503, 503 before, 200, 200 now.

--- a/egretscaled/config_poll.c
+++ b/egretscaled/config_poll.c
@@ -30,7 +30,6 @@
 	uint64_t cursor;     /* of the watch; 0 to read all */
 	uint32_t generation; /* of the newest watch; earlier ones end by themselves */
 	bool row_written;
-	bool watched; /* a watch was answered since the last pause */
 };
 
 static void schedule(config_poll_t *poll, usec_t wait);
@@ -119,7 +118,7 @@
 	note_store(poll, error);
 	if (!error) {
 		poll->cursor = MAX(poll->cursor, revision);
-		poll->watched = true;
+		atomic_store(&poll->node->has_config, true);
 		node_become_ready(poll->node);
 	}
 	schedule(poll, next_wait(poll));
@@ -147,8 +146,7 @@
 			gossip_add_seed(node->gossip, address);
 	}
 	pthread_mutex_unlock(&node->gossip_lock);
-	if (poll->watched)
-		node_become_ready(node);
+	node_become_ready(node);
 }
 
 static void handle_row_written(void *ctx, uint64_t revision, const GError *error)
@@ -240,7 +238,6 @@
 void config_poll_hurry(config_poll_t *poll)
 {
 	poll->cursor = 0;
-	poll->watched = false;
 	schedule(poll, 0);
 }
 
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -180,7 +180,7 @@
 	log_begin(&rec, LOG_LEVEL_WARN, "pause");
 	log_int(&rec, "usec", gap);
 	log_end(&rec);
-	atomic_store(&control->node->ready, false);
+	node_unready(control->node);
 	config_poll_hurry(control->poll);
 }
 
--- a/egretscaled/node.c
+++ b/egretscaled/node.c
@@ -262,14 +262,21 @@
 void node_become_ready(node_t *node)
 {
 	config_t *config = node_config(node);
-	bool whole = !node->settings->on_platform ||
-		     (config_snapshot(config) > 0 && atomic_load(&node->has_list));
+	bool whole = !node->settings->on_platform || config_snapshot(config) > 0;
 
 	config_unref(config);
+	whole = whole && atomic_load(&node->has_config) && atomic_load(&node->has_list) &&
+		atomic_load(&node->has_directory);
 	if (whole && !atomic_exchange(&node->ready, true))
 		node_update_member(node);
 }
 
+void node_unready(node_t *node)
+{
+	atomic_store(&node->has_config, false);
+	atomic_store(&node->ready, false);
+}
+
 void node_update_member(node_t *node)
 {
 	usec_t now = clock_boot_usec();
--- a/egretscaled/pull.c
+++ b/egretscaled/pull.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "membership/sync.h"
 
 #include <string.h>
 #include <sys/eventfd.h>
@@ -9,7 +10,7 @@
 
 #define ANSWER_BYTES (256u << 10)
 #define MEMBERS_PER_ANSWER 2000
-#define PULL_TIMEOUT (3 * USEC_PER_SEC)
+#define PULL_TIMEOUT USEC_PER_SEC
 #define TICK (100 * USEC_PER_MSEC)
 
 struct puller {
@@ -24,8 +25,9 @@
 	frame_link_t *link;
 	char peer[ADDRESS_TEXT_BYTES];
 	usec_t started;
-	usec_t next_full;
-	GHashTable *complete_peers; /* set of addresses */
+	sync_t *sync;
+	bool complete;	 /* the present pull got all that the peer knows */
+	bool configured; /* and that was a configuration */
 	bool finished;
 };
 
@@ -50,19 +52,6 @@
 	frame_link_send(puller->link, &frame);
 }
 
-static void note_complete(puller_t *puller)
-{
-	node_t *node = puller->node;
-
-	if (atomic_load(&node->ready))
-		return;
-	g_hash_table_add(puller->complete_peers, g_strdup(puller->peer));
-	if (g_hash_table_size(puller->complete_peers) < PULL_PEERS_FOR_START)
-		return;
-	atomic_store(&node->has_list, true);
-	node_become_ready(node);
-}
-
 static void take_members(puller_t *puller, const Egret__PullReply *reply)
 {
 	node_t *node = puller->node;
@@ -110,9 +99,9 @@
 		send_pull(puller);
 		return;
 	}
+	puller->complete = true;
 	/* A peer at revision 0 knows nothing that a start could rest on. */
-	if (frame->pull_reply->config_revision > 0)
-		note_complete(puller);
+	puller->configured = frame->pull_reply->config_revision > 0;
 	puller->finished = true;
 }
 
@@ -137,6 +126,8 @@
 		return;
 	g_strlcpy(puller->peer, address, sizeof(puller->peer));
 	puller->finished = false;
+	puller->complete = false;
+	puller->configured = false;
 	puller->started = now;
 	puller->link = frame_link_connect(NULL, puller->ev, puller->node->auth, &to,
 					  &link_ops, puller, NULL);
@@ -155,27 +146,59 @@
 	pthread_mutex_unlock(&puller->lock);
 	if (*out)
 		return true;
-	bool starting = !atomic_load(&node->ready);
-	if (now < puller->next_full && !starting)
+	if (!sync_due(puller->sync, now, !atomic_load(&node->ready)))
 		return false;
-	puller->next_full = now + PULL_PERIOD;
 	pthread_mutex_lock(&node->gossip_lock);
-	const member_t *member = gossip_random_member(node->gossip);
-	if (member)
-		g_strlcpy(out, member->address, ADDRESS_TEXT_BYTES);
+	const char *contact = gossip_random_contact(node->gossip);
+	if (contact)
+		g_strlcpy(out, contact, ADDRESS_TEXT_BYTES);
 	pthread_mutex_unlock(&node->gossip_lock);
 	return *out != '\0';
 }
 
+static bool is_alone(node_t *node)
+{
+	if (!atomic_load(&node->has_list))
+		return false;
+	pthread_mutex_lock(&node->gossip_lock);
+	bool alone = !gossip_random_contact(node->gossip);
+	pthread_mutex_unlock(&node->gossip_lock);
+	return alone;
+}
+
+/* Serves once enough is known, while the node does not. */
+static void check_start(puller_t *puller, usec_t now)
+{
+	node_t *node = puller->node;
+
+	if (atomic_load(&node->ready))
+		return;
+	if (sync_directory_known(puller->sync, now, is_alone(node)))
+		atomic_store(&node->has_directory, true);
+	node_become_ready(node);
+}
+
+static void end_pull(puller_t *puller, usec_t now)
+{
+	node_t *node = puller->node;
+
+	frame_link_destroy(puller->link);
+	puller->link = NULL;
+	sync_ended(puller->sync, now, puller->peer, puller->complete, puller->configured);
+	if (puller->configured && sync_config_known(puller->sync)) {
+		atomic_store(&node->has_list, true);
+		atomic_store(&node->has_config, true);
+	}
+}
+
 static void step(puller_t *puller)
 {
 	usec_t now = clock_boot_usec();
 	char address[ADDRESS_TEXT_BYTES];
 
-	if (puller->link && (puller->finished || now - puller->started > PULL_TIMEOUT)) {
-		frame_link_destroy(puller->link);
-		puller->link = NULL;
-	}
+	if (puller->link && (puller->finished || now - puller->started > PULL_TIMEOUT))
+		end_pull(puller, now);
+	check_start(puller, now);
 	if (!puller->link && choose_peer(puller, now, address))
 		start_pull(puller, address, now);
 }
@@ -221,8 +244,7 @@
 	puller->node = node;
 	puller->ev = ev;
 	pthread_mutex_init(&puller->lock, NULL);
-	puller->complete_peers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	puller->sync = sync_create(clock_boot_usec());
 	puller->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	puller->wake_fde = tevent_add_fd(ev, puller, puller->wake_fd, TEVENT_FD_READ,
 					 handle_wake, puller);
@@ -240,7 +262,7 @@
 	TALLOC_FREE(puller->wake_fde);
 	close(puller->wake_fd);
 	pthread_mutex_destroy(&puller->lock);
-	g_hash_table_destroy(puller->complete_peers);
+	sync_destroy(puller->sync);
 	talloc_free(puller);
 }
 
--- a/egretscaled/worker.c
+++ b/egretscaled/worker.c
@@ -232,7 +232,7 @@
 	usec_t now = clock_boot_usec();
 
 	if (worker_was_paused(worker, now))
-		atomic_store(&worker->node->ready, false);
+		node_unready(worker->node);
 	worker->last_tick = now;
 	accounts_io_tick(worker, now);
 	peer_clients_check(worker, now);
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node.h
@@ -79,10 +79,12 @@
 	worker_t **workers;
 	uint32_t worker_count;
 
-	atomic_bool ready;    /* a whole configuration is in force */
-	atomic_bool has_list; /* the addresses of the other nodes are known */
-	atomic_bool draining; /* a planned stop has begun */
-	atomic_uint requests; /* HTTP requests and peer calls not yet answered */
+	atomic_bool ready;	/* the three below hold, and a configuration is whole */
+	atomic_bool has_config; /* it is up to date */
+	atomic_bool has_list;	/* the addresses of the other nodes are known */
+	atomic_bool has_directory; /* and what stands beside them */
+	atomic_bool draining;	   /* a planned stop has begun */
+	atomic_uint requests;	   /* HTTP requests and peer calls not yet answered */
 } node_t;
 
 node_t *node_create(settings_t *settings, GError **error);
@@ -106,9 +108,13 @@
 void node_take_config(node_t *node, const node_row_t *rows, size_t count,
 		      uint64_t revision, const char *source);
 
-/* The configuration is up to date: serve, if there is a whole one. */
+/* Serves if configuration, list and directory are known. Control thread. */
 void node_become_ready(node_t *node);
 
+/* The process was stopped for long: serves again once the configuration is known to
+ * be up to date. Any thread. */
+void node_unready(node_t *node);
+
 /* Renews this node's directory entry from target, readiness and drain state. */
 void node_update_member(node_t *node);
 
--- a/include/egretscaled/pull.h
+++ b/include/egretscaled/pull.h
@@ -11,8 +11,8 @@
  * DESCRIPTION
  *	A pull asks for all record changes after the own revision, and for the
  *	directory entries of the buckets whose digests differ. One pull runs at a
- *	time; a full one follows every PULL_PERIOD, so that partitions heal. A
- *	node without the platform is ready after complete pulls from two peers.
+ *	time; membership/sync.h tells when. A node without the platform is ready
+ *	after complete pulls from two peers.
  *
  * THREADS
  *	The puller runs on the control thread; pull_request() may be called on
@@ -21,9 +21,6 @@
 
 typedef struct puller puller_t;
 
-#define PULL_PERIOD (30 * USEC_PER_SEC)
-#define PULL_PEERS_FOR_START 2
-
 puller_t *puller_create(TALLOC_CTX *parent, struct tevent_context *ev, node_t *node);
 void puller_destroy(puller_t *puller);
 
--- a/include/membership/gossip.h
+++ b/include/membership/gossip.h
@@ -69,4 +69,8 @@
 /* A random live member other than this node, or NULL. */
 const member_t *gossip_random_member(gossip_t *gossip);
 
+/* The address of a random live member, or of a seed while there is none; NULL if
+ * there is neither. */
+const char *gossip_random_contact(gossip_t *gossip);
+
 #endif
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -287,6 +287,18 @@
 	return random_live(gossip, NULL);
 }
 
+const char *gossip_random_contact(gossip_t *gossip)
+{
+	const member_t *member = random_live(gossip, NULL);
+
+	if (member)
+		return member->address;
+	if (gossip->seeds->len == 0)
+		return NULL;
+	return gossip->seeds
+		->pdata[g_rand_int_range(gossip->rand, 0, (gint32)gossip->seeds->len)];
+}
+
 static bool may_push(gossip_t *gossip, usec_t now)
 {
 	if (now - gossip->push_window >= USEC_PER_SEC) {
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -12,8 +12,9 @@
 
 from deployment import Deployment, binary, free_base_port, http as request
 
-ADDRESSES = ("127.0.0.2", "127.0.0.3")
-SERVICES = ("front", "back")
+ADDRESSES = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+SERVICES = ("front", "back", "back")
+STARTED = 2  # nodes that a case begins with
 IN_FORCE_SEC = 2  # the deployment's bound on a configuration, in the settings below
 LEAVE_SEC = 2
 # After SIGTERM: the node has seen no request for a while and is about to go.
@@ -139,7 +140,7 @@
     def __enter__(self):
         super().__enter__()
         self.configure()
-        for i, service in enumerate(SERVICES):
+        for i, service in enumerate(SERVICES[:STARTED]):
             self.daemons.append(self.start_node(i))
             self.targets.append(Target(ADDRESSES[i], self.base + PORTS.index("app"), service,
                                        self.at(i, "control")))
@@ -308,3 +309,13 @@
         status = d.daemons[0].wait(5)
         client.join()
         assert status == 0, f"exit status {status}, the client got {ended}"
+
+
+def case_on_platform_join():
+    """A node that joins late serves what it takes from its first moment of readiness."""
+    with OnPlatform() as d:
+        time.sleep(3)  # no node tells of the others' targets as news any more
+        d.daemons.append(d.start_node(STARTED))
+        wait_for("the third node", lambda: d.ready(STARTED), 10)
+        seen = [d.ask("/f/x", node=STARTED)[0], d.ask("/f/deep/x", "POST", node=STARTED)[0]]
+        assert seen == [200, 200], seen
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -123,8 +123,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_text),	  cmocka_unit_test(test_numbers),
-		cmocka_unit_test(test_time),	  cmocka_unit_test(test_full_line),
+		cmocka_unit_test(test_text),  cmocka_unit_test(test_numbers),
+		cmocka_unit_test(test_time),  cmocka_unit_test(test_full_line),
 		cmocka_unit_test(test_level),
 	};
 
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -2,6 +2,7 @@
 #include "case.h"
 
 #include "membership/gossip.h"
+#include "membership/sync.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -344,6 +345,112 @@
 static const merge_case_t merge_cases[] = {
 	{"random orders never take an entry back", 50}};
 
+/* --- pulls ------------------------------------------------------------------- */
+
+typedef struct sync_step {
+	usec_t after; /* since the last step */
+	const char *peer;
+	bool complete, configured;
+	/* Expected at once afterwards. */
+	usec_t next; /* until the next pull is due */
+	bool directory, config;
+} sync_step_t;
+
+typedef struct sync_case {
+	const char *name;
+	sync_step_t steps[6];
+} sync_case_t;
+
+#define SYNC_MS(n) ((usec_t)(n)*USEC_PER_MSEC)
+
+static void test_sync(void **state)
+{
+	const sync_case_t *c = *state;
+	usec_t now = START;
+	sync_t *sync = sync_create(now);
+
+	assert_true(sync_due(sync, now, false));
+	assert_false(sync_directory_known(sync, now, false));
+	for (const sync_step_t *step = c->steps; step->peer; step++) {
+		now += step->after;
+		sync_ended(sync, now, step->peer, step->complete, step->configured);
+		assert_false(sync_due(sync, now + step->next - 1, false));
+		assert_true(sync_due(sync, now + step->next, false));
+		assert_true(sync_due(sync, now, true));
+		assert_int_equal(sync_directory_known(sync, now, false), step->directory);
+		assert_int_equal(sync_config_known(sync), step->config);
+	}
+	sync_destroy(sync);
+}
+
+static const sync_case_t sync_cases[] = {
+	{"pauses double with each answer",
+	 {{0, "a", true, true, SYNC_MS(100), true, false},
+	  {SYNC_MS(100), "b", true, true, SYNC_MS(200), true, true},
+	  {SYNC_MS(200), "a", true, true, SYNC_MS(400), true, true},
+	  {SYNC_MS(400), "c", true, true, SYNC_MS(800), true, true}}},
+	{"a failure is repeated soon and tells nothing",
+	 {{0, "a", false, false, SYNC_MS(100), false, false},
+	  {SYNC_MS(1000), "a", false, true, SYNC_MS(100), false, false},
+	  {SYNC_MS(100), "b", true, true, SYNC_MS(100), true, false}}},
+	{"one peer twice is one source of configuration",
+	 {{0, "a", true, true, SYNC_MS(100), true, false},
+	  {SYNC_MS(100), "a", true, true, SYNC_MS(200), true, false},
+	  {SYNC_MS(200), "b", true, false, SYNC_MS(400), true, false},
+	  {SYNC_MS(400), "b", true, true, SYNC_MS(800), true, true}}},
+	{"nobody answers: known after a while",
+	 {{SYNC_MS(1000), "a", false, false, SYNC_MS(100), false, false},
+	  {SYNC_MS(900), "b", false, false, SYNC_MS(100), false, false},
+	  {SYNC_MS(100), "c", false, false, SYNC_MS(100), true, false}}},
+};
+
+/* Somebody without others has nobody to wait for; pauses end at the period. */
+static void test_sync_bounds(void **state)
+{
+	usec_t now = START;
+	sync_t *sync = sync_create(now);
+
+	assert_true(sync_directory_known(sync, now, true));
+	for (int i = 0; i < 20; i++)
+		sync_ended(sync, now, "a", true, true);
+	assert_false(sync_due(sync, now + SYNC_PERIOD - 1, false));
+	assert_true(sync_due(sync, now + SYNC_PERIOD, false));
+	sync_destroy(sync);
+}
+
+/* A newcomer asks a seed while it knows no member. */
+static void test_contact(void **state)
+{
+	member_t self = {.generation = 1, .address = "127.0.0.1:1"};
+	member_t other = {.generation = 1, .address = "127.0.0.1:2"};
+	const char *seeds[] = {"127.0.0.1:3", NULL};
+	static const gossip_ops_t none = {0};
+	gossip_t *gossip = gossip_create(&self, NULL, &none, NULL, 1);
+
+	assert_null(gossip_random_contact(gossip));
+	gossip_add_seed(gossip, seeds[0]);
+	assert_string_equal(gossip_random_contact(gossip), seeds[0]);
+	directory_merge(gossip_directory(gossip), &other, START);
+	for (int i = 0; i < 20; i++)
+		assert_string_equal(gossip_random_contact(gossip), other.address);
+	gossip_destroy(gossip);
+}
+
+typedef struct plain_case {
+	const char *name;
+	CMUnitTestFunction fn;
+} plain_case_t;
+
+static void test_plain(void **state)
+{
+	((const plain_case_t *)*state)->fn(state);
+}
+
+static const plain_case_t plain_cases[] = {
+	{"pauses end at the period; alone is known at once", test_sync_bounds},
+	{"a seed while no member is known", test_contact},
+};
+
 int main(void)
 {
 	int failed = RUN_CASES("join_crash_restart", join_cases, test_join_crash_restart);
@@ -351,5 +458,7 @@
 	failed += RUN_CASES("news_in_time", news_cases, test_news_in_time);
 	failed += RUN_CASES("partition_heals", heal_cases, test_partition_heals);
 	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
+	failed += RUN_CASES("sync", sync_cases, test_sync);
+	failed += RUN_CASES("contact", plain_cases, test_plain);
 	return failed;
 }
