--- a/egretscaled/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -1,8 +1,8 @@
-#include "egretscaled/config_poll.h"
+#include "egretscaled/control/config_poll.h"
 
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/shares_io.h"
+#include "egretscaled/rates/shares_io.h"
 
 #include <jansson.h>
 #include <math.h>
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -2,13 +2,14 @@
 #include "common/clock.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "egretscaled/admin.h"
-#include "egretscaled/config_poll.h"
-#include "egretscaled/gossip_io.h"
-#include "egretscaled/leases_io.h"
-#include "egretscaled/pull.h"
-#include "egretscaled/shares_io.h"
-#include "egretscaled/worker.h"
+#include "egretscaled/control/admin.h"
+#include "egretscaled/control/config_poll.h"
+#include "egretscaled/node/worker.h"
+#include "egretscaled/parts.h"
+#include "egretscaled/peers/gossip_io.h"
+#include "egretscaled/peers/pull.h"
+#include "egretscaled/rates/leases_io.h"
+#include "egretscaled/rates/shares_io.h"
 
 #include "platform/settings.h"
 
@@ -339,7 +340,7 @@
 
 	node->workers = g_new0(worker_t *, wanted);
 	for (uint32_t i = 0; i < wanted; i++) {
-		node->workers[i] = worker_create(node, error);
+		node->workers[i] = worker_create(node, parts_worker_ops(), error);
 		if (!node->workers[i])
 			return false;
 		node->worker_count++;
@@ -409,7 +410,7 @@
 
 static int run(settings_t *settings, GError **error)
 {
-	control_t control = {.node = node_create(settings, error)};
+	control_t control = {.node = node_create(settings, parts_node_ops(), error)};
 	sigset_t old;
 
 	if (!control.node)
--- a/egretscaled/call.c
+++ b/egretscaled/node/call.c
@@ -1,4 +1,4 @@
-#include "egretscaled/call.h"
+#include "egretscaled/node/call.h"
 
 void request_context_copy(request_context_t *out, const request_context_t *from)
 {
--- a/egretscaled/dialect_own.c
+++ b/egretscaled/node/dialect_own.c
@@ -1,4 +1,4 @@
-#include "egretscaled/dialect.h"
+#include "egretscaled/node/dialect.h"
 
 #include "common/error.h"
 #include "config/record.h"
--- a/egretscaled/live.c
+++ b/egretscaled/node/live.c
@@ -1,4 +1,4 @@
-#include "egretscaled/live.h"
+#include "egretscaled/node/live.h"
 
 #include <sodium.h>
 
--- a/egretscaled/node.c
+++ b/egretscaled/node/node.c
@@ -1,11 +1,9 @@
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/gossip_io.h"
-#include "egretscaled/target_call.h"
+#include "egretscaled/node/accounts.h"
 
 #include "platform/store.h"
 
@@ -58,7 +56,7 @@
 	self->state = EGRET__MEMBER_STATE__MEMBER_ALIVE;
 }
 
-node_t *node_create(settings_t *settings, GError **error)
+node_t *node_create(settings_t *settings, const node_ops_t *ops, GError **error)
 {
 	peer_auth_t *auth =
 		settings->peer_secret_file
@@ -70,6 +68,7 @@
 		return NULL;
 	node_t *node = g_new0(node_t, 1);
 	node->settings = settings;
+	node->ops = ops;
 	node->old_bounds = g_ptr_array_new_with_free_func(g_free);
 	atomic_init(&node->bounds, &settings->bounds);
 	node->auth = auth;
@@ -79,7 +78,7 @@
 	init_locks(node);
 	fill_self(node, &self);
 	node->gossip = gossip_create(&self, (const char *const *)settings->seeds,
-				     gossip_io_ops(), node, node_random_id());
+				     ops->gossip, node, node_random_id());
 	node->config_log = config_log_create();
 	node->config = config_build(node->config_log);
 	node->accounts = accounts_create();
@@ -409,7 +408,7 @@
 
 	pthread_mutex_lock(&node->gate_lock);
 	while ((ticket = gate_next(node->gate, clock_boot_usec(), &verdict)))
-		target_call_decided(ticket->ctx, verdict);
+		node->ops->on_decided(ticket->ctx, verdict);
 	pthread_mutex_unlock(&node->gate_lock);
 }
 
--- a/egretscaled/settings.c
+++ b/egretscaled/node/settings.c
@@ -1,4 +1,4 @@
-#include "egretscaled/settings.h"
+#include "egretscaled/node/settings.h"
 
 #include "common/address.h"
 #include "config/record.h"
--- a/egretscaled/worker.c
+++ b/egretscaled/node/worker.c
@@ -1,14 +1,8 @@
-#include "egretscaled/worker.h"
+#include "egretscaled/node/worker.h"
 
 #include "common/address.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/claims_io.h"
-#include "egretscaled/http_request.h"
-#include "egretscaled/ingress.h"
-#include "egretscaled/peer_client.h"
-#include "egretscaled/shares_io.h"
 #include "platform/store.h"
 
 #include <errno.h>
@@ -20,7 +14,6 @@
 #define CALLER_IDLE_TIMEOUT_SEC 120
 #define CACHED_CONNECTIONS 2000L
 #define ACCEPT_BATCH 32
-#define TICK (50 * USEC_PER_MSEC)
 #define SWEEP_PERIOD USEC_PER_SEC
 
 typedef struct posted_task {
@@ -117,7 +110,7 @@
 				 SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
 			return;
-		ingress_accept(worker, fd);
+		worker->ops->on_peer(worker, fd);
 	}
 }
 
@@ -149,9 +142,9 @@
 		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
 		.share = share,
 	};
-	mhd_loop_t *loop = mhd_loop_create(worker->ev, worker->ev, &options,
-					   http_request_handle_caller,
-					   http_request_completed, worker, error);
+	mhd_loop_t *loop =
+		mhd_loop_create(worker->ev, worker->ev, &options, worker->ops->on_caller,
+				worker->ops->on_completed, worker, error);
 	g_free(cert);
 	g_free(key);
 	return loop;
@@ -169,10 +162,10 @@
 	worker->callers = listen_for_callers(worker, NULL, error);
 	if (!worker->callers)
 		return false;
-	mhd_loop_t *loop = mhd_loop_create(worker->ev, worker->ev, &options,
-					   apart ? http_request_handle_report
-						 : http_request_handle_target,
-					   http_request_completed, worker, error);
+	mhd_loop_t *loop =
+		mhd_loop_create(worker->ev, worker->ev, &options,
+				apart ? worker->ops->on_report : worker->ops->on_target,
+				worker->ops->on_completed, worker, error);
 	worker->target = apart ? NULL : loop;
 	worker->reports = apart ? loop : NULL;
 	return loop != NULL;
@@ -234,12 +227,11 @@
 	if (worker_was_paused(worker, now))
 		node_unready(worker->node);
 	worker->last_tick = now;
-	accounts_io_tick(worker, now);
-	peer_clients_check(worker, now);
+	worker->ops->tick(worker, now);
 	node_run_gate(worker->node);
 	if (now >= worker->next_sweep) {
 		worker->next_sweep = now + SWEEP_PERIOD;
-		peer_clients_sweep(worker, now);
+		worker->ops->sweep(worker, now);
 		sweep_old_callers(worker);
 	}
 	schedule_tick(worker);
@@ -247,25 +239,21 @@
 
 static void schedule_tick(worker_t *worker)
 {
-	worker->tick = worker_timer(worker, TICK, handle_tick, worker);
+	worker->tick = worker_timer(worker, WORKER_TICK, handle_tick, worker);
 }
 
-worker_t *worker_create(node_t *node, GError **error)
+worker_t *worker_create(node_t *node, const worker_ops_t *ops, GError **error)
 {
 	worker_t *worker = g_new0(worker_t, 1);
 
 	worker->node = node;
+	worker->ops = ops;
 	worker->index = node->worker_count;
 	worker->ev = tevent_context_init(NULL);
 	worker->curl = curl_loop_create(worker->ev, worker->ev, CACHED_CONNECTIONS);
 	worker->store = node_store_create(node, worker->curl);
-	worker->peers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_client_destroy);
-	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
 	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-	worker->borrowers = accounts_io_borrowers_create();
-	worker->delayed = shares_io_delayed_create();
-	worker->claims = claim_batch_create(worker);
+	worker->ops->create(worker);
 	worker->old_callers = g_ptr_array_new();
 	pthread_mutex_init(&worker->inbox_lock, NULL);
 	g_queue_init(&worker->inbox);
@@ -323,19 +311,15 @@
 {
 	if (!worker)
 		return;
-	http_requests_abandon(worker);
+	worker->ops->abandon(worker);
 	for (guint i = 0; i < worker->old_callers->len; i++)
 		mhd_loop_destroy(worker->old_callers->pdata[i]);
 	g_ptr_array_free(worker->old_callers, TRUE);
 	mhd_loop_destroy(worker->callers);
 	mhd_loop_destroy(worker->target);
 	mhd_loop_destroy(worker->reports);
-	g_hash_table_destroy(worker->ingress);
-	g_hash_table_destroy(worker->peers);
+	worker->ops->destroy(worker);
 	g_hash_table_destroy(worker->requests);
-	g_hash_table_destroy(worker->borrowers);
-	g_hash_table_destroy(worker->delayed);
-	claim_batch_destroy(worker->claims);
 	store_destroy(worker->store);
 	curl_loop_destroy(worker->curl);
 	if (worker->peer_listener_fd >= 0)
--- /dev/null
+++ b/egretscaled/parts.c
@@ -0,0 +1,92 @@
+#include "egretscaled/parts.h"
+
+#include "egretscaled/peers/gossip_io.h"
+#include "egretscaled/peers/ingress.h"
+#include "egretscaled/peers/peer_client.h"
+#include "egretscaled/rates/accounts_io.h"
+#include "egretscaled/rates/shares_io.h"
+#include "egretscaled/request/claims_io.h"
+#include "egretscaled/request/http_front.h"
+#include "egretscaled/request/target_call.h"
+
+static void take_message(node_t *node, const Egret__Gossip *message)
+{
+	if (message->kind == EGRET__GOSSIP_KIND__GOSSIP_DEMAND)
+		shares_io_handle_demand(node, message);
+	else
+		shares_io_handle_token(node, message);
+}
+
+const node_ops_t *parts_node_ops(void)
+{
+	static node_ops_t ops = {
+		.on_decided = target_call_decided,
+		.on_member = shares_io_handle_member,
+		.on_message = take_message,
+	};
+
+	ops.gossip = gossip_io_ops();
+	return &ops;
+}
+
+static void create_tables(worker_t *worker)
+{
+	worker->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_client_destroy);
+	worker->ingress = g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
+	worker->borrowers = accounts_io_borrowers_create();
+	worker->delayed = shares_io_delayed_create();
+	worker->claims = claim_batch_create(worker);
+}
+
+static void destroy_tables(worker_t *worker)
+{
+	g_hash_table_destroy(worker->ingress);
+	g_hash_table_destroy(worker->peers);
+	g_hash_table_destroy(worker->borrowers);
+	g_hash_table_destroy(worker->delayed);
+	claim_batch_destroy(worker->claims);
+}
+
+static bool take_frame(worker_t *worker, frame_link_t *link, const Egret__Frame *frame)
+{
+	switch (frame->kind_case) {
+	case EGRET__FRAME__KIND_LOAN_REQUEST:
+		accounts_io_handle_request(worker, link, frame->loan_request);
+		return true;
+	case EGRET__FRAME__KIND_LOAN_REPLY:
+		accounts_io_handle_reply(worker, frame->loan_reply);
+		return true;
+	case EGRET__FRAME__KIND_KEEPER_CONFIRM:
+		accounts_io_handle_confirm(worker, link, frame->keeper_confirm);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void tick(worker_t *worker, usec_t now)
+{
+	accounts_io_tick(worker, now);
+	peer_clients_check(worker, now);
+}
+
+const worker_ops_t *parts_worker_ops(void)
+{
+	static const worker_ops_t ops = {
+		.on_caller = http_front_handle_caller,
+		.on_target = http_front_handle_target,
+		.on_report = http_front_handle_report,
+		.on_completed = http_front_completed,
+		.create = create_tables,
+		.destroy = destroy_tables,
+		.abandon = http_front_abandon,
+		.on_peer = ingress_accept,
+		.on_frame = take_frame,
+		.serve = target_call_start,
+		.tick = tick,
+		.sweep = peer_clients_sweep,
+	};
+
+	return &ops;
+}
--- a/egretscaled/call_codec.c
+++ b/egretscaled/peers/call_codec.c
@@ -1,4 +1,4 @@
-#include "egretscaled/call_codec.h"
+#include "egretscaled/peers/call_codec.h"
 
 #include "config/record.h"
 
--- a/egretscaled/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -1,11 +1,10 @@
-#include "egretscaled/gossip_io.h"
+#include "egretscaled/peers/gossip_io.h"
 
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/pull.h"
-#include "egretscaled/shares_io.h"
+#include "egretscaled/peers/pull.h"
 
 #include <errno.h>
 #include <string.h>
@@ -85,7 +84,7 @@
 	node_t *node = ctx;
 
 	log_member(member);
-	shares_io_handle_member(node, member);
+	node->ops->on_member(node, member);
 	pthread_mutex_lock(&node->router_lock);
 	router_update(node->router, member, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
@@ -134,10 +133,7 @@
 	counter_add(COUNTER_GOSSIP_RECEIVED, 1);
 	counter_add(COUNTER_GOSSIP_RECEIVED_BYTES, len);
 	if (message->kind >= EGRET__GOSSIP_KIND__GOSSIP_DEMAND) {
-		if (message->kind == EGRET__GOSSIP_KIND__GOSSIP_DEMAND)
-			shares_io_handle_demand(node, message);
-		else
-			shares_io_handle_token(node, message);
+		node->ops->on_message(node, message);
 		egret__gossip__free_unpacked(message, NULL);
 		return;
 	}
--- a/egretscaled/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -1,13 +1,11 @@
-#include "egretscaled/ingress.h"
+#include "egretscaled/peers/ingress.h"
 
 #include "common/counters.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/call_codec.h"
-#include "egretscaled/pull.h"
-#include "egretscaled/stream.h"
-#include "egretscaled/target_call.h"
+#include "egretscaled/peers/call_codec.h"
+#include "egretscaled/peers/pull.h"
+#include "egretscaled/peers/stream.h"
 #include "wire/frame_link.h"
 
 typedef struct ingress_link {
@@ -137,7 +135,7 @@
 	g_hash_table_insert(il->calls, &ic->attempt, ic);
 	stream_in_start(&ic->in, il->link, ic->attempt, true, call->request_body);
 	stream_in_take(&ic->in, wire->body.data, wire->body.len, wire->end, false);
-	target_call_start(il->worker, call);
+	il->worker->ops->serve(il->worker, call);
 }
 
 static void take_data(ingress_link_t *il, const Egret__Data *data)
@@ -209,20 +207,15 @@
 	case EGRET__FRAME__KIND_FENCE:
 		take_fence(il, frame->fence);
 		break;
-	case EGRET__FRAME__KIND_LOAN_REQUEST:
-		accounts_io_handle_request(il->worker, il->link, frame->loan_request);
-		break;
 	case EGRET__FRAME__KIND_PING:
 		send_pong(il);
 		break;
 	case EGRET__FRAME__KIND_PULL:
 		pull_answer(il->worker->node, il->link, frame->pull);
 		break;
-	case EGRET__FRAME__KIND_KEEPER_CONFIRM:
-		accounts_io_handle_confirm(il->worker, il->link, frame->keeper_confirm);
-		break;
 	default:
-		counter_add(COUNTER_PEER_BAD_FRAMES, 1);
+		if (!il->worker->ops->on_frame(il->worker, il->link, frame))
+			counter_add(COUNTER_PEER_BAD_FRAMES, 1);
 		break;
 	}
 }
--- a/egretscaled/peer_client.c
+++ b/egretscaled/peers/peer_client.c
@@ -1,11 +1,10 @@
-#include "egretscaled/peer_client.h"
+#include "egretscaled/peers/peer_client.h"
 
 #include "common/counters.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/call_codec.h"
-#include "egretscaled/stream.h"
+#include "egretscaled/peers/call_codec.h"
+#include "egretscaled/peers/stream.h"
 
 #include <string.h>
 
@@ -344,10 +343,8 @@
 		if (pc)
 			finish_fence(pc, frame->fence_reply->never_started);
 		break;
-	case EGRET__FRAME__KIND_LOAN_REPLY:
-		accounts_io_handle_reply(client->worker, frame->loan_reply);
-		break;
 	default:
+		client->worker->ops->on_frame(client->worker, client->link, frame);
 		break;
 	}
 }
--- a/egretscaled/pull.c
+++ b/egretscaled/peers/pull.c
@@ -1,4 +1,4 @@
-#include "egretscaled/pull.h"
+#include "egretscaled/peers/pull.h"
 
 #include "common/counters.h"
 #include "common/log.h"
--- a/egretscaled/stream.c
+++ b/egretscaled/peers/stream.c
@@ -1,4 +1,4 @@
-#include "egretscaled/stream.h"
+#include "egretscaled/peers/stream.h"
 
 #define CREDIT_STEP_BYTES (BODY_WINDOW_BYTES / 4)
 
--- a/egretscaled/accounts_io.c
+++ b/egretscaled/rates/accounts_io.c
@@ -1,9 +1,8 @@
-#include "egretscaled/accounts_io.h"
+#include "egretscaled/rates/accounts_io.h"
 
 #include "accounts/borrower.h"
 #include "common/counters.h"
-#include "egretscaled/peer_client.h"
-#include "egretscaled/shares_io.h"
+#include "egretscaled/peers/peer_client.h"
 
 #include <math.h>
 #include <string.h>
@@ -43,24 +42,6 @@
 	bool replying;
 } account_entry_t;
 
-accounts_t *accounts_create(void)
-{
-	accounts_t *accounts = g_new0(accounts_t, 1);
-
-	accounts->keeper = keeper_create();
-	accounts->zones = g_array_new(FALSE, TRUE, sizeof(zone_keepers_t));
-	return accounts;
-}
-
-void accounts_destroy(accounts_t *accounts)
-{
-	if (!accounts)
-		return;
-	keeper_destroy(accounts->keeper);
-	g_array_free(accounts->zones, TRUE);
-	g_free(accounts);
-}
-
 static void free_entry(void *data)
 {
 	account_entry_t *entry = data;
@@ -361,8 +342,6 @@
 admit_result_t accounts_io_admit(worker_t *worker, const char *account, admit_fn fn,
 				 void *ctx)
 {
-	if (worker->node->shares)
-		return shares_io_admit(worker, account, fn, ctx);
 	account_entry_t *entry = entry_for(worker, account);
 	usec_t now = clock_boot_usec();
 
@@ -389,7 +368,6 @@
 	account_entry_t *entry = g_hash_table_lookup(worker->borrowers, account);
 	waiting_t *waiting;
 
-	shares_io_forget(worker, ctx);
 	if (!entry)
 		return;
 	TAILQ_FOREACH(waiting, &entry->waiting, link)
@@ -403,8 +381,6 @@
 
 double accounts_io_pressure(worker_t *worker, const char *account)
 {
-	if (worker->node->shares)
-		return shares_io_pressure(worker, account);
 	account_entry_t *entry = g_hash_table_lookup(worker->borrowers, account);
 
 	return entry ? borrower_pressure(entry->borrower) : 0;
--- a/egretscaled/leases_io.c
+++ b/egretscaled/rates/leases_io.c
@@ -1,11 +1,11 @@
-#include "egretscaled/leases_io.h"
+#include "egretscaled/rates/leases_io.h"
 
 #include "common/counters.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/confirm.h"
-#include "egretscaled/portions_io.h"
+#include "egretscaled/rates/accounts_io.h"
+#include "egretscaled/rates/confirm.h"
+#include "egretscaled/rates/portions_io.h"
 
 #include <jansson.h>
 #include <math.h>
--- a/egretscaled/portions_io.c
+++ b/egretscaled/rates/portions_io.c
@@ -1,7 +1,7 @@
-#include "egretscaled/portions_io.h"
+#include "egretscaled/rates/portions_io.h"
 
 #include "common/error.h"
-#include "egretscaled/accounts_io.h"
+#include "egretscaled/rates/accounts_io.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/egretscaled/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -1,7 +1,7 @@
-#include "egretscaled/shares_io.h"
+#include "egretscaled/rates/shares_io.h"
 
 #include "common/counters.h"
-#include "egretscaled/gossip_io.h"
+#include "egretscaled/peers/gossip_io.h"
 
 #include <math.h>
 #include <string.h>
--- a/egretscaled/announce.c
+++ b/egretscaled/request/announce.c
@@ -1,4 +1,4 @@
-#include "egretscaled/announce.h"
+#include "egretscaled/request/announce.h"
 
 #include "common/error.h"
 #include "common/log.h"
--- a/egretscaled/claims_io.c
+++ b/egretscaled/request/claims_io.c
@@ -1,8 +1,9 @@
-#include "egretscaled/claims_io.h"
+#include "egretscaled/request/claims_io.h"
 
 #include "common/counters.h"
 #include "common/error.h"
-#include "egretscaled/claim_handle.h"
+#include "egretscaled/request/claim_handle.h"
+#include "egretscaled/request/http_attempt.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -233,7 +234,7 @@
 	handle->revision = revision;
 	counter_add(COUNTER_CLAIMS, 1);
 	if (request && !request->answer_ready && !request->gone)
-		http_request_dispatch(request);
+		http_attempt_dispatch(request);
 	else
 		claim_handle_release_row(handle);
 	claim_handle_unref(handle);
@@ -328,6 +329,34 @@
 		free(values[i]);
 }
 
+/* Releases the claim if the request did not run. */
+static void handle_decided(http_request_t *request)
+{
+	claim_handle_t *handle = request->claim;
+
+	if (handle && handle->claimed &&
+	    request->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
+		claim_handle_release_row(handle);
+}
+
+static void handle_freed(http_request_t *request)
+{
+	claim_handle_t *handle = request->claim;
+
+	if (!handle)
+		return;
+	request->claim = NULL;
+	handle->request = 0;
+	claim_handle_unref(handle);
+}
+
+static const claim_ops_t claim_ops = {
+	.keep_answer = claim_handle_keep_answer,
+	.decided = handle_decided,
+	.gone = claim_handle_adopt,
+	.freed = handle_freed,
+};
+
 void claims_io_claim(http_request_t *request, const char *key)
 {
 	if (!*key || strlen(key) > CLAIM_KEY_MAX_BYTES) {
@@ -343,26 +372,7 @@
 	handle->owner = node_random_id();
 	handle->references = 2; /* the request's and the commit's */
 	request->claim = handle;
+	request->claim_ops = &claim_ops;
 	g_queue_push_tail(&request->worker->claims->waiting, handle);
 	send_batch(request->worker->claims);
 }
-
-void claims_io_finish(http_request_t *request)
-{
-	claim_handle_t *handle = request->claim;
-
-	if (handle && handle->claimed &&
-	    request->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
-		claim_handle_release_row(handle);
-}
-
-void claims_io_abandon(http_request_t *request)
-{
-	claim_handle_t *handle = request->claim;
-
-	if (!handle)
-		return;
-	request->claim = NULL;
-	handle->request = 0;
-	claim_handle_unref(handle);
-}
--- a/egretscaled/claims_keep.c
+++ b/egretscaled/request/claims_keep.c
@@ -1,5 +1,5 @@
 #include "common/log.h"
-#include "egretscaled/claim_handle.h"
+#include "egretscaled/request/claim_handle.h"
 
 #include <stdlib.h>
 
@@ -149,7 +149,7 @@
 	collect(handle);
 }
 
-bool claims_io_keep_answer(http_request_t *request)
+bool claim_handle_keep_answer(http_request_t *request)
 {
 	claim_handle_t *handle = request->claim;
 
@@ -183,7 +183,7 @@
 	worker_defer(handle->worker, handle_adopted_answer, handle);
 }
 
-void claims_io_adopt(http_request_t *request)
+void claim_handle_adopt(http_request_t *request)
 {
 	claim_handle_t *handle = request->claim;
 
--- a/egretscaled/entry.c
+++ b/egretscaled/request/entry.c
@@ -1,12 +1,13 @@
-#include "egretscaled/entry.h"
+#include "egretscaled/request/entry.h"
 
 #include "admission/pressure.h"
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/announce.h"
-#include "egretscaled/claims_io.h"
+#include "egretscaled/rates/rates.h"
+#include "egretscaled/request/announce.h"
+#include "egretscaled/request/claims_io.h"
+#include "egretscaled/request/http_attempt.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -310,7 +311,7 @@
 	const char *key = request->head.idempotency_key;
 
 	if (!key || !*request->context.account) {
-		http_request_dispatch(request);
+		http_attempt_dispatch(request);
 		return;
 	}
 	claims_io_claim(request, key);
@@ -343,7 +344,7 @@
 void entry_begin(http_request_t *request)
 {
 	const char *account = request->context.account;
-	double pressure = *account ? accounts_io_pressure(request->worker, account) : 0;
+	double pressure = *account ? rates_pressure(request->worker, account) : 0;
 
 	set_fingerprint(request);
 	request->context.rank = priority_rank(request->context.request_id,
@@ -362,7 +363,7 @@
 	}
 	request->waits_for_rate = true;
 	admit_result_t result =
-		accounts_io_admit(request->worker, account, handle_admitted, request);
+		rates_admit(request->worker, account, handle_admitted, request);
 	if (result == ADMIT_WAITING)
 		return;
 	handle_admitted(request, result == ADMIT_GRANTED);
@@ -461,5 +462,5 @@
 	else if (is_shed(request))
 		refuse(request, EGRET__REASON__REASON_SHED);
 	else
-		http_request_dispatch(request);
+		http_attempt_dispatch(request);
 }
--- a/egretscaled/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -1,10 +1,9 @@
-#include "egretscaled/http_attempt.h"
+#include "egretscaled/request/http_attempt.h"
 
 #include "common/counters.h"
 #include "common/log.h"
-#include "egretscaled/claims_io.h"
-#include "egretscaled/peer_client.h"
-#include "egretscaled/target_call.h"
+#include "egretscaled/peers/peer_client.h"
+#include "egretscaled/request/target_call.h"
 
 #include <string.h>
 
@@ -224,7 +223,7 @@
 			    EGRET__REASON__REASON_DEADLINE);
 }
 
-void http_request_dispatch(http_request_t *request)
+void http_attempt_dispatch(http_request_t *request)
 {
 	usec_t now = clock_boot_usec();
 	usec_t left = request->context.deadline - now;
@@ -369,7 +368,7 @@
 		request->outcome = reply->outcome;
 		request->status = reply->status;
 		body_on_readable(request->call->reply_body, handle_reply_bytes, request);
-		if (!claims_io_keep_answer(request))
+		if (!request->claim || !request->claim_ops->keep_answer(request))
 			http_request_ready(request);
 		return;
 	}
--- a/egretscaled/http_request.c
+++ b/egretscaled/request/http_front.c
@@ -1,193 +1,18 @@
-#include "egretscaled/http_request.h"
+#include "egretscaled/request/http_front.h"
 
-#include "common/counters.h"
-#include "common/log.h"
-#include "egretscaled/accounts_io.h"
-#include "egretscaled/announce.h"
-#include "egretscaled/claims_io.h"
-#include "egretscaled/entry.h"
-#include "egretscaled/http_attempt.h"
+#include "egretscaled/rates/rates.h"
+#include "egretscaled/request/announce.h"
+#include "egretscaled/request/entry.h"
+#include "egretscaled/request/http_attempt.h"
 
 #include <sodium.h>
 #include <string.h>
 
-#define WORKER_SHIFT 56
 #define RANDOM_ID_BYTES 16
 #define REPLY_BLOCK_BYTES (32u << 10)
-/* When a refused client may come back. */
-#define RETRY_AFTER (150 * USEC_PER_MSEC)
-
-http_request_t *http_request_find(worker_t *worker, uint64_t number)
-{
-	return g_hash_table_lookup(worker->requests, &number);
-}
-
-/* --- The client's side of the connection ------------------------------- */
-
-static bool body_wanted(const http_request_t *request)
-{
-	if (request->body_ended)
-		return false;
-	if (request->discard_body || !request->prepared)
-		return true;
-	if (request->streaming)
-		return body_room(request->call->request_body) > 0;
-	return request->head_body->len < HTTP_HEAD_BODY_BYTES;
-}
-
-/* Whether libmicrohttpd has something to do for this connection now. */
-static bool connection_has_work(const http_request_t *request)
-{
-	if (request->gone || body_wanted(request))
-		return true;
-	return request->answer_ready && request->body_ended;
-}
-
-void http_request_wake(http_request_t *request)
-{
-	if (!request->suspended || !connection_has_work(request))
-		return;
-	request->suspended = false;
-	mhd_loop_unwatch(request->loop, request->connection);
-	mhd_loop_resume(request->loop, request->connection);
-}
-
-static void handle_client_gone(void *ctx)
-{
-	http_request_t *request = ctx;
-
-	request->gone = true;
-	claims_io_adopt(request);
-	if (request->call) {
-		call_destroy(request->call);
-		request->call = NULL;
-	}
-	if (request->suspended) {
-		request->suspended = false;
-		mhd_loop_resume(request->loop, request->connection);
-	}
-}
-
-static void suspend(http_request_t *request)
-{
-	if (request->suspended)
-		return;
-	request->suspended = true;
-	MHD_suspend_connection(request->connection);
-	mhd_loop_watch(request->loop, request->connection, handle_client_gone, request);
-}
 
 /* --- Answer ------------------------------------------------------------ */
 
-static void count_outcome(const http_request_t *request)
-{
-	if (request->side != HTTP_CALLERS)
-		return;
-	if (request->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED)
-		counter_add(COUNTER_ANSWERED, 1);
-	else if (request->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
-		counter_add(COUNTER_NOT_RUN, 1);
-	else
-		counter_add(COUNTER_UNKNOWN, 1);
-}
-
-static void log_outcome(const http_request_t *request)
-{
-	log_rec_t rec;
-
-	log_begin(&rec, LOG_LEVEL_INFO, "outcome");
-	log_str(&rec, "request", request->context.request_id);
-	log_str(&rec, "account", request->context.account);
-	log_str(&rec, "service", request->service);
-	log_str(&rec, "outcome", outcome_word(request->outcome));
-	log_str(&rec, "reason", reason_word(request->reason));
-	log_int(&rec, "status", request->status);
-	log_int(&rec, "config", (int64_t)request->config_revision);
-	log_int(&rec, "depth", request->context.depth);
-	log_int(&rec, "attempts", request->attempt_count);
-	log_int(&rec, "usec", clock_boot_usec() - request->arrived);
-	log_end(&rec);
-}
-
-static void return_to_parent(http_request_t *request)
-{
-	node_t *node = request->worker->node;
-	usec_t now = clock_boot_usec();
-
-	if (!*request->parent)
-		return;
-	priority_t below = request->below;
-	if (request->route) {
-		pthread_mutex_lock(&node->router_lock);
-		below = MIN(below,
-			    router_service_level(node->router, request->service, now));
-		below = MIN(below,
-			    backpressure_level(node->backpressure, request->route, now));
-		pthread_mutex_unlock(&node->router_lock);
-	}
-	pthread_mutex_lock(&node->live_lock);
-	live_child_end(node->live, request->parent, request->number, now,
-		       request->lent_by_parent, request->retries.left, below);
-	pthread_mutex_unlock(&node->live_lock);
-	request->parent[0] = '\0';
-}
-
-void http_request_ready(http_request_t *request)
-{
-	if (request->answer_ready)
-		return;
-	request->answer_ready = true;
-	request->discard_body = !request->body_ended;
-	TALLOC_FREE(request->retry_timer);
-	TALLOC_FREE(request->deadline_timer);
-	return_to_parent(request);
-	count_outcome(request);
-	log_outcome(request);
-	claims_io_finish(request);
-	http_request_wake(request);
-}
-
-static const dialect_t *dialect_of(const http_request_t *request)
-{
-	return request->worker->node->settings->dialect;
-}
-
-static refusal_t refusal_of(const http_request_t *request)
-{
-	return (refusal_t){
-		.outcome = request->outcome,
-		.reason = request->reason,
-		.request_id = request->context.request_id,
-		.retry_after = RETRY_AFTER,
-	};
-}
-
-void http_request_refuse(http_request_t *request, Egret__Outcome outcome,
-			 Egret__Reason reason)
-{
-	if (request->answer_ready)
-		return;
-	if (request->call) {
-		call_destroy(request->call);
-		request->call = NULL;
-	}
-	request->outcome = outcome;
-	request->reason = reason;
-	refusal_t refusal = refusal_of(request);
-	request->status = dialect_of(request)->refusal_status(&refusal);
-	http_request_ready(request);
-}
-
-void http_request_replay(http_request_t *request, uint32_t status, GPtrArray *headers,
-			 GBytes *body)
-{
-	request->outcome = EGRET__OUTCOME__OUTCOME_ANSWERED;
-	request->status = status;
-	request->replay = g_bytes_ref(body);
-	request->replay_headers = headers;
-	http_request_ready(request);
-}
-
 static ssize_t read_reply(void *ctx, uint64_t position, char *buffer, size_t size)
 {
 	(void)position;
@@ -203,7 +28,7 @@
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (body_finished(body))
 		return MHD_CONTENT_READER_END_OF_STREAM;
-	suspend(request);
+	http_request_suspend(request);
 	return 0;
 }
 
@@ -248,13 +73,14 @@
 
 static struct MHD_Response *refusal_response(const http_request_t *request)
 {
-	refusal_t refusal = refusal_of(request);
+	refusal_t refusal = http_request_refusal(request);
 	char text[64];
 
 	g_snprintf(text, sizeof(text), "%s\n", reason_word(request->reason));
 	struct MHD_Response *response = buffer_response((uint8_t *)text, strlen(text));
 	MHD_add_response_header(response, "Content-Type", "text/plain");
-	dialect_of(request)->add_refusal(&refusal, add_response_header, response);
+	http_request_dialect(request)->add_refusal(&refusal, add_response_header,
+						   response);
 	return response;
 }
 
@@ -273,7 +99,8 @@
 	} else {
 		response = refusal_response(request);
 	}
-	dialect_of(request)->add_outcome(request->outcome, add_response_header, response);
+	http_request_dialect(request)->add_outcome(request->outcome, add_response_header,
+						   response);
 	request->answer_queued = true;
 	enum MHD_Result result =
 		MHD_queue_response(request->connection, request->status, response);
@@ -289,7 +116,8 @@
 	(void)kind;
 	http_request_t *request = ctx;
 
-	if (!header_is_private(name) && !dialect_of(request)->owns_request_header(name))
+	if (!header_is_private(name) &&
+	    !http_request_dialect(request)->owns_request_header(name))
 		headers_add(request->headers, name, value ? value : "");
 	return MHD_YES;
 }
@@ -372,14 +200,14 @@
 	request->loop = loop_of(worker, side, connection);
 	request->connection = connection;
 	request->number =
-		((uint64_t)worker->index << WORKER_SHIFT) | ++worker->next_request;
+		((uint64_t)worker->index << HTTP_WORKER_SHIFT) | ++worker->next_request;
 	request->method = g_strdup(method);
 	request->path = rebuild_path(connection, url);
 	request->headers = headers_create();
 	MHD_get_connection_values(connection, MHD_HEADER_KIND, collect_header, request);
 	request->host = g_strdup(lookup_header(connection, MHD_HTTP_HEADER_HOST));
-	request->head_ok =
-		dialect_of(request)->read_head(lookup_header, connection, &request->head);
+	request->head_ok = http_request_dialect(request)->read_head(
+		lookup_header, connection, &request->head);
 	set_id(request);
 	request->content_length = announced_length(connection);
 	request->head_body = g_byte_array_new();
@@ -397,16 +225,18 @@
 	if (request->suspended)
 		mhd_loop_unwatch(request->loop, request->connection);
 	if (request->waits_for_rate)
-		accounts_io_forget(worker, request->context.account, request);
+		rates_forget(worker, request->context.account, request);
 	TALLOC_FREE(request->retry_timer);
 	TALLOC_FREE(request->deadline_timer);
-	claims_io_adopt(request);
+	if (request->claim)
+		request->claim_ops->gone(request);
 	if (request->call)
 		call_destroy(request->call);
 	request->call = NULL;
 	http_attempt_end_routing(request, ROUTER_REFUSED, NULL);
-	return_to_parent(request);
-	claims_io_abandon(request);
+	http_request_return_to_parent(request);
+	if (request->claim)
+		request->claim_ops->freed(request);
 	g_hash_table_remove(worker->requests, &request->number);
 	g_ptr_array_unref(request->headers);
 	if (request->replay_headers)
@@ -474,8 +304,8 @@
 		begin(request);
 	if (request->answer_ready && request->body_ended && !request->answer_queued)
 		return queue_answer(request);
-	if (!connection_has_work(request))
-		suspend(request);
+	if (!http_request_has_work(request))
+		http_request_suspend(request);
 	return MHD_YES;
 }
 
@@ -497,35 +327,35 @@
 	return MHD_YES;
 }
 
-enum MHD_Result http_request_handle_caller(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state)
+enum MHD_Result http_front_handle_caller(void *ctx, struct MHD_Connection *connection,
+					 const char *url, const char *method,
+					 const char *version, const char *data,
+					 size_t *data_len, void **state)
 {
 	(void)version;
 	return handle(ctx, HTTP_CALLERS, connection, url, method, data, data_len, state);
 }
 
-enum MHD_Result http_request_handle_target(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state)
+enum MHD_Result http_front_handle_target(void *ctx, struct MHD_Connection *connection,
+					 const char *url, const char *method,
+					 const char *version, const char *data,
+					 size_t *data_len, void **state)
 {
 	(void)version;
 	return handle(ctx, HTTP_TARGET, connection, url, method, data, data_len, state);
 }
 
-enum MHD_Result http_request_handle_report(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state)
+enum MHD_Result http_front_handle_report(void *ctx, struct MHD_Connection *connection,
+					 const char *url, const char *method,
+					 const char *version, const char *data,
+					 size_t *data_len, void **state)
 {
 	(void)version;
 	return handle(ctx, HTTP_REPORTS, connection, url, method, data, data_len, state);
 }
 
-void http_request_completed(void *ctx, struct MHD_Connection *connection, void **state,
-			    enum MHD_RequestTerminationCode code)
+void http_front_completed(void *ctx, struct MHD_Connection *connection, void **state,
+			  enum MHD_RequestTerminationCode code)
 {
 	(void)ctx;
 	(void)connection;
@@ -536,27 +366,7 @@
 	*state = NULL;
 }
 
-static void cancel_here(worker_t *worker, void *ctx)
-{
-	http_request_t *request = http_request_find(worker, (uint64_t)(uintptr_t)ctx);
-
-	if (!request || request->answer_ready)
-		return;
-	bool ran = request->call && !request->call->answered;
-	http_request_refuse(request,
-			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN
-				: EGRET__OUTCOME__OUTCOME_NOT_RUN,
-			    EGRET__REASON__REASON_CANCELLED);
-}
-
-void http_request_cancel(node_t *node, uint64_t number)
-{
-	uint32_t index = (uint32_t)(number >> WORKER_SHIFT);
-
-	worker_post(node->workers[index], cancel_here, (void *)(uintptr_t)number);
-}
-
-void http_requests_abandon(worker_t *worker)
+void http_front_abandon(worker_t *worker)
 {
 	GList *requests = g_hash_table_get_values(worker->requests);
 
@@ -565,7 +375,7 @@
 
 		if (request->suspended)
 			mhd_loop_unwatch(request->loop, request->connection);
-		handle_client_gone(request);
+		http_request_gone(request);
 	}
 	g_list_free(requests);
 }
--- /dev/null
+++ b/egretscaled/request/http_request.c
@@ -0,0 +1,204 @@
+#include "egretscaled/request/http_request.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+
+#include <string.h>
+
+/* When a refused client may come back. */
+#define RETRY_AFTER (150 * USEC_PER_MSEC)
+
+http_request_t *http_request_find(worker_t *worker, uint64_t number)
+{
+	return g_hash_table_lookup(worker->requests, &number);
+}
+
+/* --- The client's side of the connection ------------------------------- */
+
+static bool body_wanted(const http_request_t *request)
+{
+	if (request->body_ended)
+		return false;
+	if (request->discard_body || !request->prepared)
+		return true;
+	if (request->streaming)
+		return body_room(request->call->request_body) > 0;
+	return request->head_body->len < HTTP_HEAD_BODY_BYTES;
+}
+
+bool http_request_has_work(const http_request_t *request)
+{
+	if (request->gone || body_wanted(request))
+		return true;
+	return request->answer_ready && request->body_ended;
+}
+
+void http_request_wake(http_request_t *request)
+{
+	if (!request->suspended || !http_request_has_work(request))
+		return;
+	request->suspended = false;
+	mhd_loop_unwatch(request->loop, request->connection);
+	mhd_loop_resume(request->loop, request->connection);
+}
+
+void http_request_gone(http_request_t *request)
+{
+	request->gone = true;
+	if (request->claim)
+		request->claim_ops->gone(request);
+	if (request->call) {
+		call_destroy(request->call);
+		request->call = NULL;
+	}
+	if (request->suspended) {
+		request->suspended = false;
+		mhd_loop_resume(request->loop, request->connection);
+	}
+}
+
+static void handle_hangup(void *ctx)
+{
+	http_request_gone(ctx);
+}
+
+void http_request_suspend(http_request_t *request)
+{
+	if (request->suspended)
+		return;
+	request->suspended = true;
+	MHD_suspend_connection(request->connection);
+	mhd_loop_watch(request->loop, request->connection, handle_hangup, request);
+}
+
+/* --- The outcome ------------------------------------------------------- */
+
+static void count_outcome(const http_request_t *request)
+{
+	if (request->side != HTTP_CALLERS)
+		return;
+	if (request->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED)
+		counter_add(COUNTER_ANSWERED, 1);
+	else if (request->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
+		counter_add(COUNTER_NOT_RUN, 1);
+	else
+		counter_add(COUNTER_UNKNOWN, 1);
+}
+
+static void log_outcome(const http_request_t *request)
+{
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_INFO, "outcome");
+	log_str(&rec, "request", request->context.request_id);
+	log_str(&rec, "account", request->context.account);
+	log_str(&rec, "service", request->service);
+	log_str(&rec, "outcome", outcome_word(request->outcome));
+	log_str(&rec, "reason", reason_word(request->reason));
+	log_int(&rec, "status", request->status);
+	log_int(&rec, "config", (int64_t)request->config_revision);
+	log_int(&rec, "depth", request->context.depth);
+	log_int(&rec, "attempts", request->attempt_count);
+	log_int(&rec, "usec", clock_boot_usec() - request->arrived);
+	log_end(&rec);
+}
+
+void http_request_return_to_parent(http_request_t *request)
+{
+	node_t *node = request->worker->node;
+	usec_t now = clock_boot_usec();
+
+	if (!*request->parent)
+		return;
+	priority_t below = request->below;
+	if (request->route) {
+		pthread_mutex_lock(&node->router_lock);
+		below = MIN(below,
+			    router_service_level(node->router, request->service, now));
+		below = MIN(below,
+			    backpressure_level(node->backpressure, request->route, now));
+		pthread_mutex_unlock(&node->router_lock);
+	}
+	pthread_mutex_lock(&node->live_lock);
+	live_child_end(node->live, request->parent, request->number, now,
+		       request->lent_by_parent, request->retries.left, below);
+	pthread_mutex_unlock(&node->live_lock);
+	request->parent[0] = '\0';
+}
+
+void http_request_ready(http_request_t *request)
+{
+	if (request->answer_ready)
+		return;
+	request->answer_ready = true;
+	request->discard_body = !request->body_ended;
+	TALLOC_FREE(request->retry_timer);
+	TALLOC_FREE(request->deadline_timer);
+	http_request_return_to_parent(request);
+	count_outcome(request);
+	log_outcome(request);
+	if (request->claim)
+		request->claim_ops->decided(request);
+	http_request_wake(request);
+}
+
+const dialect_t *http_request_dialect(const http_request_t *request)
+{
+	return request->worker->node->settings->dialect;
+}
+
+refusal_t http_request_refusal(const http_request_t *request)
+{
+	return (refusal_t){
+		.outcome = request->outcome,
+		.reason = request->reason,
+		.request_id = request->context.request_id,
+		.retry_after = RETRY_AFTER,
+	};
+}
+
+void http_request_refuse(http_request_t *request, Egret__Outcome outcome,
+			 Egret__Reason reason)
+{
+	if (request->answer_ready)
+		return;
+	if (request->call) {
+		call_destroy(request->call);
+		request->call = NULL;
+	}
+	request->outcome = outcome;
+	request->reason = reason;
+	refusal_t refusal = http_request_refusal(request);
+	request->status = http_request_dialect(request)->refusal_status(&refusal);
+	http_request_ready(request);
+}
+
+void http_request_replay(http_request_t *request, uint32_t status, GPtrArray *headers,
+			 GBytes *body)
+{
+	request->outcome = EGRET__OUTCOME__OUTCOME_ANSWERED;
+	request->status = status;
+	request->replay = g_bytes_ref(body);
+	request->replay_headers = headers;
+	http_request_ready(request);
+}
+
+static void cancel_here(worker_t *worker, void *ctx)
+{
+	http_request_t *request = http_request_find(worker, (uint64_t)(uintptr_t)ctx);
+
+	if (!request || request->answer_ready)
+		return;
+	bool ran = request->call && !request->call->answered;
+	http_request_refuse(request,
+			    ran ? EGRET__OUTCOME__OUTCOME_UNKNOWN
+				: EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    EGRET__REASON__REASON_CANCELLED);
+}
+
+void http_request_cancel(node_t *node, uint64_t number)
+{
+	uint32_t index = (uint32_t)(number >> HTTP_WORKER_SHIFT);
+
+	worker_post(node->workers[index], cancel_here, (void *)(uintptr_t)number);
+}
--- a/egretscaled/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -1,9 +1,9 @@
-#include "egretscaled/target_call.h"
+#include "egretscaled/request/target_call.h"
 
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
-#include "egretscaled/http_request.h"
+#include "egretscaled/request/http_request.h"
 
 #include <string.h>
 #include <strings.h>
--- a/include/egretscaled/admin.h
+++ b/include/egretscaled/control/admin.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_ADMIN_H
-#define EGRET_EGRETSCALED_ADMIN_H
+#ifndef EGRET_EGRETSCALED_CONTROL_ADMIN_H
+#define EGRET_EGRETSCALED_CONTROL_ADMIN_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 #include "http/mhd_loop.h"
 
 /*
--- a/include/egretscaled/config_poll.h
+++ b/include/egretscaled/control/config_poll.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_CONFIG_POLL_H
-#define EGRET_EGRETSCALED_CONFIG_POLL_H
+#ifndef EGRET_EGRETSCALED_CONTROL_CONFIG_POLL_H
+#define EGRET_EGRETSCALED_CONTROL_CONFIG_POLL_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 #include "store/store.h"
 
 #include <talloc.h>
--- a/include/egretscaled/call.h
+++ b/include/egretscaled/node/call.h
@@ -1,5 +1,5 @@
-#ifndef EGRET_EGRETSCALED_CALL_H
-#define EGRET_EGRETSCALED_CALL_H
+#ifndef EGRET_EGRETSCALED_NODE_CALL_H
+#define EGRET_EGRETSCALED_NODE_CALL_H
 
 #include "admission/priority.h"
 #include "common/clock.h"
--- a/include/egretscaled/dialect.h
+++ b/include/egretscaled/node/dialect.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_DIALECT_H
-#define EGRET_EGRETSCALED_DIALECT_H
+#ifndef EGRET_EGRETSCALED_NODE_DIALECT_H
+#define EGRET_EGRETSCALED_NODE_DIALECT_H
 
-#include "egretscaled/call.h"
+#include "egretscaled/node/call.h"
 #include "membership/target.h"
 
 #include <glib.h>
--- a/include/egretscaled/live.h
+++ b/include/egretscaled/node/live.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_LIVE_H
-#define EGRET_EGRETSCALED_LIVE_H
+#ifndef EGRET_EGRETSCALED_NODE_LIVE_H
+#define EGRET_EGRETSCALED_NODE_LIVE_H
 
-#include "egretscaled/call.h"
+#include "egretscaled/node/call.h"
 #include "retry/retry.h"
 
 /*
--- a/include/egretscaled/node.h
+++ b/include/egretscaled/node/node.h
@@ -1,12 +1,12 @@
-#ifndef EGRET_EGRETSCALED_NODE_H
-#define EGRET_EGRETSCALED_NODE_H
+#ifndef EGRET_EGRETSCALED_NODE_NODE_H
+#define EGRET_EGRETSCALED_NODE_NODE_H
 
 #include "accounts/shares.h"
 #include "admission/gate.h"
 #include "claims/attempts.h"
 #include "config/config.h"
-#include "egretscaled/live.h"
-#include "egretscaled/settings.h"
+#include "egretscaled/node/live.h"
+#include "egretscaled/node/settings.h"
 #include "http/curl_loop.h"
 #include "membership/gossip.h"
 #include "membership/target.h"
@@ -36,8 +36,22 @@
  * out of date. */
 #define NODE_PAUSE_MIN (3 * USEC_PER_SEC)
 
-typedef struct node {
+typedef struct node node_t;
+
+/* What the rooms above do for a node; set once, by main(). */
+typedef struct node_ops {
+	const gossip_ops_t *gossip;
+	/* The gate decided on a call that waited. Any thread, under gate_lock. */
+	void (*on_decided)(void *ticket_ctx, gate_verdict_t verdict);
+	/* An entry of the directory changed. Under gossip_lock. */
+	void (*on_member)(node_t *node, const member_t *member);
+	/* A datagram that is not the directory's. Control thread. */
+	void (*on_message)(node_t *node, const Egret__Gossip *message);
+} node_ops_t;
+
+struct node {
 	settings_t *settings;
+	const node_ops_t *ops;
 	_Atomic(const bounds_t *) bounds; /* in force; earlier ones live on */
 	GPtrArray *old_bounds;		  /* control thread */
 	peer_auth_t *auth;
@@ -85,9 +99,9 @@
 	atomic_bool has_directory; /* and what stands beside them */
 	atomic_bool draining;	   /* a planned stop has begun */
 	atomic_uint requests;	   /* HTTP requests and peer calls not yet answered */
-} node_t;
+};
 
-node_t *node_create(settings_t *settings, GError **error);
+node_t *node_create(settings_t *settings, const node_ops_t *ops, GError **error);
 void node_destroy(node_t *node);
 
 /* The bounds in force; valid for the life of the node. Any thread. */
--- a/include/egretscaled/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -1,9 +1,9 @@
-#ifndef EGRET_EGRETSCALED_SETTINGS_H
-#define EGRET_EGRETSCALED_SETTINGS_H
+#ifndef EGRET_EGRETSCALED_NODE_SETTINGS_H
+#define EGRET_EGRETSCALED_NODE_SETTINGS_H
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "egretscaled/dialect.h"
+#include "egretscaled/node/dialect.h"
 #include "wire/peer_auth.h"
 
 #include <netinet/in.h>
--- a/include/egretscaled/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -1,10 +1,12 @@
-#ifndef EGRET_EGRETSCALED_WORKER_H
-#define EGRET_EGRETSCALED_WORKER_H
+#ifndef EGRET_EGRETSCALED_NODE_WORKER_H
+#define EGRET_EGRETSCALED_NODE_WORKER_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/call.h"
+#include "egretscaled/node/node.h"
 #include "http/curl_loop.h"
 #include "http/mhd_loop.h"
 #include "store/store.h"
+#include "wire/frame_link.h"
 
 #include <talloc.h>
 #include <tevent.h>
@@ -21,8 +23,33 @@
 
 typedef void (*worker_task_fn)(worker_t *worker, void *ctx);
 
+/* What the rooms above do on a worker; set once, by main(). All run on its thread,
+ * but for create and destroy, which run before it starts and after it ended. */
+typedef struct worker_ops {
+	MHD_AccessHandlerCallback on_caller;
+	MHD_AccessHandlerCallback on_target;
+	MHD_AccessHandlerCallback on_report;
+	MHD_RequestCompletedCallback on_completed;
+	/* The worker's tables, from peers to claims below. */
+	void (*create)(worker_t *worker);
+	void (*destroy)(worker_t *worker);
+	/* Resumes all connections, for libmicrohttpd to be stopped. */
+	void (*abandon)(worker_t *worker);
+	/* A peer connected. */
+	void (*on_peer)(worker_t *worker, int fd);
+	/* A frame that belongs to no call; returns false if nobody knows its kind. */
+	bool (*on_frame)(worker_t *worker, frame_link_t *link, const Egret__Frame *frame);
+	/* A call for the own target; it is attached to its sink. */
+	void (*serve)(worker_t *worker, call_t *call);
+	void (*tick)(worker_t *worker, usec_t now);  /* every WORKER_TICK */
+	void (*sweep)(worker_t *worker, usec_t now); /* every second */
+} worker_ops_t;
+
+#define WORKER_TICK (50 * USEC_PER_MSEC)
+
 struct worker {
 	node_t *node;
+	const worker_ops_t *ops;
 	uint32_t index;
 	uint64_t next_request;
 	struct tevent_context *ev;
@@ -51,7 +78,7 @@
 	bool stopping;
 };
 
-worker_t *worker_create(node_t *node, GError **error);
+worker_t *worker_create(node_t *node, const worker_ops_t *ops, GError **error);
 bool worker_start(worker_t *worker, GError **error);
 
 /* Ends the loop and waits for the thread. */
--- a/include/egretscaled/call_codec.h
+++ b/include/egretscaled/peers/call_codec.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_CALL_CODEC_H
-#define EGRET_EGRETSCALED_CALL_CODEC_H
+#ifndef EGRET_EGRETSCALED_PEERS_CALL_CODEC_H
+#define EGRET_EGRETSCALED_PEERS_CALL_CODEC_H
 
-#include "egretscaled/call.h"
+#include "egretscaled/node/call.h"
 
 /*
  * NAME
--- a/include/egretscaled/gossip_io.h
+++ b/include/egretscaled/peers/gossip_io.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_GOSSIP_IO_H
-#define EGRET_EGRETSCALED_GOSSIP_IO_H
+#ifndef EGRET_EGRETSCALED_PEERS_GOSSIP_IO_H
+#define EGRET_EGRETSCALED_PEERS_GOSSIP_IO_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 
 #include <talloc.h>
 #include <tevent.h>
--- a/include/egretscaled/ingress.h
+++ b/include/egretscaled/peers/ingress.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_INGRESS_H
-#define EGRET_EGRETSCALED_INGRESS_H
+#ifndef EGRET_EGRETSCALED_PEERS_INGRESS_H
+#define EGRET_EGRETSCALED_PEERS_INGRESS_H
 
-#include "egretscaled/worker.h"
+#include "egretscaled/node/worker.h"
 
 /*
  * NAME
--- a/include/egretscaled/peer_client.h
+++ b/include/egretscaled/peers/peer_client.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_PEER_CLIENT_H
-#define EGRET_EGRETSCALED_PEER_CLIENT_H
+#ifndef EGRET_EGRETSCALED_PEERS_PEER_CLIENT_H
+#define EGRET_EGRETSCALED_PEERS_PEER_CLIENT_H
 
-#include "egretscaled/worker.h"
+#include "egretscaled/node/worker.h"
 #include "wire/frame_link.h"
 
 /*
--- a/include/egretscaled/pull.h
+++ b/include/egretscaled/peers/pull.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_PULL_H
-#define EGRET_EGRETSCALED_PULL_H
+#ifndef EGRET_EGRETSCALED_PEERS_PULL_H
+#define EGRET_EGRETSCALED_PEERS_PULL_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 #include "wire/frame_link.h"
 
 /*
--- a/include/egretscaled/stream.h
+++ b/include/egretscaled/peers/stream.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_STREAM_H
-#define EGRET_EGRETSCALED_STREAM_H
+#ifndef EGRET_EGRETSCALED_PEERS_STREAM_H
+#define EGRET_EGRETSCALED_PEERS_STREAM_H
 
-#include "egretscaled/call.h"
+#include "egretscaled/node/call.h"
 #include "wire/frame_link.h"
 
 /*
--- a/include/egretscaled/accounts_io.h
+++ b/include/egretscaled/rates/accounts_io.h
@@ -1,8 +1,9 @@
-#ifndef EGRET_EGRETSCALED_ACCOUNTS_IO_H
-#define EGRET_EGRETSCALED_ACCOUNTS_IO_H
+#ifndef EGRET_EGRETSCALED_RATES_ACCOUNTS_IO_H
+#define EGRET_EGRETSCALED_RATES_ACCOUNTS_IO_H
 
 #include "accounts/keeper.h"
-#include "egretscaled/worker.h"
+#include "egretscaled/node/accounts.h"
+#include "egretscaled/rates/admit.h"
 #include "wire/frame_link.h"
 
 /*
@@ -15,43 +16,10 @@
  *	part (leases, lenders, where the keepers are) is guarded by account_lock.
  */
 
-typedef struct accounts accounts_t;
-
-/* Where the keepers are; rebuilt by the control thread. */
-typedef struct keeper_place {
-	char address[ADDRESS_TEXT_BYTES];
-	uint64_t epoch;
-} keeper_place_t;
-
-typedef struct zone_keepers {
-	char zone[MEMBER_TEXT_BYTES];
-	keeper_place_t places[KEEPER_PARTITIONS];
-} zone_keepers_t;
-
-struct accounts {
-	keeper_t *keeper;
-	GArray *zones; /* of zone_keepers_t */
-};
-
-accounts_t *accounts_create(void);
-void accounts_destroy(accounts_t *accounts);
-
-typedef void (*admit_fn)(void *ctx, bool admitted);
-
-typedef enum admit_result {
-	ADMIT_GRANTED,
-	ADMIT_WAITING, /* the callback will tell */
-	ADMIT_REFUSED,
-} admit_result_t;
-
-/* Takes one token of the account for a request. */
+/* See rates.h. */
 admit_result_t accounts_io_admit(worker_t *worker, const char *account, admit_fn fn,
 				 void *ctx);
-
-/* A waiting request is over; its callback will not run. */
 void accounts_io_forget(worker_t *worker, const char *account, void *ctx);
-
-/* The account's demand over its rate as last told by the keeper. */
 double accounts_io_pressure(worker_t *worker, const char *account);
 
 /* Renews loans and drops idle borrowers; called often on each worker. */
--- a/include/egretscaled/confirm.h
+++ b/include/egretscaled/rates/confirm.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_CONFIRM_H
-#define EGRET_EGRETSCALED_CONFIRM_H
+#ifndef EGRET_EGRETSCALED_RATES_CONFIRM_H
+#define EGRET_EGRETSCALED_RATES_CONFIRM_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 
 #include <talloc.h>
 #include <tevent.h>
--- a/include/egretscaled/leases_io.h
+++ b/include/egretscaled/rates/leases_io.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_LEASES_IO_H
-#define EGRET_EGRETSCALED_LEASES_IO_H
+#ifndef EGRET_EGRETSCALED_RATES_LEASES_IO_H
+#define EGRET_EGRETSCALED_RATES_LEASES_IO_H
 
-#include "egretscaled/node.h"
+#include "egretscaled/node/node.h"
 #include "store/store.h"
 
 #include <talloc.h>
--- a/include/egretscaled/shares_io.h
+++ b/include/egretscaled/rates/shares_io.h
@@ -1,8 +1,8 @@
-#ifndef EGRET_EGRETSCALED_SHARES_IO_H
-#define EGRET_EGRETSCALED_SHARES_IO_H
+#ifndef EGRET_EGRETSCALED_RATES_SHARES_IO_H
+#define EGRET_EGRETSCALED_RATES_SHARES_IO_H
 
 #include "accounts/shares.h"
-#include "egretscaled/accounts_io.h"
+#include "egretscaled/rates/admit.h"
 
 /*
  * NAME
@@ -34,7 +34,7 @@
 /* A peer asks for a token, or answers. */
 void shares_io_handle_token(node_t *node, const Egret__Gossip *message);
 
-/* As accounts_io_admit() and accounts_io_forget(). */
+/* See rates.h. */
 admit_result_t shares_io_admit(worker_t *worker, const char *account, admit_fn fn,
 			       void *ctx);
 void shares_io_forget(worker_t *worker, void *ctx);
--- a/include/egretscaled/announce.h
+++ b/include/egretscaled/request/announce.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_ANNOUNCE_H
-#define EGRET_EGRETSCALED_ANNOUNCE_H
+#ifndef EGRET_EGRETSCALED_REQUEST_ANNOUNCE_H
+#define EGRET_EGRETSCALED_REQUEST_ANNOUNCE_H
 
-#include "egretscaled/http_request.h"
+#include "egretscaled/request/http_request.h"
 
 /*
  * NAME
--- a/include/egretscaled/claim_handle.h
+++ b/include/egretscaled/request/claim_handle.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_CLAIM_HANDLE_H
-#define EGRET_EGRETSCALED_CLAIM_HANDLE_H
+#ifndef EGRET_EGRETSCALED_REQUEST_CLAIM_HANDLE_H
+#define EGRET_EGRETSCALED_REQUEST_CLAIM_HANDLE_H
 
-#include "egretscaled/claims_io.h"
+#include "egretscaled/request/http_request.h"
 
 /*
  * NAME
@@ -12,7 +12,7 @@
  *	operation of the store under way another.
  */
 
-struct claim_handle {
+typedef struct claim_handle {
 	worker_t *worker;
 	uint64_t request; /* number of the HTTP request, 0 once it is gone */
 	char *row_key;
@@ -27,7 +27,7 @@
 	call_reply_t reply; /* head of the answer, with a reference on its headers */
 	int release_tries;
 	int references;
-};
+} claim_handle_t;
 
 void claim_handle_unref(claim_handle_t *handle);
 
@@ -37,4 +37,8 @@
 /* Removes the row of a request that did not run; once. */
 void claim_handle_release_row(claim_handle_t *handle);
 
+/* As claim_ops_t; in claims_keep.c. */
+bool claim_handle_keep_answer(http_request_t *request);
+void claim_handle_adopt(http_request_t *request);
+
 #endif
--- a/include/egretscaled/entry.h
+++ b/include/egretscaled/request/entry.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_ENTRY_H
-#define EGRET_EGRETSCALED_ENTRY_H
+#ifndef EGRET_EGRETSCALED_REQUEST_ENTRY_H
+#define EGRET_EGRETSCALED_REQUEST_ENTRY_H
 
-#include "egretscaled/http_request.h"
+#include "egretscaled/request/http_request.h"
 
 /*
  * NAME
@@ -11,7 +11,7 @@
  *	entry_check() looks at the head only: key, account, route. It refuses the
  *	request or fills in its context. entry_begin() runs once the kept part of
  *	the body is there: fingerprint, shed level, rate, idempotency key, then
- *	http_request_dispatch(). egress_check() and egress_begin() do the same for
+ *	http_attempt_dispatch(). egress_check() and egress_begin() do the same for
  *	onward calls, with the context of the live request.
  */
 
--- a/include/egretscaled/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -1,27 +1,28 @@
-#ifndef EGRET_EGRETSCALED_HTTP_REQUEST_H
-#define EGRET_EGRETSCALED_HTTP_REQUEST_H
+#ifndef EGRET_EGRETSCALED_REQUEST_HTTP_REQUEST_H
+#define EGRET_EGRETSCALED_REQUEST_HTTP_REQUEST_H
 
 #include "claims/claim.h"
-#include "egretscaled/call.h"
-#include "egretscaled/dialect.h"
-#include "egretscaled/worker.h"
+#include "egretscaled/node/call.h"
+#include "egretscaled/node/dialect.h"
+#include "egretscaled/node/worker.h"
 
 /*
  * NAME
  *	http_request - one HTTP request of a caller or of the own target
  *
  * DESCRIPTION
- *	Reads the request's head and up to HTTP_HEAD_BODY_BYTES of its body,
- *	lets the entry or the egress prepare it (prepare), then makes attempts
- *	until one answers, and streams the answer back. Bodies that fit the
- *	buffer are kept for a retry; longer ones are streamed and not retried
- *	once sent.
+ *	What the parts of the request path know of a request, and how they end
+ *	it. http_front reads and answers it, entry prepares it, http_attempt sends
+ *	it. Bodies that fit HTTP_HEAD_BODY_BYTES are kept for a retry; longer ones
+ *	are streamed and not retried once sent.
  *
  * THREADS
  *	Belongs to one worker. http_request_cancel() may be called on any.
  */
 
 #define HTTP_HEAD_BODY_BYTES BODY_WINDOW_BYTES
+/* The worker's index in a request's number. */
+#define HTTP_WORKER_SHIFT 56
 
 typedef struct http_request http_request_t;
 
@@ -31,6 +32,15 @@
 	HTTP_REPORTS, /* its reports only */
 } http_side_t;
 
+/* What the holder of an idempotency key does at the turns of its request. */
+typedef struct claim_ops {
+	/* Collects the answer to keep it; returns false if there is nothing to keep. */
+	bool (*keep_answer)(http_request_t *request);
+	void (*decided)(http_request_t *request); /* the outcome is set */
+	void (*gone)(http_request_t *request);	  /* the caller went away */
+	void (*freed)(http_request_t *request);	  /* the request is freed */
+} claim_ops_t;
+
 struct http_request {
 	worker_t *worker;
 	mhd_loop_t *loop;
@@ -80,7 +90,8 @@
 	priority_t below;
 
 	/* Idempotency key. */
-	struct claim_handle *claim;
+	struct claim_handle *claim; /* NULL without one */
+	const claim_ops_t *claim_ops;
 
 	/* Answer. */
 	bool answer_ready;
@@ -94,29 +105,9 @@
 	bool gone;
 };
 
-/* Handlers for mhd_loop_create(); ctx is the worker. */
-enum MHD_Result http_request_handle_caller(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state);
-enum MHD_Result http_request_handle_target(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state);
-enum MHD_Result http_request_handle_report(void *ctx, struct MHD_Connection *connection,
-					   const char *url, const char *method,
-					   const char *version, const char *data,
-					   size_t *data_len, void **state);
-void http_request_completed(void *ctx, struct MHD_Connection *connection, void **state,
-			    enum MHD_RequestTerminationCode code);
-
 /* Cancels the request with this number, whichever worker it is on. */
 void http_request_cancel(node_t *node, uint64_t number);
 
-/* Drops every request of the worker and resumes its connection: libmicrohttpd aborts
- * when it is stopped with suspended ones. */
-void http_requests_abandon(worker_t *worker);
-
 /* The request's lookup by number on its worker; NULL once it is over. */
 http_request_t *http_request_find(worker_t *worker, uint64_t number);
 
@@ -127,12 +118,26 @@
 /* The outcome is set: answer the client as soon as its body was read. */
 void http_request_ready(http_request_t *request);
 
+const dialect_t *http_request_dialect(const http_request_t *request);
+
+/* What a refusal tells the client. */
+refusal_t http_request_refusal(const http_request_t *request);
+
+/* Tells the live request whose target made this call that it is over; once. */
+void http_request_return_to_parent(http_request_t *request);
+
+/* Whether libmicrohttpd has something to do for the connection now. */
+bool http_request_has_work(const http_request_t *request);
+
+/* Leaves the connection alone until http_request_wake() or a hangup. */
+void http_request_suspend(http_request_t *request);
+
+/* The client went away: drops the call and resumes the connection. */
+void http_request_gone(http_request_t *request);
+
 /* Lets libmicrohttpd go on with the connection if there is something to do. */
 void http_request_wake(http_request_t *request);
 
-/* Goes on with routing, once rate and claim are settled. */
-void http_request_dispatch(http_request_t *request);
-
 /* Answers with a kept answer of an earlier run. */
 void http_request_replay(http_request_t *request, uint32_t status, GPtrArray *headers,
 			 GBytes *body);
--- a/include/egretscaled/target_call.h
+++ b/include/egretscaled/request/target_call.h
@@ -1,7 +1,7 @@
-#ifndef EGRET_EGRETSCALED_TARGET_CALL_H
-#define EGRET_EGRETSCALED_TARGET_CALL_H
+#ifndef EGRET_EGRETSCALED_REQUEST_TARGET_CALL_H
+#define EGRET_EGRETSCALED_REQUEST_TARGET_CALL_H
 
-#include "egretscaled/worker.h"
+#include "egretscaled/node/worker.h"
 
 /*
  * NAME
--- a/include/platform/dialect.h
+++ b/include/platform/dialect.h
@@ -1,14 +1,14 @@
 #ifndef EGRET_PLATFORM_DIALECT_H
 #define EGRET_PLATFORM_DIALECT_H
 
-#include "egretscaled/dialect.h"
+#include "egretscaled/node/dialect.h"
 
 /*
  * NAME
  *	platform/dialect - heads of requests and answers as the platform names them
  *
  * SEE ALSO
- *	egretscaled/dialect.h
+ *	egretscaled/node/dialect.h
  */
 
 const dialect_t *platform_dialect(void);
--- a/include/platform/instance.h
+++ b/include/platform/instance.h
@@ -11,7 +11,7 @@
  *
  * DESCRIPTION
  *	PUT /instances/ID tells the state of one start, DELETE /instances/ID that it
- *	ends. See read_report in egretscaled/dialect.h.
+ *	ends. See read_report in egretscaled/node/dialect.h.
  */
 
 bool platform_read_report(const char *method, const char *path, const uint8_t *body,
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -1,7 +1,7 @@
 #ifndef EGRET_PLATFORM_SETTINGS_H
 #define EGRET_PLATFORM_SETTINGS_H
 
-#include "egretscaled/settings.h"
+#include "egretscaled/node/settings.h"
 
 /*
  * NAME
--- a/tests/fuzz/fuzz_frame.c
+++ b/tests/fuzz/fuzz_frame.c
@@ -1,5 +1,5 @@
 /* Frames of an authenticated peer: decoding of calls and replies. */
-#include "egretscaled/call_codec.h"
+#include "egretscaled/peers/call_codec.h"
 
 #include <stddef.h>
 
