peers: idempotent calls leave a silent peer

Cause: calls under way to a node that froze waited 1 s for the link to be given up and up to 1 s for a fence; 7 of 16 idempotent calls ended 504 after 1.98 s (e2e on_platform_frozen). Ruled out: a shorter fence, it is for calls that must not run twice.

Once a peer counts as silent (350 ms) idempotent calls end there and are retried within the budget; a link that is not open yet is dropped, since its calls never left.

--- a/egretscaled/peers/peer_client.c
+++ b/egretscaled/peers/peer_client.c
@@ -295,6 +295,39 @@
 		frame_link_send(link, &frame);
 }
 
+/* Ends the calls that can be made elsewhere: what was sent to a silent peer may have
+ * run, so only idempotent ones. */
+static void release_idempotent(peer_client_t *client)
+{
+	GList *calls = g_hash_table_get_values(client->calls);
+
+	for (GList *item = calls; item; item = item->next) {
+		peer_call_t *pc = item->data;
+		call_t *call = pc->call;
+
+		if (!call->context.idempotent || call->answered)
+			continue;
+		send_cancel(pc);
+		g_hash_table_remove(client->calls, &pc->attempt);
+		detach_call(pc);
+		call_refuse(call, EGRET__OUTCOME__OUTCOME_UNKNOWN,
+			    EGRET__REASON__REASON_PEER_LOST);
+	}
+	g_list_free(calls);
+}
+
+/* Gives the link up; calls that never left this process go elsewhere. */
+static void drop_link(peer_client_t *client, usec_t now)
+{
+	GError *error = g_error_new(EGRET_ERROR, EGRET_ERROR_SLOW,
+				    "%s sent nothing for %d ms", client->address,
+				    (int)((now - client->heard) / USEC_PER_MSEC));
+
+	client->pinged = now;
+	handle_closed(client, error);
+	g_error_free(error);
+}
+
 /* Looks after one peer: is it there while its calls take long? */
 static void check_peer(peer_client_t *client, usec_t now)
 {
@@ -312,14 +345,12 @@
 	/* A peer that left the directory is not waited for. */
 	if (!tell_router(client, true))
 		client->silent = false;
-	if (client->link && now - client->pinged >= GIVE_UP_AFTER) {
-		GError *error = g_error_new(EGRET_ERROR, EGRET_ERROR_SLOW,
-					    "%s sent nothing for %d ms", client->address,
-					    (int)((now - client->heard) / USEC_PER_MSEC));
-		client->pinged = now;
-		handle_closed(client, error);
-		g_error_free(error);
-	}
+	if (!client->link)
+		return;
+	if (!frame_link_is_open(client->link) || now - client->pinged >= GIVE_UP_AFTER)
+		drop_link(client, now);
+	else
+		release_idempotent(client);
 }
 
 static void handle_frame(void *ctx, const Egret__Frame *frame)
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -17,6 +17,7 @@
 STARTED = 2  # nodes that a case begins with
 IN_FORCE_SEC = 2  # the deployment's bound on a configuration, in the settings below
 LEAVE_SEC = 2
+LATENCY_SEC = 1  # the latency objective of the routes below
 # After SIGTERM: the node has seen no request for a while and is about to go.
 LAST_USE_SEC = 2.57
 PORTS = ("peer", "outbound", "readiness", "control", "app")
@@ -319,3 +320,31 @@
         wait_for("the third node", lambda: d.ready(STARTED), 10)
         seen = [d.ask("/f/x", node=STARTED)[0], d.ask("/f/deep/x", "POST", node=STARTED)[0]]
         assert seen == [200, 200], seen
+
+
+def case_on_platform_frozen():
+    """Idempotent calls under way to a node that freezes are made elsewhere in time."""
+    with OnPlatform() as d:
+        d.daemons.append(d.start_node(STARTED))
+        d.targets.append(Target(ADDRESSES[STARTED], d.base + PORTS.index("app"),
+                                SERVICES[STARTED], d.at(STARTED, "control")))
+        wait_for("the third node", lambda: d.ready(STARTED), 10)
+        assert d.targets[STARTED].report() == 200
+        wait_for("calls to it", lambda: d.ask("/o/x")[0] == 200 and
+                 len(d.targets[STARTED].seen) > 0, 5)
+        d.daemons[STARTED].send_signal(signal.SIGSTOP)
+        answers = []
+
+        def ask():
+            began = time.monotonic()
+            status = d.ask("/o/x")[0]
+            answers.append((status, time.monotonic() - began))
+
+        clients = [threading.Thread(target=ask) for _ in range(16)]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join()
+        d.daemons[STARTED].send_signal(signal.SIGCONT)
+        late = [answer for answer in answers if answer[0] != 200 or answer[1] > LATENCY_SEC]
+        assert not late, late
