--- a/egretscaled/peers/peer_client.c
+++ b/egretscaled/peers/peer_client.c
@@ -5,17 +5,12 @@
 #include "common/log.h"
 #include "egretscaled/peers/call_codec.h"
 #include "egretscaled/peers/stream.h"
+#include "membership/liveness.h"
 
 #include <string.h>
 
 #define FENCE_TIMEOUT (1 * USEC_PER_SEC)
 #define FENCE_RETRY (50 * USEC_PER_MSEC)
-/* A peer with calls under way that sent nothing for so long is asked for a sign. */
-#define PING_AFTER (100 * USEC_PER_MSEC)
-/* Without one it counts as silent; with one missing for long its link is given up. */
-#define SILENT_AFTER (250 * USEC_PER_MSEC)
-#define SILENT_PING (300 * USEC_PER_MSEC)
-#define GIVE_UP_AFTER USEC_PER_SEC
 
 typedef struct peer_call {
 	peer_client_t *client;
@@ -36,10 +31,7 @@
 	frame_link_t *link;
 	GHashTable *calls;  /* attempt -> peer_call_t on the present link */
 	GHashTable *fences; /* attempt -> peer_call_t waiting for a fence reply */
-	usec_t heard;	    /* last frame */
-	usec_t pinged;	    /* since then; 0 if not */
-	usec_t last_ping;
-	bool silent;
+	liveness_t liveness;
 };
 
 static const frame_link_ops_t link_ops;
@@ -93,6 +85,7 @@
 		return client->link;
 	if (!address_parse(client->address, &address, NULL))
 		return NULL;
+	liveness_connect(&client->liveness, clock_boot_usec());
 	client->link =
 		frame_link_connect(NULL, client->worker->ev, client->worker->node->auth,
 				   &address, &link_ops, client, &error);
@@ -246,49 +239,42 @@
 		stream_out_credit(&pc->out, credit->bytes);
 }
 
-static void log_peer(const peer_client_t *client)
+static void log_peer(const peer_client_t *client, const char *change)
 {
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "peer");
 	log_str(&rec, "address", client->address);
-	log_str(&rec, "change", client->silent ? "silent" : "heard");
+	log_str(&rec, "change", change);
 	log_int(&rec, "calls", g_hash_table_size(client->calls));
 	log_end(&rec);
 }
 
 /* Returns whether the peer's instance is still known. */
-static bool tell_router(peer_client_t *client, bool silent)
+static bool tell_router(const peer_client_t *client, bool silent)
 {
 	node_t *node = client->worker->node;
 
 	pthread_mutex_lock(&node->router_lock);
 	bool known = router_set_silent(node->router, client->address, silent);
 	pthread_mutex_unlock(&node->router_lock);
-	if (client->silent != silent) {
-		client->silent = silent;
-		log_peer(client);
-	}
 	return known;
 }
 
 static void note_heard(peer_client_t *client)
 {
-	client->heard = clock_boot_usec();
-	client->pinged = 0;
-	if (client->silent)
-		tell_router(client, false);
+	if (!liveness_hear(&client->liveness, clock_boot_usec()))
+		return;
+	tell_router(client, false);
+	log_peer(client, "heard");
 }
 
-static void send_ping(peer_client_t *client, usec_t now)
+static void send_ping(peer_client_t *client)
 {
 	Egret__Frame frame = EGRET__FRAME__INIT;
 	Egret__Ping ping = EGRET__PING__INIT;
 	frame_link_t *link = client_link(client);
 
-	if (!client->pinged)
-		client->pinged = now;
-	client->last_ping = now;
 	frame.kind_case = EGRET__FRAME__KIND_PING;
 	frame.ping = &ping;
 	if (link)
@@ -319,38 +305,42 @@
 /* Gives the link up; calls that never left this process go elsewhere. */
 static void drop_link(peer_client_t *client, usec_t now)
 {
-	GError *error = g_error_new(EGRET_ERROR, EGRET_ERROR_SLOW,
-				    "%s sent nothing for %d ms", client->address,
-				    (int)((now - client->heard) / USEC_PER_MSEC));
+	GError *error = g_error_new(
+		EGRET_ERROR, EGRET_ERROR_SLOW, "%s sent nothing for %d ms",
+		client->address, (int)((now - client->liveness.heard) / USEC_PER_MSEC));
 
-	client->pinged = now;
 	handle_closed(client, error);
 	g_error_free(error);
 }
 
+static liveness_link_t link_state(const peer_client_t *client)
+{
+	if (!client->link)
+		return LIVENESS_NO_LINK;
+	return frame_link_is_open(client->link) ? LIVENESS_OPEN : LIVENESS_CONNECTING;
+}
+
 /* Looks after one peer: is it there while its calls take long? */
 static void check_peer(peer_client_t *client, usec_t now)
 {
-	bool waits = g_hash_table_size(client->calls) > 0 || client->silent;
-
-	if (!waits) {
-		client->pinged = 0;
-		return;
-	}
-	usec_t period = client->silent ? SILENT_PING : PING_AFTER;
-	if (now - client->heard >= PING_AFTER && now - client->last_ping >= period)
-		send_ping(client, now);
-	if (!client->pinged || now - client->pinged < SILENT_AFTER)
+	bool was_silent = client->liveness.silent;
+	liveness_step_t step =
+		liveness_check(&client->liveness, now,
+			       g_hash_table_size(client->calls) > 0, link_state(client));
+
+	if (step.ping)
+		send_ping(client);
+	if (!step.silent)
 		return;
 	/* A peer that left the directory is not waited for. */
 	if (!tell_router(client, true))
-		client->silent = false;
-	if (!client->link)
-		return;
-	if (!frame_link_is_open(client->link) || now - client->pinged >= GIVE_UP_AFTER)
-		drop_link(client, now);
-	else
+		client->liveness.silent = false;
+	else if (!was_silent)
+		log_peer(client, "silent");
+	if (step.release)
 		release_idempotent(client);
+	if (step.drop && client->link)
+		drop_link(client, now);
 }
 
 static void handle_frame(void *ctx, const Egret__Frame *frame)
@@ -441,8 +431,7 @@
 	wire.end = end;
 	frame.kind_case = EGRET__FRAME__KIND_CALL;
 	frame.call = &wire;
-	if (g_hash_table_size(client->calls) == 1 && !client->silent)
-		client->heard = now;
+	liveness_call(&client->liveness, now, g_hash_table_size(client->calls) == 1);
 	pc->position = frame_link_send(link, &frame);
 	call_encode_clear(&wire);
 	counter_add(COUNTER_CALLS_OUT, 1);
@@ -474,7 +463,7 @@
 	usec_t now = *(const usec_t *)data;
 
 	if (g_hash_table_size(client->calls) > 0 ||
-	    g_hash_table_size(client->fences) > 0 || client->silent)
+	    g_hash_table_size(client->fences) > 0 || client->liveness.silent)
 		return FALSE;
 	return !client->link || now - frame_link_last_used(client->link) > PEER_IDLE;
 }
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -17,6 +17,7 @@
 STARTED = 2  # nodes that a case begins with
 IN_FORCE_SEC = 2  # the deployment's bound on a configuration, in the settings below
 LEAVE_SEC = 2
+RETURN_SEC = 5
 LATENCY_SEC = 1  # the latency objective of the routes below
 # After SIGTERM: the node has seen no request for a while and is about to go.
 LAST_USE_SEC = 2.57
@@ -345,6 +346,11 @@
             client.start()
         for client in clients:
             client.join()
+        time.sleep(2)  # until the link to it was given up as well
         d.daemons[STARTED].send_signal(signal.SIGCONT)
         late = [answer for answer in answers if answer[0] != 200 or answer[1] > LATENCY_SEC]
         assert not late, late
+        seen = len(d.targets[STARTED].seen)
+        d.targets[STARTED].report()
+        wait_for("calls to the node that woke", lambda: d.ask("/o/x")[0] == 200 and
+                 len(d.targets[STARTED].seen) > seen, RETURN_SEC)
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -2,6 +2,7 @@
 #include "case.h"
 
 #include "membership/gossip.h"
+#include "membership/liveness.h"
 #include "membership/sync.h"
 
 #include <glib.h>
@@ -436,6 +437,101 @@
 	gossip_destroy(gossip);
 }
 
+/* --- liveness ---------------------------------------------------------------- */
+
+#define LIVE_TICK SYNC_MS(50)
+#define LIVE_TRIP SYNC_MS(40)  /* of a frame and its answer */
+#define LIVE_OPEN SYNC_MS(150) /* of the messages that open a link, between regions */
+
+/* A peer that freezes for a while: what its client does, tick by tick. */
+typedef struct frozen {
+	usec_t from, until;
+	liveness_t liveness;
+	liveness_link_t link;
+	usec_t opens; /* when the link in the making opens if the peer is awake */
+	usec_t asked; /* when the oldest unanswered ping was sent on it; 0 if none */
+	bool waits;
+	int drops, releases;
+} frozen_t;
+
+static usec_t awake(const frozen_t *frozen, usec_t at)
+{
+	return at >= frozen->from && at < frozen->until ? frozen->until : at;
+}
+
+static void frozen_tick(frozen_t *frozen, usec_t now)
+{
+	if (frozen->link == LIVENESS_CONNECTING && now >= frozen->opens)
+		frozen->link = LIVENESS_OPEN;
+	if (frozen->link == LIVENESS_OPEN && frozen->asked &&
+	    now >= awake(frozen, frozen->asked) + LIVE_TRIP) {
+		liveness_hear(&frozen->liveness, now);
+		frozen->asked = 0;
+	}
+	liveness_step_t step =
+		liveness_check(&frozen->liveness, now, frozen->waits, frozen->link);
+	if (step.ping && frozen->link == LIVENESS_NO_LINK) {
+		liveness_connect(&frozen->liveness, now);
+		frozen->link = LIVENESS_CONNECTING;
+		frozen->opens = awake(frozen, now) + LIVE_OPEN;
+	}
+	if (step.ping && !frozen->asked)
+		frozen->asked = now;
+	if (step.release) {
+		frozen->releases++;
+		frozen->waits = false;
+	}
+	if (step.drop) {
+		frozen->drops++;
+		frozen->link = LIVENESS_NO_LINK;
+		frozen->asked = 0;
+	}
+}
+
+/* However long it froze, it is heard again soon after it woke. */
+static void test_frozen_peer(void **state)
+{
+	for (usec_t span = SYNC_MS(30); span < SYNC_MS(6000); span += SYNC_MS(37)) {
+		frozen_t frozen = {.from = START + SYNC_MS(500),
+				   .until = START + SYNC_MS(500) + span,
+				   .link = LIVENESS_OPEN,
+				   .waits = true,
+				   .liveness = {.heard = START}};
+		usec_t bound = frozen.until + LIVENESS_SILENT_PING + LIVENESS_SILENT +
+			       LIVE_OPEN + LIVE_TRIP + 2 * LIVE_TICK;
+		for (usec_t now = START; now <= bound; now += LIVE_TICK)
+			frozen_tick(&frozen, now);
+		assert_false(frozen.liveness.silent);
+		if (span >= SYNC_MS(1000))
+			assert_true(frozen.releases > 0);
+	}
+}
+
+/* A peer that answers every ping is never silent, however long its calls take. */
+static void test_slow_calls(void **state)
+{
+	frozen_t frozen = {
+		.link = LIVENESS_OPEN, .waits = true, .liveness = {.heard = START}};
+
+	for (usec_t now = START; now < START + SYNC_MS(20000); now += LIVE_TICK) {
+		frozen_tick(&frozen, now);
+		assert_false(frozen.liveness.silent);
+	}
+	assert_int_equal(frozen.drops, 0);
+}
+
+/* Nothing waits: nothing is asked, nothing is given up. */
+static void test_idle_peer(void **state)
+{
+	liveness_t liveness = {.heard = START};
+
+	for (usec_t now = START; now < START + SYNC_MS(5000); now += LIVE_TICK) {
+		liveness_step_t step =
+			liveness_check(&liveness, now, false, LIVENESS_OPEN);
+		assert_false(step.ping || step.silent || step.release || step.drop);
+	}
+}
+
 typedef struct plain_case {
 	const char *name;
 	CMUnitTestFunction fn;
@@ -449,6 +545,9 @@
 static const plain_case_t plain_cases[] = {
 	{"pauses end at the period; alone is known at once", test_sync_bounds},
 	{"a seed while no member is known", test_contact},
+	{"a frozen peer is heard once it wakes", test_frozen_peer},
+	{"slow calls are no silence", test_slow_calls},
+	{"an idle peer is left alone", test_idle_peer},
 };
 
 int main(void)
