--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -4,34 +4,9 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "egretscaled/request/http_request.h"
+#include "egretscaled/request/target_state.h"
 
 #include <string.h>
-#include <strings.h>
-
-#define CONNECT_TIMEOUT_MS 1000L
-/* Frees of 64 KiB and more make malloc() merge all of its free chunks. */
-#define CURL_BUFFER_BYTES (16L << 10)
-
-typedef struct target_call {
-	worker_t *worker;
-	call_t *call; /* NULL once the source gave up while a verdict is posted */
-	gate_ticket_t ticket;
-	bool decision_posted;
-	gate_verdict_t verdict;
-	char token[LIVE_TOKEN_TEXT_BYTES];
-	bool live;
-	bool attempt_started;
-	usec_t started;
-	CURL *easy;
-	struct curl_slist *headers;
-	char *url;
-	call_reply_t reply;
-	answer_head_t answer;
-	char instance[MEMBER_TEXT_BYTES]; /* incarnation that the request names */
-	bool head_complete;
-	bool answer_paused;
-	bool request_paused;
-} target_call_t;
 
 static void free_target_call(target_call_t *tc)
 {
@@ -164,71 +139,8 @@
 		free_target_call(tc);
 }
 
-static size_t write_request(char *buffer, size_t size, size_t count, void *ctx)
-{
-	target_call_t *tc = ctx;
-	body_t *body = tc->call->request_body;
-
-	if (body_aborted(body))
-		return CURL_READFUNC_ABORT;
-	size_t n = body_read(body, buffer, size * count);
-	if (n == 0 && !body_finished(body)) {
-		tc->request_paused = true;
-		return CURL_READFUNC_PAUSE;
-	}
-	return n;
-}
-
-static const dialect_t *dialect_of(const target_call_t *tc)
-{
-	return tc->worker->node->settings->dialect;
-}
-
-static bool parse_status_line(target_call_t *tc, const char *line, size_t len)
-{
-	if (len < 12 || strncasecmp(line, "HTTP/", 5) != 0)
-		return false;
-	if (tc->reply.headers)
-		g_ptr_array_free(tc->reply.headers, TRUE);
-	tc->reply = (call_reply_t){.headers = headers_create(),
-				   .content_length = LENGTH_UNKNOWN};
-	tc->answer = (answer_head_t){0};
-	char *copy = g_strndup(line, len);
-	const char *space = strchr(copy, ' ');
-	tc->reply.status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
-	g_free(copy);
-	return true;
-}
-
-static size_t take_header(char *line, size_t size, size_t count, void *ctx)
-{
-	target_call_t *tc = ctx;
-	size_t len = size * count;
-
-	if (parse_status_line(tc, line, len) || !tc->reply.headers)
-		return len;
-	char *copy = g_strchomp(g_strndup(line, len));
-	char *colon = strchr(copy, ':');
-	if (colon) {
-		*colon = '\0';
-		char *value = g_strstrip(colon + 1);
-		if (strcasecmp(copy, "content-length") == 0)
-			tc->reply.content_length = g_ascii_strtoll(value, NULL, 10);
-		if (dialect_of(tc)->read_answer(copy, value, tc->reply.status,
-						tc->call->context.request_id,
-						&tc->answer) &&
-		    !header_is_private(copy))
-			headers_add(tc->reply.headers, copy, value);
-	}
-	g_free(copy);
-	if (tc->answer.not_run || tc->answer.other_incarnation)
-		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
-	/* An answer to another request ends the connection. */
-	return tc->answer.foreign ? 0 : len;
-}
-
 /* Gives the reply's head to the source once its body starts or the call ends. */
-static void complete_head(target_call_t *tc)
+void target_call_complete_head(target_call_t *tc)
 {
 	node_t *node = tc->worker->node;
 	live_summary_t summary = {.below = PRIORITY_LEVEL_ALL};
@@ -250,31 +162,6 @@
 	call_answer(tc->call, &reply);
 }
 
-static size_t take_body(char *data, size_t size, size_t count, void *ctx)
-{
-	target_call_t *tc = ctx;
-	size_t len = size * count;
-
-	if (!tc->head_complete)
-		complete_head(tc);
-	if (body_room(tc->call->reply_body) < len) {
-		tc->answer_paused = true;
-		return CURL_WRITEFUNC_PAUSE;
-	}
-	return body_write(tc->call->reply_body, data, len);
-}
-
-static void handle_body_event(void *ctx)
-{
-	target_call_t *tc = ctx;
-
-	if (!tc->easy || (!tc->answer_paused && !tc->request_paused))
-		return;
-	curl_loop_wake(tc->worker->curl, tc->easy);
-	tc->answer_paused = false;
-	tc->request_paused = false;
-}
-
 static Egret__Reason lost_reason(CURLcode code)
 {
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -357,7 +244,7 @@
 		body_abort(call->reply_body);
 }
 
-static void handle_transfer_done(void *ctx, CURL *easy, CURLcode code)
+void target_call_handle_done(void *ctx, CURL *easy, CURLcode code)
 {
 	(void)easy;
 	target_call_t *tc = ctx;
@@ -366,7 +253,7 @@
 	body_on_readable(call->request_body, NULL, NULL);
 	body_on_writable(call->reply_body, NULL, NULL);
 	if (code == CURLE_OK && !tc->head_complete)
-		complete_head(tc);
+		target_call_complete_head(tc);
 	if (tc->head_complete)
 		finish_answered(tc, code);
 	else
@@ -375,81 +262,6 @@
 	free_target_call(tc);
 }
 
-static void add_header(void *ctx, const char *name, const char *value)
-{
-	target_call_t *tc = ctx;
-	/* curl takes "Name;" for a header without a value. */
-	char *line = *value ? g_strdup_printf("%s: %s", name, value)
-			    : g_strdup_printf("%s;", name);
-
-	tc->headers = curl_slist_append(tc->headers, line);
-	g_free(line);
-}
-
-static void build_headers(target_call_t *tc, usec_t left)
-{
-	const call_t *call = tc->call;
-	attempt_head_t attempt = {
-		.token = tc->token, .instance = tc->instance, .left = left};
-
-	for (guint i = 0; i < call->headers->len; i++) {
-		const header_t *header = call->headers->pdata[i];
-		add_header(tc, header->name, header->value);
-	}
-	dialect_of(tc)->add_attempt(&attempt, add_header, tc);
-	tc->headers = curl_slist_append(tc->headers, "Expect:");
-	if (!headers_find(call->headers, "Accept"))
-		tc->headers = curl_slist_append(tc->headers, "Accept:");
-	if (!headers_find(call->headers, "Content-Type"))
-		tc->headers = curl_slist_append(tc->headers, "Content-Type:");
-}
-
-static void set_body(target_call_t *tc)
-{
-	const call_t *call = tc->call;
-
-	if (call->content_length == 0) {
-		if (strcmp(call->method, "HEAD") == 0) {
-			curl_easy_setopt(tc->easy, CURLOPT_NOBODY, 1L);
-		} else if (strcmp(call->method, "GET") != 0) {
-			curl_easy_setopt(tc->easy, CURLOPT_POSTFIELDS, "");
-			curl_easy_setopt(tc->easy, CURLOPT_POSTFIELDSIZE, 0L);
-		}
-	} else {
-		curl_easy_setopt(tc->easy, CURLOPT_UPLOAD, 1L);
-		curl_easy_setopt(tc->easy, CURLOPT_READFUNCTION, write_request);
-		curl_easy_setopt(tc->easy, CURLOPT_READDATA, tc);
-		curl_easy_setopt(tc->easy, CURLOPT_INFILESIZE_LARGE,
-				 (curl_off_t)call->content_length);
-	}
-	curl_easy_setopt(tc->easy, CURLOPT_CUSTOMREQUEST, call->method);
-}
-
-static void send_to_target(target_call_t *tc, const char *address)
-{
-	call_t *call = tc->call;
-	usec_t left = call->context.deadline - tc->started;
-
-	tc->url = g_strconcat("http://", address, call->path, NULL);
-	tc->easy = curl_loop_take(tc->worker->curl);
-	build_headers(tc, left);
-	curl_easy_setopt(tc->easy, CURLOPT_URL, tc->url);
-	curl_easy_setopt(tc->easy, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(tc->easy, CURLOPT_HTTPHEADER, tc->headers);
-	curl_easy_setopt(tc->easy, CURLOPT_HEADERFUNCTION, take_header);
-	curl_easy_setopt(tc->easy, CURLOPT_HEADERDATA, tc);
-	curl_easy_setopt(tc->easy, CURLOPT_WRITEFUNCTION, take_body);
-	curl_easy_setopt(tc->easy, CURLOPT_WRITEDATA, tc);
-	curl_easy_setopt(tc->easy, CURLOPT_BUFFERSIZE, CURL_BUFFER_BYTES);
-	curl_easy_setopt(tc->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(tc->easy, CURLOPT_TIMEOUT_MS,
-			 (long)MAX(left / USEC_PER_MSEC, 1));
-	set_body(tc);
-	body_on_readable(call->request_body, handle_body_event, tc);
-	body_on_writable(call->reply_body, handle_body_event, tc);
-	curl_loop_start(tc->worker->curl, tc->easy, handle_transfer_done, tc);
-}
-
 /* The gate let the call run: start it unless it was fenced meanwhile. */
 static void run(target_call_t *tc)
 {
@@ -482,7 +294,7 @@
 	onward_begin(node->onward, tc->call->route);
 	pthread_mutex_unlock(&node->router_lock);
 	log_decision(tc, "run", &load);
-	send_to_target(tc, address);
+	target_send_start(tc, address);
 }
 
 static Egret__Reason verdict_reason(gate_verdict_t verdict)
--- /dev/null
+++ b/egretscaled/request/target_send.c
@@ -0,0 +1,171 @@
+#include "egretscaled/request/target_state.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define CONNECT_TIMEOUT_MS 1000L
+/* Frees of 64 KiB and more make malloc() merge all of its free chunks. */
+#define CURL_BUFFER_BYTES (16L << 10)
+
+static size_t write_request(char *buffer, size_t size, size_t count, void *ctx)
+{
+	target_call_t *tc = ctx;
+	body_t *body = tc->call->request_body;
+
+	if (body_aborted(body))
+		return CURL_READFUNC_ABORT;
+	size_t n = body_read(body, buffer, size * count);
+	if (n == 0 && !body_finished(body)) {
+		tc->request_paused = true;
+		return CURL_READFUNC_PAUSE;
+	}
+	return n;
+}
+
+static const dialect_t *dialect_of(const target_call_t *tc)
+{
+	return tc->worker->node->settings->dialect;
+}
+
+static bool parse_status_line(target_call_t *tc, const char *line, size_t len)
+{
+	if (len < 12 || strncasecmp(line, "HTTP/", 5) != 0)
+		return false;
+	if (tc->reply.headers)
+		g_ptr_array_free(tc->reply.headers, TRUE);
+	tc->reply = (call_reply_t){.headers = headers_create(),
+				   .content_length = LENGTH_UNKNOWN};
+	tc->answer = (answer_head_t){0};
+	char *copy = g_strndup(line, len);
+	const char *space = strchr(copy, ' ');
+	tc->reply.status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
+	g_free(copy);
+	return true;
+}
+
+static size_t take_header(char *line, size_t size, size_t count, void *ctx)
+{
+	target_call_t *tc = ctx;
+	size_t len = size * count;
+
+	if (parse_status_line(tc, line, len) || !tc->reply.headers)
+		return len;
+	char *copy = g_strchomp(g_strndup(line, len));
+	char *colon = strchr(copy, ':');
+	if (colon) {
+		*colon = '\0';
+		char *value = g_strstrip(colon + 1);
+		if (strcasecmp(copy, "content-length") == 0)
+			tc->reply.content_length = g_ascii_strtoll(value, NULL, 10);
+		if (dialect_of(tc)->read_answer(copy, value, tc->reply.status,
+						tc->call->context.request_id,
+						&tc->answer) &&
+		    !header_is_private(copy))
+			headers_add(tc->reply.headers, copy, value);
+	}
+	g_free(copy);
+	if (tc->answer.not_run || tc->answer.other_incarnation)
+		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
+	/* An answer to another request ends the connection. */
+	return tc->answer.foreign ? 0 : len;
+}
+
+static size_t take_body(char *data, size_t size, size_t count, void *ctx)
+{
+	target_call_t *tc = ctx;
+	size_t len = size * count;
+
+	if (!tc->head_complete)
+		target_call_complete_head(tc);
+	if (body_room(tc->call->reply_body) < len) {
+		tc->answer_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	return body_write(tc->call->reply_body, data, len);
+}
+
+static void handle_body_event(void *ctx)
+{
+	target_call_t *tc = ctx;
+
+	if (!tc->easy || (!tc->answer_paused && !tc->request_paused))
+		return;
+	curl_loop_wake(tc->worker->curl, tc->easy);
+	tc->answer_paused = false;
+	tc->request_paused = false;
+}
+
+static void add_header(void *ctx, const char *name, const char *value)
+{
+	target_call_t *tc = ctx;
+	/* curl takes "Name;" for a header without a value. */
+	char *line = *value ? g_strdup_printf("%s: %s", name, value)
+			    : g_strdup_printf("%s;", name);
+
+	tc->headers = curl_slist_append(tc->headers, line);
+	g_free(line);
+}
+
+static void build_headers(target_call_t *tc, usec_t left)
+{
+	const call_t *call = tc->call;
+	attempt_head_t attempt = {
+		.token = tc->token, .instance = tc->instance, .left = left};
+
+	for (guint i = 0; i < call->headers->len; i++) {
+		const header_t *header = call->headers->pdata[i];
+		add_header(tc, header->name, header->value);
+	}
+	dialect_of(tc)->add_attempt(&attempt, add_header, tc);
+	tc->headers = curl_slist_append(tc->headers, "Expect:");
+	if (!headers_find(call->headers, "Accept"))
+		tc->headers = curl_slist_append(tc->headers, "Accept:");
+	if (!headers_find(call->headers, "Content-Type"))
+		tc->headers = curl_slist_append(tc->headers, "Content-Type:");
+}
+
+static void set_body(target_call_t *tc)
+{
+	const call_t *call = tc->call;
+
+	if (call->content_length == 0) {
+		if (strcmp(call->method, "HEAD") == 0) {
+			curl_easy_setopt(tc->easy, CURLOPT_NOBODY, 1L);
+		} else if (strcmp(call->method, "GET") != 0) {
+			curl_easy_setopt(tc->easy, CURLOPT_POSTFIELDS, "");
+			curl_easy_setopt(tc->easy, CURLOPT_POSTFIELDSIZE, 0L);
+		}
+	} else {
+		curl_easy_setopt(tc->easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(tc->easy, CURLOPT_READFUNCTION, write_request);
+		curl_easy_setopt(tc->easy, CURLOPT_READDATA, tc);
+		curl_easy_setopt(tc->easy, CURLOPT_INFILESIZE_LARGE,
+				 (curl_off_t)call->content_length);
+	}
+	curl_easy_setopt(tc->easy, CURLOPT_CUSTOMREQUEST, call->method);
+}
+
+void target_send_start(target_call_t *tc, const char *address)
+{
+	call_t *call = tc->call;
+	usec_t left = call->context.deadline - tc->started;
+
+	tc->url = g_strconcat("http://", address, call->path, NULL);
+	tc->easy = curl_loop_take(tc->worker->curl);
+	build_headers(tc, left);
+	curl_easy_setopt(tc->easy, CURLOPT_URL, tc->url);
+	curl_easy_setopt(tc->easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(tc->easy, CURLOPT_HTTPHEADER, tc->headers);
+	curl_easy_setopt(tc->easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(tc->easy, CURLOPT_HEADERDATA, tc);
+	curl_easy_setopt(tc->easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(tc->easy, CURLOPT_WRITEDATA, tc);
+	curl_easy_setopt(tc->easy, CURLOPT_BUFFERSIZE, CURL_BUFFER_BYTES);
+	curl_easy_setopt(tc->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(tc->easy, CURLOPT_TIMEOUT_MS,
+			 (long)MAX(left / USEC_PER_MSEC, 1));
+	set_body(tc);
+	body_on_readable(call->request_body, handle_body_event, tc);
+	body_on_writable(call->reply_body, handle_body_event, tc);
+	curl_loop_start(tc->worker->curl, tc->easy, target_call_handle_done, tc);
+}
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -3,6 +3,8 @@
 
 #include "egretscaled/node/settings.h"
 
+#include <jansson.h>
+
 /*
  * NAME
  *	platform/settings - the settings file that the platform writes
@@ -16,4 +18,7 @@
 
 bool platform_settings_read(const char *path, settings_t *settings, GError **error);
 
+/* The same from a document that was read. */
+bool platform_settings_decode(const json_t *root, settings_t *settings, GError **error);
+
 #endif
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -1,74 +1,14 @@
-#include "membership/gossip.h"
+#include "membership/gossip_state.h"
 
 #include <glib.h>
 #include <string.h>
 
-#define MEMBERS_PER_DATAGRAM_MAX 12
-#define SUSPICIONS_PER_DATAGRAM_MAX 8
 #define PUSHES_PER_SECOND 20
 #define HEAL_PERIOD (5 * USEC_PER_SEC)
-#define TRANSMISSIONS_PER_DOUBLING 3
 /* Transmissions that one duplicate received saves. */
 #define DUPLICATE_WEIGHT 2
-/* Probes and acks stay within this, so that a burst of news does not exceed the
- * bytes that a node may spend on control. */
-#define PROBE_BYTES 600
 #define SUSPICION_LIFE (30 * USEC_PER_SEC)
 
-/* A member entry that still has to be sent some times. */
-typedef struct news {
-	TAILQ_ENTRY(news) link;
-	char address[ADDRESS_TEXT_BYTES];
-	uint32_t transmissions;
-} news_t;
-
-TAILQ_HEAD(news_list, news);
-
-typedef struct suspicion_news {
-	TAILQ_ENTRY(suspicion_news) link;
-	uint64_t fingerprint;
-	uint64_t crash;
-	usec_t since;
-	uint32_t transmissions;
-} suspicion_news_t;
-
-TAILQ_HEAD(suspicion_list, suspicion_news);
-
-typedef struct probe {
-	bool active;
-	bool indirect;
-	char address[ADDRESS_TEXT_BYTES];
-	uint64_t sequence;
-	usec_t started;
-} probe_t;
-
-/* A probe made for another node that waits for its ack. */
-typedef struct relay {
-	char asker[ADDRESS_TEXT_BYTES];
-	char subject[ADDRESS_TEXT_BYTES];
-	uint64_t asker_sequence;
-	usec_t started;
-} relay_t;
-
-struct gossip {
-	const gossip_ops_t *ops;
-	void *ctx;
-	directory_t *directory;
-	GPtrArray *seeds; /* of char * */
-	GRand *rand;
-	GPtrArray *order; /* of char *: the members left in this probe round */
-	probe_t probe;
-	GHashTable *relays; /* sequence -> relay_t */
-	uint64_t next_sequence;
-	struct news_list news;
-	GHashTable *news_by_address;
-	struct suspicion_list suspicions;
-	usec_t next_probe;
-	usec_t next_heal;
-	usec_t push_window;
-	uint32_t pushes;
-};
-
 gossip_t *gossip_create(const member_t *self, const char *const *seeds,
 			const gossip_ops_t *ops, void *ctx, uint64_t random_seed)
 {
@@ -92,27 +32,14 @@
 	return gossip;
 }
 
-static void drop_news(gossip_t *gossip, news_t *news)
-{
-	TAILQ_REMOVE(&gossip->news, news, link);
-	g_hash_table_remove(gossip->news_by_address, news->address);
-	g_free(news);
-}
-
-static void drop_suspicion(gossip_t *gossip, suspicion_news_t *news)
-{
-	TAILQ_REMOVE(&gossip->suspicions, news, link);
-	g_free(news);
-}
-
 void gossip_destroy(gossip_t *gossip)
 {
 	if (!gossip)
 		return;
 	while (!TAILQ_EMPTY(&gossip->news))
-		drop_news(gossip, TAILQ_FIRST(&gossip->news));
+		gossip_drop_news(gossip, TAILQ_FIRST(&gossip->news));
 	while (!TAILQ_EMPTY(&gossip->suspicions))
-		drop_suspicion(gossip, TAILQ_FIRST(&gossip->suspicions));
+		gossip_drop_suspicion(gossip, TAILQ_FIRST(&gossip->suspicions));
 	g_hash_table_destroy(gossip->news_by_address);
 	g_hash_table_destroy(gossip->relays);
 	g_ptr_array_free(gossip->order, TRUE);
@@ -134,136 +61,11 @@
 	g_ptr_array_add(gossip->seeds, g_strdup(address));
 }
 
-static uint32_t transmissions(const gossip_t *gossip)
-{
-	uint32_t n = directory_live_count(gossip->directory);
-
-	return TRANSMISSIONS_PER_DOUBLING * (uint32_t)g_bit_storage(n + 1);
-}
-
-static void queue_news(gossip_t *gossip, const char *address)
-{
-	news_t *news = g_hash_table_lookup(gossip->news_by_address, address);
-
-	if (news) {
-		TAILQ_REMOVE(&gossip->news, news, link);
-	} else {
-		news = g_new0(news_t, 1);
-		g_strlcpy(news->address, address, sizeof(news->address));
-		g_hash_table_insert(gossip->news_by_address, news->address, news);
-	}
-	news->transmissions = transmissions(gossip);
-	TAILQ_INSERT_HEAD(&gossip->news, news, link);
-}
-
 static bool is_live(const member_t *member)
 {
 	return member->state <= EGRET__MEMBER_STATE__MEMBER_SUSPECT;
 }
 
-/* Storage for one outgoing message. */
-typedef struct envelope {
-	Egret__Gossip message;
-	Egret__Member members[MEMBERS_PER_DATAGRAM_MAX];
-	Egret__Member *member_list[MEMBERS_PER_DATAGRAM_MAX];
-	Egret__KeeperClaim claims[MEMBERS_PER_DATAGRAM_MAX][KEEPER_PARTITIONS];
-	Egret__KeeperClaim *claim_lists[MEMBERS_PER_DATAGRAM_MAX][KEEPER_PARTITIONS];
-	Egret__Suspicion suspicions[SUSPICIONS_PER_DATAGRAM_MAX];
-	Egret__Suspicion *suspicion_list[SUSPICIONS_PER_DATAGRAM_MAX];
-} envelope_t;
-
-static bool fits(const envelope_t *envelope)
-{
-	bool news = envelope->message.kind == EGRET__GOSSIP_KIND__GOSSIP_NEWS;
-	size_t limit = news ? GOSSIP_DATAGRAM_BYTES : PROBE_BYTES;
-
-	return egret__gossip__get_packed_size(&envelope->message) + DATAGRAM_TAG_BYTES <=
-	       limit;
-}
-
-/* Adds an entry; takes it back if the datagram would grow too large. */
-static bool add_member(envelope_t *envelope, const member_t *member)
-{
-	size_t i = envelope->message.n_members;
-
-	if (i >= MEMBERS_PER_DATAGRAM_MAX)
-		return false;
-	member_encode(member, &envelope->members[i], envelope->claims[i],
-		      envelope->claim_lists[i]);
-	envelope->member_list[i] = &envelope->members[i];
-	envelope->message.n_members++;
-	if (fits(envelope))
-		return true;
-	envelope->message.n_members--;
-	return false;
-}
-
-static void add_suspicions(gossip_t *gossip, envelope_t *envelope, usec_t now)
-{
-	suspicion_news_t *news = TAILQ_FIRST(&gossip->suspicions);
-
-	while (news && envelope->message.n_suspicions < SUSPICIONS_PER_DATAGRAM_MAX) {
-		suspicion_news_t *next = TAILQ_NEXT(news, link);
-		size_t i = envelope->message.n_suspicions++;
-
-		egret__suspicion__init(&envelope->suspicions[i]);
-		envelope->suspicions[i].fingerprint = news->fingerprint;
-		envelope->suspicions[i].crash = news->crash;
-		envelope->suspicions[i].age_ms =
-			(uint32_t)((now - news->since) / USEC_PER_MSEC);
-		envelope->suspicion_list[i] = &envelope->suspicions[i];
-		if (--news->transmissions == 0)
-			drop_suspicion(gossip, news);
-		news = next;
-	}
-}
-
-static void add_news(gossip_t *gossip, envelope_t *envelope)
-{
-	news_t *news = TAILQ_FIRST(&gossip->news);
-
-	while (news) {
-		news_t *next = TAILQ_NEXT(news, link);
-		const member_t *member =
-			directory_lookup(gossip->directory, news->address);
-
-		if (!member) {
-			drop_news(gossip, news);
-		} else {
-			if (!add_member(envelope, member))
-				return;
-			if (--news->transmissions == 0)
-				drop_news(gossip, news);
-		}
-		news = next;
-	}
-}
-
-static void send_message(gossip_t *gossip, usec_t now, const char *address,
-			 Egret__GossipKind kind, uint64_t sequence, const char *subject)
-{
-	envelope_t envelope;
-	const member_t *self = directory_self(gossip->directory);
-	const member_t *receiver = directory_lookup(gossip->directory, address);
-
-	egret__gossip__init(&envelope.message);
-	envelope.message.kind = kind;
-	envelope.message.sequence = sequence;
-	envelope.message.subject = subject ? (char *)subject : (char *)"";
-	envelope.message.sender = (char *)self->address;
-	envelope.message.config_revision = gossip->ops->config_revision(gossip->ctx);
-	envelope.message.members = envelope.member_list;
-	envelope.message.suspicions = envelope.suspicion_list;
-	/* A stranger learns who this is; a suspected member learns that it is. */
-	if (!receiver || kind == EGRET__GOSSIP_KIND__GOSSIP_PING)
-		add_member(&envelope, self);
-	if (receiver && receiver->state != EGRET__MEMBER_STATE__MEMBER_ALIVE)
-		add_member(&envelope, receiver);
-	add_suspicions(gossip, &envelope, now);
-	add_news(gossip, &envelope);
-	gossip->ops->send(gossip->ctx, address, &envelope.message);
-}
-
 /* Reservoir sample over the live members, one pass. */
 static const member_t *random_live(gossip_t *gossip, const char *except)
 {
@@ -316,15 +118,15 @@
 		const member_t *member = random_live(gossip, NULL);
 		if (!member)
 			return;
-		send_message(gossip, now, member->address,
-			     EGRET__GOSSIP_KIND__GOSSIP_NEWS, 0, NULL);
+		gossip_send(gossip, now, member->address, EGRET__GOSSIP_KIND__GOSSIP_NEWS,
+			    0, NULL);
 	}
 }
 
 void gossip_update_self(gossip_t *gossip, usec_t now, const member_t *fields)
 {
 	directory_update_self(gossip->directory, fields, now);
-	queue_news(gossip, fields->address);
+	gossip_queue_news(gossip, fields->address);
 	gossip_push(gossip, now);
 }
 
@@ -336,7 +138,7 @@
 	news->fingerprint = fingerprint;
 	news->crash = crash;
 	news->since = now;
-	news->transmissions = transmissions(gossip);
+	news->transmissions = gossip_transmissions(gossip);
 	TAILQ_INSERT_HEAD(&gossip->suspicions, news, link);
 	gossip_push(gossip, now);
 }
@@ -351,7 +153,7 @@
 	    known->incarnation != member->incarnation || known->state != member->state)
 		return;
 	if (news->transmissions <= DUPLICATE_WEIGHT)
-		drop_news(gossip, news);
+		gossip_drop_news(gossip, news);
 	else
 		news->transmissions -= DUPLICATE_WEIGHT;
 }
@@ -364,7 +166,7 @@
 		lose_interest(gossip, member);
 		return;
 	}
-	queue_news(gossip, member->address);
+	gossip_queue_news(gossip, member->address);
 	gossip->ops->on_member(gossip->ctx,
 			       directory_lookup(gossip->directory, member->address));
 	gossip_push(gossip, now);
@@ -385,7 +187,7 @@
 	news->fingerprint = wire->fingerprint;
 	news->crash = wire->crash;
 	news->since = now - (usec_t)wire->age_ms * USEC_PER_MSEC;
-	news->transmissions = transmissions(gossip);
+	news->transmissions = gossip_transmissions(gossip);
 	TAILQ_INSERT_TAIL(&gossip->suspicions, news, link);
 	gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash,
 				  wire->age_ms);
@@ -403,8 +205,8 @@
 	relay->started = now;
 	g_hash_table_insert(gossip->relays, g_memdup2(&sequence, sizeof(sequence)),
 			    relay);
-	send_message(gossip, now, relay->subject, EGRET__GOSSIP_KIND__GOSSIP_PING,
-		     sequence, NULL);
+	gossip_send(gossip, now, relay->subject, EGRET__GOSSIP_KIND__GOSSIP_PING,
+		    sequence, NULL);
 }
 
 static void take_ack(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
@@ -415,8 +217,8 @@
 		gossip->probe.active = false;
 	if (!relay)
 		return;
-	send_message(gossip, now, relay->asker, EGRET__GOSSIP_KIND__GOSSIP_ACK,
-		     relay->asker_sequence, relay->subject);
+	gossip_send(gossip, now, relay->asker, EGRET__GOSSIP_KIND__GOSSIP_ACK,
+		    relay->asker_sequence, relay->subject);
 	g_hash_table_remove(gossip->relays, &message->sequence);
 }
 
@@ -435,8 +237,8 @@
 		take_suspicion(gossip, now, message->suspicions[i]);
 	switch (message->kind) {
 	case EGRET__GOSSIP_KIND__GOSSIP_PING:
-		send_message(gossip, now, message->sender, EGRET__GOSSIP_KIND__GOSSIP_ACK,
-			     message->sequence, NULL);
+		gossip_send(gossip, now, message->sender, EGRET__GOSSIP_KIND__GOSSIP_ACK,
+			    message->sequence, NULL);
 		break;
 	case EGRET__GOSSIP_KIND__GOSSIP_ACK:
 		take_ack(gossip, now, message);
@@ -495,8 +297,8 @@
 	probe->started = now;
 	probe->sequence = ++gossip->next_sequence;
 	g_strlcpy(probe->address, member->address, sizeof(probe->address));
-	send_message(gossip, now, probe->address, EGRET__GOSSIP_KIND__GOSSIP_PING,
-		     probe->sequence, NULL);
+	gossip_send(gossip, now, probe->address, EGRET__GOSSIP_KIND__GOSSIP_PING,
+		    probe->sequence, NULL);
 }
 
 static void probe_indirectly(gossip_t *gossip, usec_t now)
@@ -506,9 +308,9 @@
 		const member_t *helper = random_live(gossip, gossip->probe.address);
 		if (!helper)
 			return;
-		send_message(gossip, now, helper->address,
-			     EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST,
-			     gossip->probe.sequence, gossip->probe.address);
+		gossip_send(gossip, now, helper->address,
+			    EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST,
+			    gossip->probe.sequence, gossip->probe.address);
 	}
 }
 
@@ -521,7 +323,7 @@
 		directory_suspect(gossip->directory, gossip->probe.address, now);
 	if (!member)
 		return;
-	queue_news(gossip, member->address);
+	gossip_queue_news(gossip, member->address);
 	gossip->ops->on_member(gossip->ctx, member);
 }
 
@@ -529,7 +331,7 @@
 {
 	gossip_t *gossip = ctx;
 
-	queue_news(gossip, member->address);
+	gossip_queue_news(gossip, member->address);
 	gossip->ops->on_member(gossip->ctx, member);
 }
 
@@ -548,17 +350,16 @@
 			chosen = member;
 	}
 	if (chosen)
-		send_message(gossip, now, chosen->address,
-			     EGRET__GOSSIP_KIND__GOSSIP_PING, ++gossip->next_sequence,
-			     NULL);
+		gossip_send(gossip, now, chosen->address, EGRET__GOSSIP_KIND__GOSSIP_PING,
+			    ++gossip->next_sequence, NULL);
 	if (gossip->seeds->len == 0)
 		return;
 	gint32 i = g_rand_int_range(gossip->rand, 0, (gint32)gossip->seeds->len);
 	const char *seed = gossip->seeds->pdata[i];
 	member = directory_lookup(gossip->directory, seed);
 	if (!member || !is_live(member))
-		send_message(gossip, now, seed, EGRET__GOSSIP_KIND__GOSSIP_PING,
-			     ++gossip->next_sequence, NULL);
+		gossip_send(gossip, now, seed, EGRET__GOSSIP_KIND__GOSSIP_PING,
+			    ++gossip->next_sequence, NULL);
 }
 
 static gboolean relay_is_old(gpointer key, gpointer value, gpointer now)
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -1,8 +1,10 @@
-/* Rows, the operator's configuration, reports and heads as the platform may send them. */
+/* Settings, rows, the operator's configuration, reports and heads as the platform may
+ * send them. */
 #include "platform/config.h"
 #include "platform/dialect.h"
 #include "platform/instance.h"
 #include "platform/rows.h"
+#include "platform/settings.h"
 #include "platform/values.h"
 
 #include <stddef.h>
@@ -44,6 +46,16 @@
 	value_duration(text, &duration);
 }
 
+static void decode_settings(const json_t *json)
+{
+	settings_t settings = {0};
+	GError *error = NULL;
+
+	platform_settings_decode(json, &settings, &error);
+	g_clear_error(&error);
+	settings_clear(&settings);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	json_t *json = json_loadb((const char *)data, size, 0, NULL);
@@ -53,6 +65,7 @@
 
 	decode_rows(json, text);
 	decode_head(text);
+	decode_settings(json);
 	platform_read_report("PUT", "/instances/i-1", data, size, &report, &error);
 	g_clear_error(&error);
 	platform_read_report("DELETE", text, data, size, &report, &error);
