rates: demands told in as many datagrams as they need

Cause: a node told the demands of 64 accounts at most, and none at all when they did not fit one datagram of 1,200 bytes: gossip_io_send() dropped it without a word, and its peers took the node for silent. Ruled out: a wrongful refusal in that case, tokens asked of the peer made up for it.

Demands go in parts now, 0 dropped; a part 0 begins them anew.

--- a/egretscaled/peers/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -27,8 +27,11 @@
 	size_t len = egret__gossip__get_packed_size(message);
 	struct sockaddr_in to;
 
-	if (node->gossip_fd < 0 || len > GOSSIP_DATAGRAM_BYTES ||
-	    !address_parse(address, &to, NULL))
+	if (len > GOSSIP_DATAGRAM_BYTES) {
+		counter_add(COUNTER_GOSSIP_OVERSIZED, 1);
+		return;
+	}
+	if (node->gossip_fd < 0 || !address_parse(address, &to, NULL))
 		return;
 	egret__gossip__pack(message, buffer + DATAGRAM_TAG_BYTES);
 	peer_auth_sign_datagram(node->auth, buffer + DATAGRAM_TAG_BYTES, len, buffer);
--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -12,7 +12,6 @@
  * node sends a bounded number of datagrams a second. */
 #define TELL_MIN (200 * USEC_PER_MSEC)
 #define TELL_PER_PEER (10 * USEC_PER_MSEC)
-#define DEMANDS_MAX 64
 /* How long a request waits for a token. */
 #define WAIT_MAX (120 * USEC_PER_MSEC)
 /* Peers asked for a token, one after the other, before waiting for the next here. */
@@ -42,58 +41,77 @@
 	struct tevent_timer *timer;
 } delayed_t;
 
-typedef struct demand_list {
-	Egret__Demand demands[DEMANDS_MAX];
-	Egret__Demand *list[DEMANDS_MAX];
-	size_t count;
-} demand_list_t;
-
-static void add_demand(void *ctx, const char *account, double demand)
-{
-	demand_list_t *out = ctx;
-
-	if (out->count >= DEMANDS_MAX)
-		return;
-	egret__demand__init(&out->demands[out->count]);
-	out->demands[out->count].account = (char *)account;
-	out->demands[out->count].milli = (uint32_t)MIN(demand * MILLI, G_MAXUINT32);
-	out->list[out->count] = &out->demands[out->count];
-	out->count++;
-}
+/* What an entry of a repeated field adds to its own size: tag and length. */
+#define FIELD_BYTES 4
 
 /* Sends to every live member. Under gossip_lock. */
-static uint32_t send_to_members(node_t *node, const Egret__Gossip *message)
+static void send_to_members(node_t *node, const Egret__Gossip *message)
 {
 	const member_t *self = directory_self(gossip_directory(node->gossip));
 	const member_t *member;
-	uint32_t sent = 0;
 
 	LIST_FOREACH(member, directory_members(gossip_directory(node->gossip)), link)
 	{
 		if (member == self || member->state > EGRET__MEMBER_STATE__MEMBER_SUSPECT)
 			continue;
 		gossip_io_send(node, member->address, message);
-		sent++;
 	}
-	return sent;
 }
 
-static uint32_t tell(node_t *node, usec_t now)
+static void add_demand(void *ctx, const char *account, double demand)
+{
+	GArray *out = ctx;
+	Egret__Demand wire = EGRET__DEMAND__INIT;
+
+	wire.account = (char *)account;
+	wire.milli = (uint32_t)MIN(demand * MILLI, G_MAXUINT32);
+	g_array_append_val(out, wire);
+}
+
+/* Fills one datagram from the demands at `from`; returns how many it took. An account
+ * whose name alone would fill it is left out by the records' own bound. */
+static guint fill_part(Egret__Gossip *message, GArray *demands, guint from,
+		       Egret__Demand **list)
+{
+	message->n_demands = 0;
+	size_t size = egret__gossip__get_packed_size(message);
+	guint count = 0;
+
+	while (from + count < demands->len) {
+		Egret__Demand *demand =
+			&g_array_index(demands, Egret__Demand, from + count);
+		size += egret__demand__get_packed_size(demand) + FIELD_BYTES;
+		if (size > GOSSIP_DATAGRAM_BYTES && count > 0)
+			break;
+		list[count++] = demand;
+	}
+	message->demands = list;
+	message->n_demands = count;
+	return count;
+}
+
+/* Tells all demands in as many datagrams as they need. */
+static void tell(node_t *node, usec_t now)
 {
-	demand_list_t found = {.count = 0};
+	GArray *demands = g_array_new(FALSE, FALSE, sizeof(Egret__Demand));
 	Egret__Gossip message = EGRET__GOSSIP__INIT;
+	guint from = 0;
 
 	pthread_mutex_lock(&node->gossip_lock);
 	pthread_mutex_lock(&node->account_lock);
-	shares_own_demands(node->shares, now, add_demand, &found);
+	shares_own_demands(node->shares, now, add_demand, demands);
+	Egret__Demand **list = g_new(Egret__Demand *, demands->len + 1);
 	message.kind = EGRET__GOSSIP_KIND__GOSSIP_DEMAND;
 	message.sender = node->address;
-	message.demands = found.list;
-	message.n_demands = found.count;
-	uint32_t sent = send_to_members(node, &message);
+	do {
+		from += fill_part(&message, demands, from, list);
+		send_to_members(node, &message);
+		message.part++;
+	} while (from < demands->len);
 	pthread_mutex_unlock(&node->account_lock);
 	pthread_mutex_unlock(&node->gossip_lock);
-	return sent;
+	g_free(list);
+	g_array_free(demands, TRUE);
 }
 
 static uint32_t live_members(node_t *node)
@@ -178,7 +196,8 @@
 	if (!node->shares || strcmp(message->sender, node->address) == 0)
 		return;
 	pthread_mutex_lock(&node->account_lock);
-	shares_begin_report(node->shares, message->sender, now);
+	if (message->part == 0)
+		shares_begin_report(node->shares, message->sender, now);
 	for (size_t i = 0; i < message->n_demands; i++)
 		shares_report_demand(node->shares, message->sender,
 				     message->demands[i]->account,
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -53,6 +53,7 @@
 	X(GOSSIP_SENT_BYTES, "gossip_sent_bytes", "gossip bytes sent")                   \
 	X(GOSSIP_RECEIVED, "gossip_received_datagrams", "gossip datagrams accepted")     \
 	X(GOSSIP_RECEIVED_BYTES, "gossip_received_bytes", "gossip bytes received")       \
+	X(GOSSIP_OVERSIZED, "gossip_oversized", "datagrams too large to be sent")        \
 	X(GOSSIP_REJECTED, "gossip_rejected", "datagrams that failed authentication")    \
 	X(PEER_REJECTED, "peer_rejected", "peer connections that failed authentication") \
 	X(PEER_BAD_FRAMES, "peer_bad_frames", "peer connections closed for bad frames")  \
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -490,14 +490,18 @@
   size_t n_suspicions;
   Egret__Suspicion **suspicions;
   /*
-   * all of the sender's, in GOSSIP_DEMAND
+   * of the sender's, in GOSSIP_DEMAND
    */
   size_t n_demands;
   Egret__Demand **demands;
+  /*
+   * of its demands: 0 begins them anew
+   */
+  uint32_t part;
 };
 #define EGRET__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__gossip__descriptor) \
-    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
+    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Egret__Header methods */
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -117,7 +117,7 @@
         status = request("POST", self.platform_address, "/rows-tx", json.dumps(body).encode())[0]
         assert status == 200, status
 
-    def configure(self, keys=("key-a",), rate=500, **routes):
+    def configure(self, keys=("key-a",), rate=500, accounts=(), **routes):
         rows = [["front", "h.example", "/f/", "idempotent", "3s", "1s", 1, None, 2, False, "front"],
                 ["deep", "h.example", "/f/deep/", "non_idempotent", "3s", "1s", 0, None, 1, False,
                  "back"],
@@ -128,7 +128,8 @@
             "services": {"columns": ["name", "cold_start", "cold_per_s"],
                          "rows": [["front", "3s", 45.0], ["back", "3s", 45.0]]},
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
-                        "rows": [["t1", list(keys), 1, rate, rate]]}})
+                        "rows": [["t1", list(keys), 1, rate, rate]] +
+                                [[name, [f"key-{name}"], 1, 500, 500] for name in accounts]}})
 
     def cut_store(self, i):
         """Puts a relay between node i and the store; to be called before it starts."""
--- a/tests/e2e/on_platform_nodes.py
+++ b/tests/e2e/on_platform_nodes.py
@@ -4,10 +4,12 @@
 import threading
 import time
 
+from deployment import http as request
 from on_platform import (ADDRESSES, IN_FORCE_SEC, LEAVE_SEC, QUOTA_OVERAGE, QUOTA_SLACK,
                          QUOTA_WINDOW_SEC, STARTED, OnPlatform, wait_for)
 
 RETURN_SEC = 5
+METRICS_PORT = 9464
 LATENCY_SEC = 1  # the latency objective of the routes
 WEIGHT_OFF = 0.1  # how far the share of a backend may be off
 
@@ -99,6 +101,49 @@
                    for headers in refused)
 
 
+def case_on_platform_accounts():
+    """An account that asks at one node gets its whole rate there, however many others ask
+    at another node."""
+    rate = 20
+    others = [f"account-with-a-rather-long-name-{n:03}" for n in range(150)]
+    with OnPlatform() as d:
+        d.configure(rate=rate, accounts=others)
+        time.sleep(IN_FORCE_SEC)
+        d.report_all()
+        until = time.monotonic() + QUOTA_WINDOW_SEC + 3
+        turns, served = iter(range(10 ** 6)), []
+
+        def ask_others():
+            while time.monotonic() < until:
+                name = others[next(turns) % len(others)]
+                d.ask("/f/x", headers={"Authorization": f"Bearer key-{name}"}, node=1)
+
+        def ask():
+            while time.monotonic() < until:
+                if d.ask("/f/x")[0] == 200:
+                    served.append(time.monotonic())
+                time.sleep(0.05)
+
+        def report():
+            while time.monotonic() < until:
+                d.report_all()
+                time.sleep(1)
+
+        threads = [threading.Thread(target=work) for work in [ask_others] * 4 + [ask] * 8 + [report]]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        count = sum(until - QUOTA_WINDOW_SEC <= at <= until for at in served)
+        assert count >= 0.9 * rate * QUOTA_WINDOW_SEC, count
+        # What the nodes tell each other of 150 accounts does not fit one datagram.
+        for node in (0, 1):
+            metrics = request("GET", f"{ADDRESSES[node]}:{METRICS_PORT}", "/metrics")[2].decode()
+            found = [line for line in metrics.splitlines() if "gossip_oversized" in line and
+                     not line.startswith("#")]
+            assert len(found) == 1 and found[0].endswith(" 0"), found
+
+
 def case_on_platform_leave():
     """A target that leaves under load gets nothing after its answer, and nothing is lost."""
     for method, more in (("PUT", {"state": "draining"}), ("DELETE", {})):
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -3145,7 +3145,7 @@
   (ProtobufCMessageInit) egret__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[8] =
+static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[9] =
 {
   {
     "kind",
@@ -3243,12 +3243,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Gossip, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__gossip__field_indices_by_name[] = {
   4,   /* field[4] = config_revision */
   7,   /* field[7] = demands */
   0,   /* field[0] = kind */
   5,   /* field[5] = members */
+  8,   /* field[8] = part */
   3,   /* field[3] = sender */
   1,   /* field[1] = sequence */
   2,   /* field[2] = subject */
@@ -3257,7 +3270,7 @@
 static const ProtobufCIntRange egret__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor egret__gossip__descriptor =
 {
@@ -3267,7 +3280,7 @@
   "Egret__Gossip",
   "egret",
   sizeof(Egret__Gossip),
-  8,
+  9,
   egret__gossip__field_descriptors,
   egret__gossip__field_indices_by_name,
   1,  egret__gossip__number_ranges,
