--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -222,6 +222,11 @@
         back.answer = (503, {"Not-Executed": "1"})
         status, headers, _ = d.ask("/f/deep/x", "POST")
         assert status == 503 and "Response-Seal" not in headers and headers["Retry-After"], status
+        # Another start of the target answers: the request did not run there.
+        front.answer, front.instance = (200, {}), "i-other"
+        status, headers, _ = d.ask("/f/x")
+        assert status == 503 and headers["Retry-After"], status
+        front.instance = "i-1"
         back.answer = (200, {"Request-Attempt-Id": "another"})
         count = len(back.seen)
         assert d.ask("/f/deep/x", "POST")[0] == 502 and len(back.seen) == count + 1
@@ -235,7 +240,20 @@
     """Configuration, keys, zones, reports and stops come into force in their bounds."""
     with OnPlatform() as d:
         front, back = d.targets
+        host, port = d.at(0, "outbound").split(":")
+        kept = http.client.HTTPConnection(host, int(port), timeout=5)
+
+        def ask_kept():
+            kept.request("GET", "/f/x", headers={
+                "Host": "h.example", "Request-Attempt-Id": "kept", "Deadline-Ms": "2000",
+                "Authorization": "Bearer key-a"})
+            answer = kept.getresponse()
+            answer.read()
+            return answer.status
+        assert ask_kept() == 200
         d.configure(deep=False, keys=("key-b",))
+        wait_for("a withdrawn key on an open connection", lambda: ask_kept() == 401,
+                 IN_FORCE_SEC)
         wait_for("a withdrawn key", lambda: d.ask("/f/x")[0] == 401, IN_FORCE_SEC)
         key = {"Authorization": "Bearer key-b"}
         wait_for("a new key", lambda: d.ask("/f/x", headers=key)[0] == 200, IN_FORCE_SEC)
