--- a/include/egretscaled/peers/peer_client.h
+++ b/include/egretscaled/peers/peer_client.h
@@ -12,6 +12,7 @@
  *	Replies are matched by attempt on the link they were sent on. When a link
  *	is lost, a call whose frame never left this process is not-run; for any
  *	other the client connects again and asks the peer to fence the attempt.
+ *	Idempotent calls leave a silent peer and end unknown, for a retry.
  *	Idle links close after PEER_IDLE.
  */
 
@@ -29,11 +30,11 @@
 /* Sends a frame outside of calls; replies come to the worker's handlers. */
 void peer_client_send(peer_client_t *client, const Egret__Frame *frame);
 
-/* Closes links that were idle for PEER_IDLE. */
-/* Asks peers whose calls take long for a sign of life; silent ones are told to the
- * router. Called at every tick. */
+/* Asks peers whose calls take long for a sign of life and does what
+ * membership/liveness.h says. Called at every tick. */
 void peer_clients_check(worker_t *worker, usec_t now);
 
+/* Closes links that were idle for PEER_IDLE. */
 void peer_clients_sweep(worker_t *worker, usec_t now);
 
 void peer_client_destroy(void *client);
