node: log the load of each second, with the delay of the event loop

Change: one 'load' line a second while there are requests, from worker 0; the delay is measured with a task that waits behind all ready events. One line per node and second.

--- a/claims/attempts.c
+++ b/claims/attempts.c
@@ -97,3 +97,8 @@
 	TAILQ_INSERT_TAIL(&attempts->ended, attempt, link);
 	return true;
 }
+
+uint32_t attempts_count(const attempts_t *attempts)
+{
+	return g_hash_table_size(attempts->by_id);
+}
--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -133,3 +133,8 @@
 	return suspect && suspect->crash_count >= SUSPECT_CRASH_THRESHOLD &&
 	       now - suspect->last_crash < SUSPECT_REFUSE_TIME;
 }
+
+uint32_t suspects_count(const suspects_t *suspects)
+{
+	return g_hash_table_size(suspects->entries);
+}
--- a/common/clock.c
+++ b/common/clock.c
@@ -21,6 +21,11 @@
 	return read_clock(CLOCK_REALTIME);
 }
 
+usec_t clock_process_usec(void)
+{
+	return read_clock(CLOCK_PROCESS_CPUTIME_ID);
+}
+
 /* Replaces gettimeofday(2) with the monotonic clock. libtevent computes timer expiry with
  * it, and a step of the wall clock would delay all timers or fire them at once. Code of
  * this project must not call it. */
--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -3,6 +3,7 @@
 #include "common/address.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "egretscaled/node/load_log.h"
 #include "platform/store.h"
 
 #include <errno.h>
@@ -215,6 +216,31 @@
 	return now - worker->last_tick >= NODE_PAUSE_MIN;
 }
 
+static void record_loop_delay(worker_t *worker, usec_t now)
+{
+	worker->loop_delay_max =
+		MAX(worker->loop_delay_max, now - worker->delay_probe_at);
+}
+
+static void handle_delay_probe(worker_t *worker, void *unused)
+{
+	(void)unused;
+	worker->delay_probe_posted = false;
+	record_loop_delay(worker, clock_boot_usec());
+}
+
+/* Posts a probe, or records how long the last one has waited so far. */
+static void probe_loop_delay(worker_t *worker, usec_t now)
+{
+	if (worker->delay_probe_posted) {
+		record_loop_delay(worker, now);
+		return;
+	}
+	worker->delay_probe_posted = true;
+	worker->delay_probe_at = now;
+	worker_post(worker, handle_delay_probe, NULL);
+}
+
 static void schedule_tick(worker_t *worker);
 
 static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
@@ -229,12 +255,15 @@
 	if (worker_was_paused(worker, now))
 		node_clear_ready(worker->node);
 	worker->last_tick = now;
+	probe_loop_delay(worker, now);
 	worker->ops->tick(worker, now);
 	node_run_gate(worker->node);
 	if (now >= worker->next_sweep) {
 		worker->next_sweep = now + SWEEP_PERIOD;
 		worker->ops->sweep(worker, now);
 		sweep_old_caller_loops(worker);
+		if (worker->load_log)
+			load_log_write(worker->load_log, worker, now);
 	}
 	schedule_tick(worker);
 }
@@ -263,6 +292,8 @@
 	worker->inbox_fde = tevent_add_fd(worker->ev, worker->ev, worker->inbox_fd,
 					  TEVENT_FD_READ, handle_inbox, worker);
 	worker->last_tick = clock_boot_usec();
+	if (worker->index == 0)
+		worker->load_log = load_log_create(worker->last_tick);
 	schedule_tick(worker);
 	if (!listen_for_peers(worker, error) || !listen_for_http(worker, error)) {
 		worker_destroy(worker);
@@ -321,6 +352,7 @@
 	mhd_loop_destroy(worker->target_loop);
 	mhd_loop_destroy(worker->report_loop);
 	worker->ops->destroy(worker);
+	load_log_destroy(worker->load_log);
 	g_hash_table_destroy(worker->requests);
 	store_destroy(worker->store);
 	curl_loop_destroy(worker->curl);
--- a/include/claims/attempts.h
+++ b/include/claims/attempts.h
@@ -42,4 +42,7 @@
  */
 bool attempts_fence(attempts_t *attempts, uint64_t attempt, usec_t age, usec_t now);
 
+/* Number of attempts that are kept. */
+uint32_t attempts_count(const attempts_t *attempts);
+
 #endif
--- a/include/claims/suspects.h
+++ b/include/claims/suspects.h
@@ -48,6 +48,9 @@
 /* Records that a call completed: clears the crashes of its fingerprint. */
 void suspects_handle_success(suspects_t *suspects, uint64_t fingerprint, usec_t now);
 
+/* Number of fingerprints that are kept. */
+uint32_t suspects_count(const suspects_t *suspects);
+
 /* Whether requests with the fingerprint are refused now. */
 bool suspects_is_refused(suspects_t *suspects, uint64_t fingerprint, usec_t now);
 
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -24,6 +24,9 @@
 /* Time since boot, including time in suspend. Never decreases. Any thread. */
 usec_t clock_boot_usec(void);
 
+/* Processor time that the process has used, all threads together. Any thread. */
+usec_t clock_process_usec(void);
+
 /* Wall-clock time since the Unix epoch, for log lines and generation numbers only.
  * Any thread. */
 usec_t clock_wall_usec(void);
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -74,6 +74,12 @@
 	struct tevent_timer *tick;
 	usec_t next_sweep; /* boot clock */
 	usec_t last_tick;  /* boot clock */
+	/* Delay of the event loop: the time that a task posted at a tick waits behind
+	 * the events that are ready. */
+	bool delay_probe_posted;
+	usec_t delay_probe_at;	   /* boot clock, when the last probe was posted */
+	usec_t loop_delay_max;	   /* since the last load line */
+	struct load_log *load_log; /* worker 0 only */
 	struct tevent_fd *peer_listener;
 	int peer_listener_fd;
 	struct tevent_fd *inbox_fde;
