claims: keep crash suspects in constant time

Callers saw response times that grow while the load lasts, and then refusals and timeouts. Cause: the table of suspects holds 16,384 fingerprints and each completed call adds its own. Once it is full of completions of the last 30 s, each further completion scanned all entries and removed none; and a crash was not recorded at all. A node with 1,250 calls a second gets there after 13 s. Class: a bounded table whose eviction costs its whole size for each insertion. Change: the entries are in two lists, completed and crashed, the last changed at the end; a full table evicts the oldest completed one.

--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -1,12 +1,14 @@
 #include "claims/suspects.h"
 
 #include <glib.h>
+#include <sys/queue.h>
 
 /* Calls lost within this time after a crash began belong to that crash. */
 #define CRASH_MERGE_SPAN USEC_PER_SEC
 #define ENTRIES_MAX 16384
 
 typedef struct suspect {
+	TAILQ_ENTRY(suspect) link; /* in `completed` or `crashed` */
 	uint64_t fingerprint;
 	uint64_t crash_ids[SUSPECT_CRASH_THRESHOLD];
 	uint32_t crash_count;
@@ -14,8 +16,13 @@
 	usec_t last_success;
 } suspect_t;
 
+TAILQ_HEAD(suspect_list, suspect);
+
 struct suspects {
 	GHashTable *entries; /* fingerprint -> suspect_t */
+	/* Each entry is in one of the lists, the one changed last at the end. */
+	struct suspect_list completed; /* without a crash */
+	struct suspect_list crashed;
 	uint64_t last_crash_id;
 	usec_t last_crash_start;
 	bool has_crashed;
@@ -27,6 +34,8 @@
 
 	suspects->entries =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	TAILQ_INIT(&suspects->completed);
+	TAILQ_INIT(&suspects->crashed);
 	return suspects;
 }
 
@@ -43,34 +52,46 @@
 	return suspect->last_success && now - suspect->last_success < SUSPECT_EXEMPT_TIME;
 }
 
-static gboolean is_stale(gpointer key, gpointer value, gpointer data)
+static struct suspect_list *list_of(suspects_t *suspects, const suspect_t *suspect)
 {
-	(void)key;
-	const suspect_t *suspect = value;
-	usec_t now = *(const usec_t *)data;
-	bool refused =
-		suspect->crash_count && now - suspect->last_crash < SUSPECT_REFUSE_TIME;
+	return suspect->crash_count ? &suspects->crashed : &suspects->completed;
+}
 
-	return !refused && !is_exempt(suspect, now);
+/* Evicts the entry whose loss matters least: the oldest without a crash, or the oldest
+ * one if all have crashes. */
+static void evict_one(suspects_t *suspects)
+{
+	suspect_t *suspect = TAILQ_FIRST(&suspects->completed);
+
+	if (!suspect)
+		suspect = TAILQ_FIRST(&suspects->crashed);
+	TAILQ_REMOVE(list_of(suspects, suspect), suspect, link);
+	g_hash_table_remove(suspects->entries, &suspect->fingerprint);
 }
 
-static suspect_t *find_or_add_suspect(suspects_t *suspects, uint64_t fingerprint,
-				      usec_t now)
+/* Returns the entry, removed from its list; the caller changes it and then calls
+ * put_back(). */
+static suspect_t *take_suspect(suspects_t *suspects, uint64_t fingerprint)
 {
 	suspect_t *suspect = g_hash_table_lookup(suspects->entries, &fingerprint);
 
-	if (suspect)
+	if (suspect) {
+		TAILQ_REMOVE(list_of(suspects, suspect), suspect, link);
 		return suspect;
+	}
 	if (g_hash_table_size(suspects->entries) >= ENTRIES_MAX)
-		g_hash_table_foreach_remove(suspects->entries, is_stale, &now);
-	if (g_hash_table_size(suspects->entries) >= ENTRIES_MAX)
-		return NULL;
+		evict_one(suspects);
 	suspect = g_new0(suspect_t, 1);
 	suspect->fingerprint = fingerprint;
 	g_hash_table_insert(suspects->entries, &suspect->fingerprint, suspect);
 	return suspect;
 }
 
+static void put_back(suspects_t *suspects, suspect_t *suspect)
+{
+	TAILQ_INSERT_TAIL(list_of(suspects, suspect), suspect, link);
+}
+
 uint64_t suspects_crash_id(suspects_t *suspects, uint64_t new_id, usec_t now)
 {
 	if (!suspects->has_crashed ||
@@ -97,33 +118,36 @@
 	return true;
 }
 
+static bool handle_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash_id,
+			 usec_t when, usec_t now)
+{
+	suspect_t *suspect = take_suspect(suspects, fingerprint);
+	bool counted =
+		!is_exempt(suspect, now) && add_crash(suspect, crash_id, when, now);
+
+	put_back(suspects, suspect);
+	return counted;
+}
+
 bool suspects_handle_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash_id,
 			   usec_t now)
 {
-	suspect_t *suspect = find_or_add_suspect(suspects, fingerprint, now);
-
-	if (!suspect || is_exempt(suspect, now))
-		return false;
-	return add_crash(suspect, crash_id, now, now);
+	return handle_crash(suspects, fingerprint, crash_id, now, now);
 }
 
 void suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
 				  uint64_t crash_id, usec_t age, usec_t now)
 {
-	suspect_t *suspect = find_or_add_suspect(suspects, fingerprint, now);
-
-	if (suspect && !is_exempt(suspect, now))
-		add_crash(suspect, crash_id, now - age, now);
+	handle_crash(suspects, fingerprint, crash_id, now - age, now);
 }
 
 void suspects_handle_success(suspects_t *suspects, uint64_t fingerprint, usec_t now)
 {
-	suspect_t *suspect = find_or_add_suspect(suspects, fingerprint, now);
+	suspect_t *suspect = take_suspect(suspects, fingerprint);
 
-	if (!suspect)
-		return;
 	suspect->last_success = now;
 	suspect->crash_count = 0;
+	put_back(suspects, suspect);
 }
 
 bool suspects_is_refused(suspects_t *suspects, uint64_t fingerprint, usec_t now)
--- a/include/claims/suspects.h
+++ b/include/claims/suspects.h
@@ -19,6 +19,9 @@
  *	crash is not counted, so that common requests are not refused only because
  *	they were in flight together with the request that caused the crash.
  *
+ *	The table is bounded. Each function takes constant time; a full table evicts
+ *	the completed fingerprints first, the oldest one first.
+ *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
  */
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -149,6 +149,71 @@
 	{"a success clears the crashes", "csc", false},
 };
 
+typedef struct full_table_case {
+	const char *name;
+	uint32_t completed; /* other requests that complete before the crashes */
+} full_table_case_t;
+
+static void complete_requests(suspects_t *suspects, uint64_t first, uint32_t count,
+			      usec_t now)
+{
+	for (uint64_t id = first; id < first + count; id++)
+		suspects_handle_success(suspects, id, now);
+}
+
+static void test_crash_with_full_table(void **state)
+{
+	const full_table_case_t *c = *state;
+	suspects_t *suspects = suspects_create();
+	usec_t now = START;
+
+	complete_requests(suspects, 1000, c->completed, now);
+	for (uint64_t crash = 1; crash <= SUSPECT_CRASH_THRESHOLD; crash++)
+		suspects_handle_crash(suspects, 1, crash, now + USEC_PER_SEC);
+	assert_true(suspects_is_refused(suspects, 1, now + USEC_PER_SEC));
+	complete_requests(suspects, 1000000, c->completed, now + 2 * USEC_PER_SEC);
+	assert_true(suspects_is_refused(suspects, 1, now + 2 * USEC_PER_SEC));
+	suspects_destroy(suspects);
+}
+
+static const full_table_case_t full_table_cases[] = {
+	{"a crash suspect is refused after few other requests", 100},
+	{"a crash suspect is refused while the table is full", 40000},
+};
+
+#define COST_REQUESTS 10000
+#define COST_RATIO_MAX 50
+
+typedef struct cost_case {
+	const char *name;
+	uint32_t kept; /* requests that completed before */
+} cost_case_t;
+
+static usec_t completion_cost(uint32_t kept)
+{
+	suspects_t *suspects = suspects_create();
+
+	complete_requests(suspects, 1, kept, START);
+	usec_t before = clock_process_usec();
+	complete_requests(suspects, kept + 1, COST_REQUESTS, START + USEC_PER_SEC);
+	usec_t cost = clock_process_usec() - before;
+	suspects_destroy(suspects);
+	return cost;
+}
+
+static void test_completion_cost(void **state)
+{
+	const cost_case_t *c = *state;
+	usec_t few = MAX(completion_cost(0), USEC_PER_MSEC);
+
+	assert_true(completion_cost(c->kept) <= COST_RATIO_MAX * few);
+}
+
+static const cost_case_t cost_cases[] = {
+	{"completing a request costs the same after 20,000 others", 20000},
+	{"completing a request costs the same after 100,000 others", 100000},
+};
+
 /* --- Claims --------------------------------------------------------------------- */
 
 typedef struct claim_case {
@@ -205,6 +270,9 @@
 
 	failed += RUN_CASES("fence_orders", interleave_cases, test_interleavings);
 	failed += RUN_CASES("suspects", suspect_cases, test_suspect);
+	failed +=
+		RUN_CASES("suspects_full", full_table_cases, test_crash_with_full_table);
+	failed += RUN_CASES("suspects_cost", cost_cases, test_completion_cost);
 	failed += RUN_CASES("claims", claim_cases, test_claim);
 	return failed;
 }
