request: bound the head of a target's response, trailers included

Change: a response whose head, interim responses and trailers exceed 12 KiB together fails as a lost target, and its connection is closed. That bound fits the caller's connection memory, so a longer head could not have been forwarded either. Test: nine kinds of endless bytes, each for an idempotent and another request: end within the deadline and 0.5 s, memory within 16 MiB, never a complete response.

--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -7,6 +7,10 @@
 /* Size of curl's receive buffer. It is below 64 KiB because freeing a block of 64 KiB or
  * more makes malloc() merge all free chunks. */
 #define CURL_BUFFER_BYTES (16L << 10)
+/* Longest head of a response, with interim responses and trailers: it has to fit into the
+ * caller's connection memory (CONNECTION_MEMORY_BYTES in mhd_loop.c). curl alone does not
+ * bound the trailers. */
+#define RESPONSE_HEAD_MAX_BYTES (12u << 10)
 
 static size_t read_request_body(char *buffer, size_t size, size_t count, void *ctx)
 {
@@ -44,11 +48,15 @@
 	return true;
 }
 
+/* A result below the length makes curl fail the transfer and close the connection. */
 static size_t receive_header(char *line, size_t size, size_t count, void *ctx)
 {
 	target_call_t *tc = ctx;
 	size_t len = size * count;
 
+	tc->response_head_bytes += len;
+	if (tc->response_head_bytes > RESPONSE_HEAD_MAX_BYTES)
+		return 0;
 	if (parse_status_line(tc, line, len) || !tc->reply.headers)
 		return len;
 	char *copy = g_strchomp(g_strndup(line, len));
@@ -67,8 +75,7 @@
 	g_free(copy);
 	if (tc->parsed_headers.not_run || tc->parsed_headers.other_process)
 		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
-	/* A response to another request: returning less than len makes curl fail the
-	 * transfer and close the connection. */
+	/* A response to another request. */
 	return tc->parsed_headers.other_request ? 0 : len;
 }
 
