http: shut down idle connections on which the server sends bytes

Change: the watch of a socket stays when its transfer has ended; an event on it shuts the connection down, and curl does not reuse it. A socket that curl stops polling keeps its place in the poll set until an event arrives, which saves two epoll_ctl calls per transfer.

--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -1,6 +1,10 @@
 #include "http/curl_loop.h"
 
+#include "common/counters.h"
+
 #include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define POOLED_HANDLES_MAX 256
 
@@ -12,6 +16,7 @@
 	struct tevent_immediate *check;
 	bool check_scheduled;
 	GHashTable *to_resume; /* set of CURL *, resumed by the next check */
+	GHashTable *watches;   /* fd -> socket_watch_t, until curl closes the socket */
 };
 
 /* A socket of the curl multi handle that tevent polls. */
@@ -19,6 +24,8 @@
 	curl_loop_t *loop;
 	curl_socket_t fd;
 	struct tevent_fd *fde;
+	bool paused; /* curl does not poll the socket: a paused transfer, or none */
+	bool idle;   /* no transfer uses the connection, which curl keeps open */
 } socket_watch_t;
 
 typedef struct transfer {
@@ -50,6 +57,23 @@
 	g_ptr_array_add(loop->pool, easy);
 }
 
+/* Watches the connection of a finished transfer if curl keeps it. Called before the
+ * handle is removed from the multi handle. */
+static void watch_idle_connection(curl_loop_t *loop, CURL *easy)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+
+	curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
+	if (fd == CURL_SOCKET_BAD)
+		return;
+	socket_watch_t *watch =
+		g_hash_table_lookup(loop->watches, GINT_TO_POINTER((int)fd));
+	if (!watch || !watch->paused)
+		return;
+	watch->idle = true;
+	tevent_fd_set_flags(watch->fde, TEVENT_FD_READ);
+}
+
 static void finish_transfers(curl_loop_t *loop)
 {
 	CURLMsg *msg;
@@ -62,6 +86,7 @@
 		CURLcode code = msg->data.result;
 		transfer_t *transfer = transfer_of(easy);
 
+		watch_idle_connection(loop, easy);
 		curl_multi_remove_handle(loop->multi, easy);
 		transfer->done(transfer->ctx, easy, code);
 		release_handle(loop, easy);
@@ -101,6 +126,15 @@
 	tevent_schedule_immediate(loop->check, loop->ev, handle_check, loop);
 }
 
+/* The server has closed the idle connection or sent bytes that belong to no request.
+ * Shuts it down, so that the server can send no more and curl does not reuse it. */
+static void shut_down_idle_connection(socket_watch_t *watch)
+{
+	counter_add(COUNTER_IDLE_CONNECTIONS_SHUT, 1);
+	shutdown(watch->fd, SHUT_RDWR);
+	tevent_fd_set_flags(watch->fde, 0);
+}
+
 static void handle_socket(struct tevent_context *ev, struct tevent_fd *fde,
 			  uint16_t flags, void *private_data)
 {
@@ -111,6 +145,14 @@
 	int mask = 0;
 	int running;
 
+	if (watch->idle) {
+		shut_down_idle_connection(watch);
+		return;
+	}
+	if (watch->paused) {
+		tevent_fd_set_flags(watch->fde, 0);
+		return;
+	}
 	if (flags & TEVENT_FD_READ)
 		mask |= CURL_CSELECT_IN;
 	if (flags & TEVENT_FD_WRITE)
@@ -136,13 +178,17 @@
 static int set_socket(CURL *easy, curl_socket_t fd, int what, void *userp, void *socketp)
 {
 	(void)easy;
+	(void)socketp;
 	curl_loop_t *loop = userp;
-	socket_watch_t *watch = socketp;
+	socket_watch_t *watch =
+		g_hash_table_lookup(loop->watches, GINT_TO_POINTER((int)fd));
 	uint16_t flags = 0;
 
 	if (what == CURL_POLL_REMOVE) {
-		talloc_free(watch);
-		curl_multi_assign(loop->multi, fd, NULL);
+		/* The socket stays in the poll set until an event arrives, because the
+		 * next transfer often follows before one does. */
+		if (watch)
+			watch->paused = true;
 		return 0;
 	}
 	if (what & CURL_POLL_IN)
@@ -155,13 +201,29 @@
 		watch->fd = fd;
 		watch->fde = tevent_add_fd(loop->ev, watch, (int)fd, flags, handle_socket,
 					   watch);
-		curl_multi_assign(loop->multi, fd, watch);
+		g_hash_table_insert(loop->watches, GINT_TO_POINTER((int)fd), watch);
 	} else {
+		watch->paused = false;
+		watch->idle = false;
 		tevent_fd_set_flags(watch->fde, flags);
 	}
 	return 0;
 }
 
+static void free_watch(void *data)
+{
+	talloc_free(data);
+}
+
+/* curl is done with the socket. */
+static int close_socket(void *clientp, curl_socket_t fd)
+{
+	curl_loop_t *loop = clientp;
+
+	g_hash_table_remove(loop->watches, GINT_TO_POINTER((int)fd));
+	return close(fd);
+}
+
 static int set_timer(CURLM *multi, long timeout_ms, void *userp)
 {
 	(void)multi;
@@ -203,6 +265,7 @@
 	loop->multi = curl_multi_init();
 	loop->pool = g_ptr_array_new();
 	loop->to_resume = g_hash_table_new(NULL, NULL);
+	loop->watches = g_hash_table_new_full(NULL, NULL, NULL, free_watch);
 	loop->check = tevent_create_immediate(loop);
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
 	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
@@ -222,6 +285,7 @@
 	g_ptr_array_free(loop->pool, TRUE);
 	curl_multi_cleanup(loop->multi);
 	g_hash_table_destroy(loop->to_resume);
+	g_hash_table_destroy(loop->watches);
 	talloc_free(loop);
 }
 
@@ -238,6 +302,8 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, loop);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_request);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 	return easy;
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -61,6 +61,8 @@
 	X(GOSSIP_REJECTED, "gossip_rejected", "datagrams that failed authentication")    \
 	X(PEER_REJECTED, "peer_rejected", "peer connections that failed authentication") \
 	X(PEER_BAD_FRAMES, "peer_bad_frames", "peer connections closed for bad frames")  \
+	X(IDLE_CONNECTIONS_SHUT, "idle_connections_shut",                                \
+	  "idle connections that the server closed or sent bytes on")                    \
 	X(CUT_AT_STOP, "cut_at_stop", "requests cut by the end of the drain timeout")
 
 typedef enum counter_id {
--- a/include/http/curl_loop.h
+++ b/include/http/curl_loop.h
@@ -15,6 +15,9 @@
  *	and curl would repeat the request on a new one, the transfer fails instead,
  *	so that curl never makes a request run twice.
  *
+ *	An idle connection on which the server sends bytes, or which it closes, is shut
+ *	down at once.
+ *
  * THREADS
  *	A loop and its transfers belong to the thread of the tevent context.
  *
--- a/tests/e2e/on_platform_endless.py
+++ b/tests/e2e/on_platform_endless.py
@@ -28,6 +28,7 @@
     ("a chunk size", START + "Transfer-Encoding: chunked\r\n\r\n1;", BLOCK, False),
     ("trailers", START + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
      b"X-Junk: y\r\n" * 1000, False),
+    ("bytes after a complete response", START + "Content-Length: 2\r\n\r\nok", BLOCK, True),
 ]
 
 
