config: keep the range of route importance with the configuration

Change: the range is computed when a configuration is built. Test: test_config importance_range, 3 cases, new function (it does not exist before).

--- a/config/config.c
+++ b/config/config.c
@@ -19,6 +19,7 @@
 	GHashTable *records[RECORD_KIND_COUNT]; /* name -> record_t */
 	GHashTable *digests;			/* digest -> record_t of kind key */
 	GPtrArray *routes;			/* record_t, longest prefix first */
+	importance_range_t importance;		/* of the routes */
 };
 
 static void row_destroy(void *data)
@@ -184,6 +185,12 @@
 	return strcmp(left->name, right->name);
 }
 
+static void widen_range(importance_range_t *range, uint32_t importance)
+{
+	range->lowest = MIN(range->lowest, importance);
+	range->highest = MAX(range->highest, importance);
+}
+
 static void index_lookups(config_t *config)
 {
 	GHashTableIter iter;
@@ -194,8 +201,11 @@
 		g_hash_table_insert(config->digests, ((record_t *)value)->key.digest,
 				    value);
 	g_hash_table_iter_init(&iter, config->records[RECORD_ROUTE]);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	config->importance = (importance_range_t){.lowest = IMPORTANCE_LEVELS};
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		g_ptr_array_add(config->routes, value);
+		widen_range(&config->importance, ((record_t *)value)->route.importance);
+	}
 	g_ptr_array_sort(config->routes, compare_prefix);
 }
 
@@ -247,6 +257,11 @@
 	return config->snapshot;
 }
 
+const importance_range_t *config_importance_range(const config_t *config)
+{
+	return &config->importance;
+}
+
 const char *config_account_for_digest(const config_t *config, const char *digest)
 {
 	const record_t *record = g_hash_table_lookup(config->digests, digest);
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -258,14 +258,6 @@
 	return suspect;
 }
 
-static void widen_range(void *ctx, const record_t *record)
-{
-	importance_range_t *range = ctx;
-
-	range->lowest = MIN(range->lowest, record->route.importance);
-	range->highest = MAX(range->highest, record->route.importance);
-}
-
 /* Decides whether the request is to be shed because of the pressure of the route's
  * service or of the services downstream of it, whichever is higher; writes that pressure.
  * Outbound calls are exempt, since the requests that they belong to were admitted
@@ -274,7 +266,6 @@
 {
 	node_t *node = request->worker->node;
 	usec_t now = clock_boot_usec();
-	importance_range_t range = {IMPORTANCE_LEVELS, 0};
 
 	if (request->from_target)
 		return false;
@@ -285,7 +276,7 @@
 	pthread_mutex_unlock(&node->router_lock);
 	*pressure = MAX(own, downstream);
 	config_t *config = node_config(node);
-	config_foreach(config, RECORD_ROUTE, widen_range, &range);
+	importance_range_t range = *config_importance_range(config);
 	config_unref(config);
 	double draw = (double)(uint32_t)node_random_id() / (double)UINT32_MAX;
 	return !pressure_admits(*pressure, request->context.importance, &range, draw);
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -1,6 +1,7 @@
 #ifndef EGRET_CONFIG_CONFIG_H
 #define EGRET_CONFIG_CONFIG_H
 
+#include "admission/pressure.h"
 #include "config/record.h"
 
 /*
@@ -67,6 +68,9 @@
 
 uint64_t config_revision(const config_t *config);
 
+/* Range of importance over all routes; lowest is above highest if there are none. */
+const importance_range_t *config_importance_range(const config_t *config);
+
 /* Revision of the newest snapshot; 0 if there is none. */
 uint64_t config_snapshot_revision(const config_t *config);
 
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -324,6 +324,43 @@
 	{"a key without a schema version", "record/route/r", false},
 };
 
+typedef struct range_case {
+	const char *name;
+	const char *importances; /* a digit for each route */
+	uint32_t lowest;
+	uint32_t highest;
+} range_case_t;
+
+static void test_importance_range(void **state)
+{
+	const range_case_t *c = *state;
+	config_log_t *log = config_log_create();
+
+	for (const char *digit = c->importances; *digit; digit++) {
+		char *key =
+			g_strdup_printf("record/route/r%td@1", digit - c->importances);
+		char *value = g_strdup_printf("{\"kind\":\"route\",\"name\":\"r%td\","
+					      "\"schema_version\":1,\"prefix\":\"/\","
+					      "\"service\":\"s\",\"importance\":%c}",
+					      digit - c->importances, *digit);
+		add(log, 1, key, value);
+		g_free(key);
+		g_free(value);
+	}
+	config_t *config = config_build(log);
+	const importance_range_t *range = config_importance_range(config);
+	assert_int_equal(range->lowest, c->lowest);
+	assert_int_equal(range->highest, c->highest);
+	config_unref(config);
+	config_log_destroy(log);
+}
+
+static const range_case_t range_cases[] = {
+	{"one route", "4", 4, 4},
+	{"three routes", "729", 2, 9},
+	{"no route", "", IMPORTANCE_LEVELS, 0},
+};
+
 /* A row does not replace one of the same or a higher revision. */
 static void test_merge_keeps_newest(void **state)
 {
@@ -352,6 +389,7 @@
 	failed += RUN_CASES("routes", route_cases, test_route);
 	failed += RUN_CASES("schema_versions", version_cases, test_versions);
 	failed += RUN_CASES("rows", row_cases, test_row);
+	failed += RUN_CASES("importance_range", range_cases, test_importance_range);
 	failed += cmocka_run_group_tests(single, NULL, NULL);
 	return failed;
 }
