--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -230,10 +230,19 @@
 	return record != NULL;
 }
 
+/* Removes the waiter's token request, so that a reply to it is ignored. */
+static void end_token_request(waiter_t *waiter)
+{
+	if (waiter->request_id)
+		g_hash_table_remove(waiter->worker->token_requests, &waiter->request_id);
+	waiter->request_id = 0;
+}
+
 static void waiter_destroy(void *data)
 {
 	waiter_t *waiter = data;
 
+	end_token_request(waiter);
 	TALLOC_FREE(waiter->timer);
 	g_free(waiter->account);
 	g_free(waiter);
@@ -322,6 +331,7 @@
 {
 	worker_t *worker = waiter->worker;
 
+	end_token_request(waiter);
 	waiter->request_id = (node_random_id() & ~(uint64_t)WORKER_INDEX_MASK) |
 			     (worker->index & WORKER_INDEX_MASK);
 	if (waiter->requests_sent++ >= TOKEN_REQUESTS_MAX ||
@@ -330,6 +340,7 @@
 		wait_for_local_token(waiter);
 		return;
 	}
+	g_hash_table_insert(worker->token_requests, &waiter->request_id, waiter);
 	waiter->timer =
 		worker_timer(worker, TOKEN_REPLY_TIMEOUT, handle_reply_timeout, waiter);
 }
@@ -357,15 +368,9 @@
 static void handle_token_reply(worker_t *worker, void *ctx)
 {
 	token_reply_t *reply = ctx;
-	GHashTableIter iter;
-	void *value;
-	waiter_t *waiter = NULL;
-
-	g_hash_table_iter_init(&iter, worker->token_waiters);
-	while (!waiter && g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((waiter_t *)value)->request_id == reply->request_id)
-			waiter = value;
-	}
+	waiter_t *waiter =
+		g_hash_table_lookup(worker->token_requests, &reply->request_id);
+
 	if (waiter) {
 		TALLOC_FREE(waiter->timer);
 		if (reply->granted)
--- a/egretscaled/wiring.c
+++ b/egretscaled/wiring.c
@@ -37,6 +37,7 @@
 		g_hash_table_new_full(NULL, NULL, ingress_link_destroy, NULL);
 	worker->borrowers = loans_io_borrowers_create();
 	worker->token_waiters = shares_io_waiters_create();
+	worker->token_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->claims = claim_batch_create(worker);
 }
 
@@ -46,6 +47,7 @@
 	g_hash_table_destroy(worker->peers);
 	g_hash_table_destroy(worker->borrowers);
 	g_hash_table_destroy(worker->token_waiters);
+	g_hash_table_destroy(worker->token_requests);
 	claim_batch_destroy(worker->claims);
 }
 
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -34,8 +34,8 @@
 	MHD_AccessHandlerCallback on_target_request;
 	MHD_AccessHandlerCallback on_target_report;
 	MHD_RequestCompletedCallback on_completed;
-	/* Create and destroy peers, ingress_links, borrowers, token_waiters and claims
-	 * of worker_t. */
+	/* Create and destroy peers, ingress_links, borrowers, token_waiters,
+	 * token_requests and claims of worker_t. */
 	void (*create)(worker_t *worker);
 	void (*destroy)(worker_t *worker);
 	/* Aborts all requests and resumes their connections: libmicrohttpd must not be
@@ -69,6 +69,7 @@
 	GHashTable *ingress_links;   /* set of ingress_link_t */
 	GHashTable *borrowers;	     /* account -> account_entry_t */
 	GHashTable *token_waiters;   /* context of the request -> waiter_t */
+	GHashTable *token_requests;  /* id of the token request -> waiter_t */
 	GHashTable *requests;	     /* request number -> http_request_t */
 	struct claim_batch *claims;  /* claims for the next commit */
 	struct tevent_timer *tick;
