routing: keep the known calls of a route while its target is under load

Cause: a call of a target is attributed to a route only while no other route is in flight. Under load that is never so, and what was learned before expired after 30 s; entry nodes then no longer learn the pressure downstream and admit requests that fail half done. Change: a call that may belong to several routes keeps what is known of the routes in flight. Test: test_routing 'a known call is kept while other routes are in flight' failed before (the list of calls was empty after 60 s of load), passes now.

--- a/include/routing/route_calls.h
+++ b/include/routing/route_calls.h
@@ -13,9 +13,9 @@
  * DESCRIPTION
  *	A state machine without I/O, for targets whose outbound calls do not name
  *	the request that they belong to. A call is attributed to a route only if all
- *	requests in flight on the target at that time are of this route; other calls
- *	are ignored. A recorded call expires ROUTE_CALLS_RETENTION_USEC after it was
- *	last seen.
+ *	requests in flight on the target at that time are of this route. Other calls
+ *	only keep what is known: the recorded call of each route in flight. A recorded
+ *	call expires ROUTE_CALLS_RETENTION_USEC after it was last seen.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
--- a/routing/route_calls.c
+++ b/routing/route_calls.c
@@ -1,5 +1,7 @@
 #include "routing/route_calls.h"
 
+#include <stdbool.h>
+
 typedef struct outbound_call {
 	char *service;
 	usec_t last_seen;
@@ -70,6 +72,11 @@
 		route_calls->active_count--;
 }
 
+static bool is_expired(const outbound_call_t *call, usec_t now)
+{
+	return now - call->last_seen >= ROUTE_CALLS_RETENTION_USEC;
+}
+
 static caller_route_t *only_active_caller(route_calls_t *route_calls)
 {
 	GHashTableIter iter;
@@ -85,13 +92,33 @@
 	return NULL;
 }
 
+/* The call may belong to any active route: keeps it for those that are known to make it.
+ */
+static void refresh_known_calls(route_calls_t *route_calls, const char *call_route,
+				usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, route_calls->callers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const caller_route_t *caller = value;
+		outbound_call_t *call = g_hash_table_lookup(caller->calls, call_route);
+
+		if (call && caller->inflight_requests > 0 && !is_expired(call, now))
+			call->last_seen = now;
+	}
+}
+
 void route_calls_record(route_calls_t *route_calls, const char *call_route,
 			const char *service, usec_t now)
 {
 	caller_route_t *caller = only_active_caller(route_calls);
 
-	if (!caller)
+	if (!caller) {
+		refresh_known_calls(route_calls, call_route, now);
 		return;
+	}
 	outbound_call_t *call = g_hash_table_lookup(caller->calls, call_route);
 	if (!call) {
 		call = g_new0(outbound_call_t, 1);
@@ -115,7 +142,7 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const outbound_call_t *call = value;
 
-		if (now - call->last_seen < ROUTE_CALLS_RETENTION_USEC)
+		if (!is_expired(call, now))
 			fn(ctx, key, call->service);
 	}
 }
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -417,6 +417,40 @@
 	route_calls_destroy(route_calls);
 }
 
+typedef struct known_call_case {
+	const char *name;
+	bool known;	/* recorded while only requests of the route were in flight */
+	bool in_flight; /* a request of the route stays in flight */
+	const char *expected;
+} known_call_case_t;
+
+static void test_known_call_under_load(void **state)
+{
+	const known_call_case_t *c = *state;
+	route_calls_t *route_calls = route_calls_create();
+
+	route_calls_begin(route_calls, "read");
+	if (c->known)
+		route_calls_record(route_calls, "c", "deep", START);
+	route_calls_begin(route_calls, "upload");
+	route_calls_begin(route_calls, "other");
+	if (!c->in_flight)
+		route_calls_end(route_calls, "read");
+	for (usec_t t = 0; t <= 2 * ROUTE_CALLS_RETENTION_USEC; t += USEC_PER_SEC)
+		route_calls_record(route_calls, "c", "deep", START + t);
+	assert_route_calls(route_calls, "read", START + 2 * ROUTE_CALLS_RETENTION_USEC,
+			   c->expected);
+	assert_route_calls(route_calls, "upload", START + 2 * ROUTE_CALLS_RETENTION_USEC,
+			   "");
+	route_calls_destroy(route_calls);
+}
+
+static const known_call_case_t known_call_cases[] = {
+	{"a known call is kept while other routes are in flight", true, true, "c>deep "},
+	{"a known call expires without requests of its route", true, false, ""},
+	{"an unknown call is not attributed", false, true, ""},
+};
+
 /* The pressure of a service follows the reports, which lose their weight with age. */
 static void test_service_pressure(void **state)
 {
@@ -483,6 +517,7 @@
 
 	failed += cmocka_run_group_tests(single, NULL, NULL);
 
+	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
 	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
 	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
