admission: expire queued calls wherever they are in the queue

Cause: the gate checked only the first call of its queue, which is ordered by priority. A call behind it stayed queued past its deadline; the entry node then timed out first and had to report the outcome as unknown. Change: every 10 ms the gate expires all queued calls that cannot meet their deadline, as not-run. Test: test_admission 'a call behind one with more time is dropped when its time runs out' failed before (no verdict), passes now.

--- a/admission/gate.c
+++ b/admission/gate.c
@@ -4,6 +4,8 @@
 #include "admission/shed_level.h"
 #include "common/counters.h"
 
+/* The queue is checked for expired tickets at most this often. */
+#define GATE_EXPIRY_PERIOD (10 * USEC_PER_MSEC)
 /* Longest wait of a queued call while the starts of a cold target are rate limited. */
 #define COLD_QUEUE_WAIT_MAX_USEC (200 * USEC_PER_MSEC)
 
@@ -11,8 +13,12 @@
 	limit_t *limit;
 	shed_level_t *shed_level;
 	rate_limiter_t *start_limiter;
-	GSequence *queue;    /* of gate_ticket_t, best priority first */
-	GQueue shed_tickets; /* of gate_ticket_t, to be returned by gate_next() */
+	GSequence *queue; /* of gate_ticket_t, best priority first */
+	/* Of gate_ticket_t, to be returned by gate_next(): shed from a full queue, and
+	 * expired in the queue. */
+	GQueue shed_tickets;
+	GQueue expired_tickets;
+	usec_t expiry_checked_at;
 	uint32_t inflight;
 	uint32_t queue_slots;
 	bool open;
@@ -31,6 +37,7 @@
 	gate->start_limiter = rate_limiter_create();
 	gate->queue = g_sequence_new(NULL);
 	g_queue_init(&gate->shed_tickets);
+	g_queue_init(&gate->expired_tickets);
 	return gate;
 }
 
@@ -43,6 +50,7 @@
 	rate_limiter_destroy(gate->start_limiter);
 	g_sequence_free(gate->queue);
 	g_queue_clear(&gate->shed_tickets);
+	g_queue_clear(&gate->expired_tickets);
 	g_free(gate);
 }
 
@@ -205,8 +213,31 @@
 		gate_done(gate, ticket, now, 0, LIMIT_IGNORED);
 	else if (ticket->queue_iter)
 		dequeue(ticket);
-	else
-		g_queue_remove(&gate->shed_tickets, ticket);
+	else if (!g_queue_remove(&gate->shed_tickets, ticket))
+		g_queue_remove(&gate->expired_tickets, ticket);
+}
+
+/* Expires the queued tickets that cannot meet their deadline, or could not if they
+ * started only at the next check. Their refusals then arrive before the callers time out,
+ * and state that the calls did not run. */
+static void expire_queued(gate_t *gate, usec_t now)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(gate->queue);
+
+	if (now - gate->expiry_checked_at < GATE_EXPIRY_PERIOD)
+		return;
+	gate->expiry_checked_at = now;
+	while (!g_sequence_iter_is_end(iter)) {
+		gate_ticket_t *ticket = g_sequence_get(iter);
+
+		iter = g_sequence_iter_next(iter);
+		if (can_meet_deadline(gate, ticket, now + GATE_EXPIRY_PERIOD, 0))
+			continue;
+		dequeue(ticket);
+		count_shed(gate);
+		counter_add(COUNTER_GATE_EXPIRED, 1);
+		g_queue_push_tail(&gate->expired_tickets, ticket);
+	}
 }
 
 gate_ticket_t *gate_next(gate_t *gate, usec_t now, gate_verdict_t *verdict)
@@ -217,6 +248,12 @@
 		*verdict = GATE_SHED;
 		return ticket;
 	}
+	expire_queued(gate, now);
+	ticket = g_queue_pop_head(&gate->expired_tickets);
+	if (ticket) {
+		*verdict = GATE_EXPIRED;
+		return ticket;
+	}
 	if (g_sequence_is_empty(gate->queue))
 		return NULL;
 	ticket = g_sequence_get(g_sequence_get_begin_iter(gate->queue));
--- a/include/admission/gate.h
+++ b/include/admission/gate.h
@@ -16,8 +16,8 @@
  *	waits in a bounded queue ordered by priority, or is refused. If the queue is
  *	full and a call of better priority arrives, the queued call of the worst
  *	priority is shed. A call whose deadline does not cover the expected wait and
- *	service time is refused at once; a queued call is dropped when the time left
- *	no longer covers its service time.
+ *	service time is refused at once; a queued call is dropped, wherever it is in the
+ *	queue, when the time left no longer covers its service time.
  *
  *	After each event the caller calls gate_next() until it returns NULL, to get
  *	the verdicts on queued tickets.
@@ -88,12 +88,12 @@
 void gate_done(gate_t *gate, gate_ticket_t *ticket, usec_t now, usec_t own_latency,
 	       limit_outcome_t outcome);
 
-/* Removes a ticket that is queued or in flight, or a shed one that gate_next() has not
- * returned yet. */
+/* Removes a ticket that is queued or in flight, or one shed or expired that gate_next() has
+ * not returned yet. */
 void gate_cancel(gate_t *gate, gate_ticket_t *ticket, usec_t now);
 
 /* Removes the next ticket that has a final verdict, and returns it with the verdict; NULL
- * if there is none. Tickets shed from a full queue come first. */
+ * if there is none. Tickets shed from a full queue come first, then expired ones. */
 gate_ticket_t *gate_next(gate_t *gate, usec_t now, gate_verdict_t *verdict);
 
 /* Reports the load. The level is PRIORITY_LEVEL_ALL with LIMIT_SLOTS, since the calls of
