--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -3,7 +3,6 @@
 #include "common/address.h"
 #include "common/error.h"
 #include "common/log.h"
-#include "egretscaled/node/load_log.h"
 #include "platform/store.h"
 
 #include <errno.h>
@@ -262,8 +261,6 @@
 		worker->next_sweep = now + SWEEP_PERIOD;
 		worker->ops->sweep(worker, now);
 		sweep_old_caller_loops(worker);
-		if (worker->load_log)
-			load_log_write(worker->load_log, worker, now);
 	}
 	schedule_tick(worker);
 }
@@ -292,8 +289,6 @@
 	worker->inbox_fde = tevent_add_fd(worker->ev, worker->ev, worker->inbox_fd,
 					  TEVENT_FD_READ, handle_inbox, worker);
 	worker->last_tick = clock_boot_usec();
-	if (worker->index == 0)
-		worker->load_log = load_log_create(worker->last_tick);
 	schedule_tick(worker);
 	if (!listen_for_peers(worker, error) || !listen_for_http(worker, error)) {
 		worker_destroy(worker);
@@ -352,7 +347,6 @@
 	mhd_loop_destroy(worker->target_loop);
 	mhd_loop_destroy(worker->report_loop);
 	worker->ops->destroy(worker);
-	load_log_destroy(worker->load_log);
 	g_hash_table_destroy(worker->requests);
 	store_destroy(worker->store);
 	curl_loop_destroy(worker->curl);
--- a/egretscaled/wiring.c
+++ b/egretscaled/wiring.c
@@ -1,5 +1,6 @@
 #include "egretscaled/wiring.h"
 
+#include "egretscaled/node/load_log.h"
 #include "egretscaled/peers/gossip_io.h"
 #include "egretscaled/peers/ingress.h"
 #include "egretscaled/peers/peer_client.h"
@@ -39,6 +40,8 @@
 	worker->token_waiters = shares_io_waiters_create();
 	worker->token_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->claims = claim_batch_create(worker);
+	if (worker->index == 0)
+		worker->load_log = load_log_create(clock_boot_usec());
 }
 
 static void destroy_tables(worker_t *worker)
@@ -49,6 +52,7 @@
 	g_hash_table_destroy(worker->token_waiters);
 	g_hash_table_destroy(worker->token_requests);
 	claim_batch_destroy(worker->claims);
+	load_log_destroy(worker->load_log);
 }
 
 static bool handle_frame(worker_t *worker, frame_link_t *link, const Egret__Frame *frame)
@@ -74,6 +78,13 @@
 	peer_clients_check(worker, now);
 }
 
+static void sweep(worker_t *worker, usec_t now)
+{
+	peer_clients_sweep(worker, now);
+	if (worker->load_log)
+		load_log_write(worker->load_log, worker, now);
+}
+
 const worker_ops_t *wiring_worker_ops(void)
 {
 	static const worker_ops_t ops = {
@@ -88,7 +99,7 @@
 		.on_frame = handle_frame,
 		.serve = target_call_start,
 		.tick = tick,
-		.sweep = peer_clients_sweep,
+		.sweep = sweep,
 	};
 
 	return &ops;
--- a/include/admission/gate.h
+++ b/include/admission/gate.h
@@ -88,8 +88,8 @@
 void gate_done(gate_t *gate, gate_ticket_t *ticket, usec_t now, usec_t own_latency,
 	       limit_outcome_t outcome);
 
-/* Removes a ticket that is queued or in flight, or one shed or expired that gate_next() has
- * not returned yet. */
+/* Removes a ticket that is queued or in flight, or one shed or expired that gate_next()
+ * has not returned yet. */
 void gate_cancel(gate_t *gate, gate_ticket_t *ticket, usec_t now);
 
 /* Removes the next ticket that has a final verdict, and returns it with the verdict; NULL
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -35,7 +35,7 @@
 	MHD_AccessHandlerCallback on_target_report;
 	MHD_RequestCompletedCallback on_completed;
 	/* Create and destroy peers, ingress_links, borrowers, token_waiters,
-	 * token_requests and claims of worker_t. */
+	 * token_requests, claims and load_log of worker_t. */
 	void (*create)(worker_t *worker);
 	void (*destroy)(worker_t *worker);
 	/* Aborts all requests and resumes their connections: libmicrohttpd must not be
