rates: report demand by account id in a packed list

Change: a demand is a 32-bit hash of the account's name and hundredths of a request per second, in packed lists: 4 + 1 to 2 bytes. A node of an earlier version sees no such report and counts the sender as silent, which leaves it the share that it had; it never admits more.

--- a/accounts/shares.c
+++ b/accounts/shares.c
@@ -1,6 +1,8 @@
 #include "accounts/shares.h"
 
 #include <math.h>
+#include <string.h>
+#include <xxhash.h>
 
 /* Part of the rate that is split evenly, so that a node with new demand has tokens. */
 #define FLOOR_SHARE 0.2
@@ -20,6 +22,7 @@
 #define CAPACITY_MIN 1.0
 
 typedef struct account {
+	uint32_t id;
 	double demand; /* requests per second, as of demand_updated_at */
 	usec_t demand_updated_at;
 	double reported_demand;
@@ -32,13 +35,14 @@
 	usec_t last_report; /* 0 if none */
 	usec_t added;
 	bool silent;
-	GHashTable *demands;	     /* account -> double */
-	GHashTable *retained_shares; /* account -> double: share at its last report */
+	GHashTable *demands;	     /* account id -> double */
+	GHashTable *retained_shares; /* account id -> double: share at its last report */
 	usec_t retained_at;
 } peer_t;
 
 struct shares {
 	GHashTable *accounts; /* account -> account_t */
+	GHashTable *by_id;    /* account id -> account_t, or NULL if only peers know it */
 	GHashTable *peers;    /* address -> peer_t */
 	usec_t created;
 	usec_t retained_at;
@@ -56,27 +60,39 @@
 
 static GHashTable *number_table_create(void)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return g_hash_table_new_full(NULL, NULL, NULL, g_free);
 }
 
-static void number_table_set(GHashTable *table, const char *key, double value)
+static void number_table_set(GHashTable *table, uint32_t key, double value)
 {
-	g_hash_table_insert(table, g_strdup(key), g_memdup2(&value, sizeof(value)));
+	double *existing = g_hash_table_lookup(table, GUINT_TO_POINTER(key));
+
+	if (existing)
+		*existing = value;
+	else
+		g_hash_table_insert(table, GUINT_TO_POINTER(key),
+				    g_memdup2(&value, sizeof(value)));
 }
 
-static double number_table_get(GHashTable *table, const char *key, double absent)
+static double number_table_get(GHashTable *table, uint32_t key, double absent)
 {
-	const double *value = g_hash_table_lookup(table, key);
+	const double *value = g_hash_table_lookup(table, GUINT_TO_POINTER(key));
 
 	return value ? *value : absent;
 }
 
+uint32_t shares_account_id(const char *account)
+{
+	return XXH32(account, strlen(account), 0);
+}
+
 shares_t *shares_create(usec_t now)
 {
 	shares_t *shares = g_new0(shares_t, 1);
 
 	shares->created = now;
 	shares->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	shares->by_id = g_hash_table_new(NULL, NULL);
 	shares->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_destroy);
 	return shares;
@@ -86,6 +102,7 @@
 {
 	if (!shares)
 		return;
+	g_hash_table_destroy(shares->by_id);
 	g_hash_table_destroy(shares->accounts);
 	g_hash_table_destroy(shares->peers);
 	g_free(shares);
@@ -126,7 +143,9 @@
 	account = g_new0(account_t, 1);
 	account->demand_updated_at = now;
 	account->refilled_at = now;
+	account->id = shares_account_id(name);
 	g_hash_table_insert(shares->accounts, g_strdup(name), account);
+	g_hash_table_insert(shares->by_id, GUINT_TO_POINTER(account->id), account);
 	return account;
 }
 
@@ -139,12 +158,13 @@
 	g_hash_table_remove_all(peer->demands);
 }
 
-void shares_report_demand(shares_t *shares, const char *address, const char *account,
-			  double demand, usec_t now)
+void shares_report_demand(shares_t *shares, const char *address, uint32_t account_id,
+			  double demand)
 {
-	find_or_add_account(shares, account, now);
+	if (!g_hash_table_contains(shares->by_id, GUINT_TO_POINTER(account_id)))
+		g_hash_table_insert(shares->by_id, GUINT_TO_POINTER(account_id), NULL);
 	if (demand >= DEMAND_MIN_PER_SEC)
-		number_table_set(find_or_add_peer(shares, address)->demands, account,
+		number_table_set(find_or_add_peer(shares, address)->demands, account_id,
 				 demand);
 }
 
@@ -161,7 +181,7 @@
 	uint32_t nodes; /* those peers and this node */
 } active_view_t;
 
-static active_view_t get_active_view(const shares_t *shares, const char *account)
+static active_view_t get_active_view(const shares_t *shares, uint32_t account)
 {
 	active_view_t view = {.share = 1.0, .nodes = 1};
 	double even = 1.0 / (1 + g_hash_table_size(shares->peers));
@@ -196,11 +216,11 @@
 }
 
 /* Stores the share of one account for each peer that has reported since the last time. */
-static void retain_account_shares(shares_t *shares, const char *name,
-				  const account_t *account, usec_t now)
+static void retain_account_shares(shares_t *shares, uint32_t id, const account_t *account,
+				  usec_t now)
 {
-	active_view_t view = get_active_view(shares, name);
-	double total_demand = view.demand + own_demand(account, now);
+	active_view_t view = get_active_view(shares, id);
+	double total_demand = view.demand + (account ? own_demand(account, now) : 0);
 	GHashTableIter iter;
 	void *value;
 
@@ -210,8 +230,8 @@
 
 		if (peer->silent || peer->last_report <= peer->retained_at)
 			continue;
-		double demand = number_table_get(peer->demands, name, 0);
-		number_table_set(peer->retained_shares, name,
+		double demand = number_table_get(peer->demands, id, 0);
+		number_table_set(peer->retained_shares, id,
 				 share_of(&view, demand, total_demand));
 	}
 }
@@ -228,9 +248,9 @@
 	if (now - shares->retained_at < RETAIN_PERIOD)
 		return;
 	shares->retained_at = now;
-	g_hash_table_iter_init(&iter, shares->accounts);
+	g_hash_table_iter_init(&iter, shares->by_id);
 	while (g_hash_table_iter_next(&iter, &key, &value))
-		retain_account_shares(shares, key, value, now);
+		retain_account_shares(shares, GPOINTER_TO_UINT(key), value, now);
 	g_hash_table_iter_init(&iter, shares->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		peer_t *peer = value;
@@ -273,10 +293,9 @@
 			  have_all_reported(shares);
 }
 
-static double current_share(shares_t *shares, const char *name, const account_t *account,
-			    usec_t now)
+static double current_share(const shares_t *shares, const account_t *account, usec_t now)
 {
-	active_view_t view = get_active_view(shares, name);
+	active_view_t view = get_active_view(shares, account->id);
 	/* Peers compute their shares from this node's last report. Demand that exceeds it
 	 * does not count here, since the peers use that part of the rate themselves. */
 	double reported_max = account->reported_demand +
@@ -291,13 +310,13 @@
 
 double shares_own_share(shares_t *shares, const char *name, usec_t now)
 {
-	return current_share(shares, name, find_or_add_account(shares, name, now), now);
+	return current_share(shares, find_or_add_account(shares, name, now), now);
 }
 
 double shares_pressure(shares_t *shares, const char *name, usec_t now)
 {
 	const account_t *account = find_or_add_account(shares, name, now);
-	active_view_t view = get_active_view(shares, name);
+	active_view_t view = get_active_view(shares, account->id);
 
 	if (account->rate <= 0)
 		return 0;
@@ -323,7 +342,7 @@
 		own_demand(account, now) + USEC_PER_SEC / DEMAND_TIME_CONSTANT_USEC;
 	account->demand_updated_at = now;
 	account->rate = limits->rate;
-	refill(account, limits, current_share(shares, name, account, now), now);
+	refill(account, limits, current_share(shares, account, now), now);
 	if (account->tokens >= 1) {
 		account->tokens -= 1;
 		return SHARES_GRANTED;
@@ -338,7 +357,7 @@
 {
 	account_t *account = find_or_add_account(shares, name, now);
 
-	refill(account, limits, current_share(shares, name, account, now), now);
+	refill(account, limits, current_share(shares, account, now), now);
 	if (account->tokens < 1)
 		return false;
 	account->tokens -= 1;
@@ -349,7 +368,7 @@
 			    const account_limits_t *limits, usec_t wait_max, usec_t now)
 {
 	account_t *account = find_or_add_account(shares, name, now);
-	double share = current_share(shares, name, account, now);
+	double share = current_share(shares, account, now);
 
 	refill(account, limits, share, now);
 	double wait = (1 - account->tokens) /
@@ -363,17 +382,16 @@
 void shares_collect_demands(shares_t *shares, usec_t now, shares_demand_fn fn, void *ctx)
 {
 	GHashTableIter iter;
-	void *key;
 	void *value;
 
 	g_hash_table_iter_init(&iter, shares->accounts);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		account_t *account = value;
 		double demand = own_demand(account, now);
 
 		account->reported_demand = demand;
 		if (demand >= DEMAND_MIN_PER_SEC)
-			fn(ctx, key, demand);
+			fn(ctx, account->id, demand);
 	}
 }
 
--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -6,7 +6,7 @@
 #include <math.h>
 #include <string.h>
 
-#define MILLI 1000.0
+#define CENTI 100.0
 #define TICK_PERIOD (100 * USEC_PER_MSEC)
 /* Demand is reported no more often than this. The interval grows with the number of live
  * members, to bound the number of datagrams that a node sends per second. */
@@ -44,8 +44,12 @@
 	struct tevent_timer *timer;
 } waiter_t;
 
-/* Encoding overhead of an element of a repeated field: tag and length. */
-#define FIELD_OVERHEAD_BYTES 4
+/* Longest encodings of one demand (a fixed32 and a varint) and of the other fields of a
+ * demand report. */
+#define DEMAND_MAX_BYTES 9
+#define REPORT_HEAD_MAX_BYTES 120
+#define DATAGRAM_DEMANDS_MAX                                                             \
+	((GOSSIP_DATAGRAM_BYTES - REPORT_HEAD_MAX_BYTES) / DEMAND_MAX_BYTES)
 
 /* Sends to every live member. Under gossip_lock. */
 static void send_to_members(node_t *node, const Egret__Gossip *message)
@@ -61,60 +65,46 @@
 	}
 }
 
-static void add_demand(void *ctx, const char *account, double demand)
-{
-	GArray *out = ctx;
-	Egret__Demand wire = EGRET__DEMAND__INIT;
-
-	wire.account = (char *)account;
-	wire.milli = (uint32_t)MIN(demand * MILLI, G_MAXUINT32);
-	g_array_append_val(out, wire);
-}
+typedef struct demand_list {
+	GArray *accounts; /* uint32_t ids */
+	GArray *centi;	  /* uint32_t, hundredths of a request per second */
+} demand_list_t;
 
-/* Fills one datagram with the demands from index `from` on; returns how many it holds.
- * The length limit of record names ensures that one demand always fits. */
-static guint fill_datagram(Egret__Gossip *message, GArray *demands, guint from,
-			   Egret__Demand **list)
+static void add_demand(void *ctx, uint32_t account_id, double demand)
 {
-	message->n_demands = 0;
-	size_t size = egret__gossip__get_packed_size(message);
-	guint count = 0;
-
-	while (from + count < demands->len) {
-		Egret__Demand *demand =
-			&g_array_index(demands, Egret__Demand, from + count);
-		size += egret__demand__get_packed_size(demand) + FIELD_OVERHEAD_BYTES;
-		if (size > GOSSIP_DATAGRAM_BYTES && count > 0)
-			break;
-		list[count++] = demand;
-	}
-	message->demands = list;
-	message->n_demands = count;
-	return count;
+	demand_list_t *list = ctx;
+	uint32_t centi = (uint32_t)MIN(demand * CENTI, G_MAXUINT32);
+
+	g_array_append_val(list->accounts, account_id);
+	g_array_append_val(list->centi, centi);
 }
 
 /* Reports all demands to the live members, in as many datagrams as needed. */
 static void report_demand(node_t *node, usec_t now)
 {
-	GArray *demands = g_array_new(FALSE, FALSE, sizeof(Egret__Demand));
+	demand_list_t list = {g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+			      g_array_new(FALSE, FALSE, sizeof(uint32_t))};
 	Egret__Gossip message = EGRET__GOSSIP__INIT;
 	guint from = 0;
 
 	pthread_mutex_lock(&node->gossip_lock);
 	pthread_mutex_lock(&node->account_lock);
-	shares_collect_demands(node->shares, now, add_demand, demands);
-	Egret__Demand **list = g_new(Egret__Demand *, demands->len + 1);
+	shares_collect_demands(node->shares, now, add_demand, &list);
 	message.kind = EGRET__GOSSIP_KIND__GOSSIP_DEMAND;
 	message.sender = node->address;
 	do {
-		from += fill_datagram(&message, demands, from, list);
+		guint count = MIN(list.accounts->len - from, DATAGRAM_DEMANDS_MAX);
+		message.n_demand_accounts = message.n_demand_centi = count;
+		message.demand_accounts = (uint32_t *)(void *)list.accounts->data + from;
+		message.demand_centi = (uint32_t *)(void *)list.centi->data + from;
 		send_to_members(node, &message);
+		from += count;
 		message.part++;
-	} while (from < demands->len);
+	} while (from < list.accounts->len);
 	pthread_mutex_unlock(&node->account_lock);
 	pthread_mutex_unlock(&node->gossip_lock);
-	g_free(list);
-	g_array_free(demands, TRUE);
+	g_array_free(list.accounts, TRUE);
+	g_array_free(list.centi, TRUE);
 }
 
 static uint32_t count_live_members(node_t *node)
@@ -202,10 +192,11 @@
 	pthread_mutex_lock(&node->account_lock);
 	if (message->part == 0)
 		shares_begin_report(node->shares, message->sender, now);
-	for (size_t i = 0; i < message->n_demands; i++)
+	for (size_t i = 0; i < MIN(message->n_demand_accounts, message->n_demand_centi);
+	     i++)
 		shares_report_demand(node->shares, message->sender,
-				     message->demands[i]->account,
-				     message->demands[i]->milli / MILLI, now);
+				     message->demand_accounts[i],
+				     message->demand_centi[i] / CENTI);
 	pthread_mutex_unlock(&node->account_lock);
 }
 
--- a/include/accounts/shares.h
+++ b/include/accounts/shares.h
@@ -59,11 +59,15 @@
 void shares_add_peer(shares_t *shares, const char *peer, usec_t now);
 void shares_remove_peer(shares_t *shares, const char *peer);
 
+/* Id of an account in reports: a hash of its name. The demands of two accounts with the
+ * same id add up at their receivers, whose shares then are too small. */
+uint32_t shares_account_id(const char *account);
+
 /* A peer's report of all its demand: shares_begin_report(), then one
  * shares_report_demand() for each account, in requests per second. */
 void shares_begin_report(shares_t *shares, const char *peer, usec_t now);
-void shares_report_demand(shares_t *shares, const char *peer, const char *account,
-			  double demand, usec_t now);
+void shares_report_demand(shares_t *shares, const char *peer, uint32_t account_id,
+			  double demand);
 
 /* Marks silent peers and stores the shares of the others. Called periodically. */
 void shares_tick(shares_t *shares, usec_t now);
@@ -94,7 +98,7 @@
 /* This node's share of the account's rate, 0 to 1. */
 double shares_own_share(shares_t *shares, const char *account, usec_t now);
 
-typedef void (*shares_demand_fn)(void *ctx, const char *account, double demand);
+typedef void (*shares_demand_fn)(void *ctx, uint32_t account_id, double demand);
 
 /* Calls fn with each account that has demand here, in requests per second, and records
  * the demand as reported. */
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -37,7 +37,6 @@
 typedef struct Egret__KeeperClaim Egret__KeeperClaim;
 typedef struct Egret__Member Egret__Member;
 typedef struct Egret__Suspicion Egret__Suspicion;
-typedef struct Egret__Demand Egret__Demand;
 typedef struct Egret__Gossip Egret__Gossip;
 
 
@@ -91,13 +90,13 @@
   EGRET__GOSSIP_KIND__GOSSIP_ACK = 1,
   EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST = 2,
   EGRET__GOSSIP_KIND__GOSSIP_NEWS = 3,
-  EGRET__GOSSIP_KIND__GOSSIP_DEMAND = 4,
   /*
    * subject: the account
    */
   EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK = 5,
   EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT = 6,
-  EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY = 7
+  EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY = 7,
+  EGRET__GOSSIP_KIND__GOSSIP_DEMAND = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(EGRET__GOSSIP_KIND)
 } Egret__GossipKind;
 
@@ -466,17 +465,6 @@
 /*
  * Requests a second that the sender takes for an account.
  */
-struct  Egret__Demand
-{
-  ProtobufCMessage base;
-  char *account;
-  uint32_t milli;
-};
-#define EGRET__DEMAND__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&egret__demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
-
-
 struct  Egret__Gossip
 {
   ProtobufCMessage base;
@@ -490,18 +478,23 @@
   size_t n_suspicions;
   Egret__Suspicion **suspicions;
   /*
-   * of the sender's, in GOSSIP_DEMAND
+   * of the demands: 0 begins them anew
    */
-  size_t n_demands;
-  Egret__Demand **demands;
+  uint32_t part;
   /*
-   * of its demands: 0 begins them anew
+   * of the sender, in GOSSIP_DEMAND
    */
-  uint32_t part;
+  size_t n_demand_accounts;
+  uint32_t *demand_accounts;
+  /*
+   * one for each account
+   */
+  size_t n_demand_centi;
+  uint32_t *demand_centi;
 };
 #define EGRET__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__gossip__descriptor) \
-    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Egret__Header methods */
@@ -922,25 +915,6 @@
 void   egret__suspicion__free_unpacked
                      (Egret__Suspicion *message,
                       ProtobufCAllocator *allocator);
-/* Egret__Demand methods */
-void   egret__demand__init
-                     (Egret__Demand         *message);
-size_t egret__demand__get_packed_size
-                     (const Egret__Demand   *message);
-size_t egret__demand__pack
-                     (const Egret__Demand   *message,
-                      uint8_t             *out);
-size_t egret__demand__pack_to_buffer
-                     (const Egret__Demand   *message,
-                      ProtobufCBuffer     *buffer);
-Egret__Demand *
-       egret__demand__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   egret__demand__free_unpacked
-                     (Egret__Demand *message,
-                      ProtobufCAllocator *allocator);
 /* Egret__Gossip methods */
 void   egret__gossip__init
                      (Egret__Gossip         *message);
@@ -1028,9 +1002,6 @@
 typedef void (*Egret__Suspicion_Closure)
                  (const Egret__Suspicion *message,
                   void *closure_data);
-typedef void (*Egret__Demand_Closure)
-                 (const Egret__Demand *message,
-                  void *closure_data);
 typedef void (*Egret__Gossip_Closure)
                  (const Egret__Gossip *message,
                   void *closure_data);
@@ -1067,7 +1038,6 @@
 extern const ProtobufCMessageDescriptor egret__keeper_claim__descriptor;
 extern const ProtobufCMessageDescriptor egret__member__descriptor;
 extern const ProtobufCMessageDescriptor egret__suspicion__descriptor;
-extern const ProtobufCMessageDescriptor egret__demand__descriptor;
 extern const ProtobufCMessageDescriptor egret__gossip__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -83,9 +83,9 @@
 	}
 }
 
-static void store_demand(void *ctx, const char *account, double demand)
+static void store_demand(void *ctx, uint32_t account_id, double demand)
 {
-	(void)account;
+	(void)account_id;
 	*(double *)ctx = demand;
 }
 
@@ -133,8 +133,8 @@
 		}
 		shares_t *to = sim->nodes[report->to].shares;
 		shares_begin_report(to, sim->nodes[i].name, now);
-		shares_report_demand(to, sim->nodes[i].name, ACCOUNT, report->demand,
-				     now);
+		shares_report_demand(to, sim->nodes[i].name, shares_account_id(ACCOUNT),
+				     report->demand);
 		g_free(report);
 	}
 }
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -997,51 +997,6 @@
   assert(message->base.descriptor == &egret__suspicion__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   egret__demand__init
-                     (Egret__Demand         *message)
-{
-  static const Egret__Demand init_value = EGRET__DEMAND__INIT;
-  *message = init_value;
-}
-size_t egret__demand__get_packed_size
-                     (const Egret__Demand *message)
-{
-  assert(message->base.descriptor == &egret__demand__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t egret__demand__pack
-                     (const Egret__Demand *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &egret__demand__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t egret__demand__pack_to_buffer
-                     (const Egret__Demand *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &egret__demand__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Egret__Demand *
-       egret__demand__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Egret__Demand *)
-     protobuf_c_message_unpack (&egret__demand__descriptor,
-                                allocator, len, data);
-}
-void   egret__demand__free_unpacked
-                     (Egret__Demand *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &egret__demand__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   egret__gossip__init
                      (Egret__Gossip         *message)
 {
@@ -3094,58 +3049,7 @@
   (ProtobufCMessageInit) egret__suspicion__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__demand__field_descriptors[2] =
-{
-  {
-    "account",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Egret__Demand, account),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "milli",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Egret__Demand, milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned egret__demand__field_indices_by_name[] = {
-  0,   /* field[0] = account */
-  1,   /* field[1] = milli */
-};
-static const ProtobufCIntRange egret__demand__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor egret__demand__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "egret.Demand",
-  "Demand",
-  "Egret__Demand",
-  "egret",
-  sizeof(Egret__Demand),
-  2,
-  egret__demand__field_descriptors,
-  egret__demand__field_indices_by_name,
-  1,  egret__demand__number_ranges,
-  (ProtobufCMessageInit) egret__demand__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[9] =
+static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[10] =
 {
   {
     "kind",
@@ -3231,18 +3135,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "demands",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Egret__Gossip, n_demands),
-    offsetof(Egret__Gossip, demands),
-    &egret__demand__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "part",
     9,
@@ -3255,22 +3147,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_accounts",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Egret__Gossip, n_demand_accounts),
+    offsetof(Egret__Gossip, demand_accounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand_centi",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Egret__Gossip, n_demand_centi),
+    offsetof(Egret__Gossip, demand_centi),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__gossip__field_indices_by_name[] = {
   4,   /* field[4] = config_revision */
-  7,   /* field[7] = demands */
+  8,   /* field[8] = demand_accounts */
+  9,   /* field[9] = demand_centi */
   0,   /* field[0] = kind */
   5,   /* field[5] = members */
-  8,   /* field[8] = part */
+  7,   /* field[7] = part */
   3,   /* field[3] = sender */
   1,   /* field[1] = sequence */
   2,   /* field[2] = subject */
   6,   /* field[6] = suspicions */
 };
-static const ProtobufCIntRange egret__gossip__number_ranges[1 + 1] =
+static const ProtobufCIntRange egret__gossip__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 9, 7 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor egret__gossip__descriptor =
 {
@@ -3280,10 +3198,10 @@
   "Egret__Gossip",
   "egret",
   sizeof(Egret__Gossip),
-  9,
+  10,
   egret__gossip__field_descriptors,
   egret__gossip__field_indices_by_name,
-  1,  egret__gossip__number_ranges,
+  2,  egret__gossip__number_ranges,
   (ProtobufCMessageInit) egret__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3451,24 +3369,24 @@
   { "GOSSIP_ACK", "EGRET__GOSSIP_KIND__GOSSIP_ACK", 1 },
   { "GOSSIP_PING_REQUEST", "EGRET__GOSSIP_KIND__GOSSIP_PING_REQUEST", 2 },
   { "GOSSIP_NEWS", "EGRET__GOSSIP_KIND__GOSSIP_NEWS", 3 },
-  { "GOSSIP_DEMAND", "EGRET__GOSSIP_KIND__GOSSIP_DEMAND", 4 },
   { "GOSSIP_TOKEN_ASK", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK", 5 },
   { "GOSSIP_TOKEN_GRANT", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT", 6 },
   { "GOSSIP_TOKEN_DENY", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY", 7 },
+  { "GOSSIP_DEMAND", "EGRET__GOSSIP_KIND__GOSSIP_DEMAND", 8 },
 };
 static const ProtobufCIntRange egret__gossip_kind__value_ranges[] = {
-{0, 0},{0, 8}
+{0, 0},{5, 4},{0, 8}
 };
 static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[8] =
 {
   { "GOSSIP_ACK", 1 },
-  { "GOSSIP_DEMAND", 4 },
+  { "GOSSIP_DEMAND", 7 },
   { "GOSSIP_NEWS", 3 },
   { "GOSSIP_PING", 0 },
   { "GOSSIP_PING_REQUEST", 2 },
-  { "GOSSIP_TOKEN_ASK", 5 },
-  { "GOSSIP_TOKEN_DENY", 7 },
-  { "GOSSIP_TOKEN_GRANT", 6 },
+  { "GOSSIP_TOKEN_ASK", 4 },
+  { "GOSSIP_TOKEN_DENY", 6 },
+  { "GOSSIP_TOKEN_GRANT", 5 },
 };
 const ProtobufCEnumDescriptor egret__gossip_kind__descriptor =
 {
@@ -3481,7 +3399,7 @@
   egret__gossip_kind__enum_values_by_number,
   8,
   egret__gossip_kind__enum_values_by_name,
-  1,
+  2,
   egret__gossip_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
