--- a/admission/gate.c
+++ b/admission/gate.c
@@ -133,13 +133,13 @@
 	return now + need <= ticket->deadline;
 }
 
-/* Maximum number of queued calls, fewer while the target refuses calls. While starts are
- * rate limited, a full queue would mean waits of seconds, so the bound is the number of
- * calls that start within COLD_QUEUE_WAIT_MAX_USEC. */
+/* Maximum number of queued calls. While starts are rate limited, a full queue would mean
+ * waits of seconds, so the bound is the number of calls that start within
+ * COLD_QUEUE_WAIT_MAX_USEC. */
 static uint32_t queue_bound(const gate_t *gate, usec_t now)
 {
 	if (!rate_limiter_is_active(gate->start_limiter, now))
-		return MAX((uint32_t)(gate->queue_slots * limit_share(gate->limit)), 1);
+		return gate->queue_slots;
 	usec_t startable = rate_limiter_per_second(gate->start_limiter) *
 			   COLD_QUEUE_WAIT_MAX_USEC / USEC_PER_SEC;
 	return (uint32_t)CLAMP(startable, 1, MAX(gate->queue_slots, 1));
--- a/admission/limit.c
+++ b/admission/limit.c
@@ -14,9 +14,6 @@
 /* Targets slow down when nearly all slots are taken, and probes of the target need a
  * free slot. */
 #define SLOTS_SHARE 0.94
-/* Share of its ceiling by which LIMIT_SLOTS rises in a window without a refusal: from 1
- * to the ceiling within 2 s. */
-#define SLOTS_RISE_SHARE 0.05
 /* The base latency rises slowly, to adapt when the workload changes. */
 #define BASE_RISE_PER_WINDOW 1.0005
 #define CLIFF_FACTOR 8.0
@@ -68,21 +65,13 @@
 	limit->latency_min = 0;
 }
 
-/* The highest limit of LIMIT_SLOTS. */
-static double slots_ceiling(const limit_t *limit)
-{
-	return MAX(floor(limit->slots * SLOTS_SHARE), 1);
-}
-
 void limit_set_bounds(limit_t *limit, uint32_t slots, uint32_t cold_slots)
 {
-	bool changed = limit->slots != MAX(slots, 1);
-
 	limit->slots = MAX(slots, 1);
 	limit->cold_slots = CLAMP(cold_slots, 1, limit->slots);
 	limit->value = MIN(limit->value, limit->slots);
-	if (limit->algorithm == LIMIT_SLOTS && changed)
-		limit->value = slots_ceiling(limit);
+	if (limit->algorithm == LIMIT_SLOTS)
+		limit->value = MAX(floor(limit->slots * SLOTS_SHARE), 1);
 }
 
 void limit_reset(limit_t *limit, usec_t now)
@@ -90,7 +79,7 @@
 	limit->value = limit->cold_slots;
 	limit->cold = limit->algorithm != LIMIT_SLOTS;
 	if (limit->algorithm == LIMIT_SLOTS)
-		limit->value = slots_ceiling(limit);
+		limit->value = MAX(floor(limit->slots * SLOTS_SHARE), 1);
 	limit->slow_windows = 0;
 	start_window(limit, now);
 }
@@ -152,30 +141,12 @@
 	return limit->slow_windows >= CLIFF_WINDOWS;
 }
 
-/* A target that refuses calls although it has free slots gets fewer, in proportion to the
- * share that it refused, so that routers prefer other instances. */
-static void apply_slots(limit_t *limit)
-{
-	double ceiling = slots_ceiling(limit);
-
-	if (limit->refusals > 0) {
-		double refused = (double)limit->refusals /
-				 (double)(limit->refusals + limit->samples);
-		limit->value = MIN(limit->value, limit->peak_inflight) *
-			       MAX(1.0 - refused, GRADIENT_MIN);
-	} else {
-		limit->value += MAX(ceiling * SLOTS_RISE_SHARE, 1.0);
-	}
-	limit->value = CLAMP(limit->value, 1.0, ceiling);
-}
-
 static bool end_window(limit_t *limit, usec_t now)
 {
 	double average = limit->samples ? limit->latency_sum / limit->samples : 0;
 	bool cliff = false;
 
 	if (limit->algorithm == LIMIT_SLOTS) {
-		apply_slots(limit);
 		start_window(limit, now);
 		return false;
 	}
@@ -231,12 +202,6 @@
 	return MAX((uint32_t)limit->value, 1);
 }
 
-double limit_share(const limit_t *limit)
-{
-	return limit->algorithm == LIMIT_SLOTS ? limit->value / slots_ceiling(limit)
-					       : 1.0;
-}
-
 usec_t limit_latency(const limit_t *limit)
 {
 	return (usec_t)limit->latency_ewma;
--- a/include/admission/limit.h
+++ b/include/admission/limit.h
@@ -23,10 +23,9 @@
  *	LIMIT_AIMD	adds 1 in a window without overload, multiplies by 0.9
  *			in a window whose average latency exceeds twice the base
  *			latency
- *	LIMIT_SLOTS	94 % of the reported slots, without a cold start, for
- *			targets whose time in outbound calls is not known; in
- *			a window in which the target refused calls, lowered to
- *			the calls in flight less the share that was refused
+ *	LIMIT_SLOTS	stays at 94 % of the reported slots, without a cold
+ *			start; for targets whose time in outbound calls is not
+ *			known
  *
  *	The first two raise the limit only after a window in which at least half of
  *	it was in use. With them, a window in which the target itself refused calls
@@ -74,9 +73,6 @@
 
 uint32_t limit_value(const limit_t *limit);
 
-/* The limit divided by its ceiling with LIMIT_SLOTS, otherwise 1. */
-double limit_share(const limit_t *limit);
-
 /* Smoothed latency of successful calls; 0 before the first. */
 usec_t limit_latency(const limit_t *limit);
 bool limit_is_cold(const limit_t *limit);
