membership: pass a crash suspicion on only once

Gossip forgot a suspicion once it had sent it often enough; received again from a node that still sent it, it counted as new, was queued and pushed again. So all nodes sent all suspicions of the last 30 s to each other without end, and searched a list for each one received. Change: the table of suspects, which knows the crashes that were counted, decides whether a suspicion is sent on. A further crash of a fingerprint that is refused already is not sent. Test: test_membership 'each node passes a crash suspicion on once' (5 and 40 nodes, with 5 % loss) failed before: more suspicions sent within 23 s than nodes x crashes x transmissions; passes now.

--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -103,7 +103,7 @@
 	return suspects->last_crash_id;
 }
 
-/* Adds a crash; returns false if it was already counted. */
+/* Adds a crash; returns false if it was counted before, or if enough others were. */
 static bool add_crash(suspect_t *suspect, uint64_t crash_id, usec_t when, usec_t now)
 {
 	if (now - suspect->last_crash > SUSPECT_REFUSE_TIME)
@@ -112,9 +112,10 @@
 		if (suspect->crash_ids[i] == crash_id)
 			return false;
 	}
-	if (suspect->crash_count < SUSPECT_CRASH_THRESHOLD)
-		suspect->crash_ids[suspect->crash_count++] = crash_id;
 	suspect->last_crash = MAX(suspect->last_crash, when);
+	if (suspect->crash_count >= SUSPECT_CRASH_THRESHOLD)
+		return false;
+	suspect->crash_ids[suspect->crash_count++] = crash_id;
 	return true;
 }
 
@@ -135,10 +136,10 @@
 	return handle_crash(suspects, fingerprint, crash_id, now, now);
 }
 
-void suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
+bool suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
 				  uint64_t crash_id, usec_t age, usec_t now)
 {
-	handle_crash(suspects, fingerprint, crash_id, now - age, now);
+	return handle_crash(suspects, fingerprint, crash_id, now - age, now);
 }
 
 void suspects_handle_success(suspects_t *suspects, uint64_t fingerprint, usec_t now)
--- a/egretscaled/peers/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -93,15 +93,17 @@
 	pthread_mutex_unlock(&node->router_lock);
 }
 
-static void handle_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
+static bool handle_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
 			     uint32_t age_ms)
 {
 	node_t *node = ctx;
 
 	pthread_mutex_lock(&node->suspect_lock);
-	suspects_handle_remote_crash(node->suspects, fingerprint, crash,
-				     (usec_t)age_ms * USEC_PER_MSEC, clock_boot_usec());
+	bool counted = suspects_handle_remote_crash(node->suspects, fingerprint, crash,
+						    (usec_t)age_ms * USEC_PER_MSEC,
+						    clock_boot_usec());
 	pthread_mutex_unlock(&node->suspect_lock);
+	return counted;
 }
 
 const gossip_ops_t *gossip_io_ops(void)
--- a/include/claims/suspects.h
+++ b/include/claims/suspects.h
@@ -40,12 +40,13 @@
 uint64_t suspects_crash_id(suspects_t *suspects, uint64_t new_id, usec_t now);
 
 /* Counts a call that was in flight when this node's target crashed; returns whether to
- * report it to other nodes. */
+ * report it to other nodes: not if its fingerprint is refused or exempt already. */
 bool suspects_handle_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash_id,
 			   usec_t now);
 
-/* Counts a crash of `age` ago that another node reported. */
-void suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
+/* Counts a crash of `age` ago that another node reported; returns false if it was counted
+ * before, or if its fingerprint is refused or exempt already. */
+bool suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
 				  uint64_t crash_id, usec_t age, usec_t now);
 
 /* Records that a call completed: clears the crashes of its fingerprint. */
--- a/include/membership/gossip.h
+++ b/include/membership/gossip.h
@@ -48,8 +48,9 @@
 	 * itself. */
 	void (*on_member)(void *ctx, const member_t *member);
 	/* A request with this fingerprint was in flight when the target of another node
-	 * crashed, `age_ms` ago. `crash` is the id of that crash. */
-	void (*on_suspicion)(void *ctx, uint64_t fingerprint, uint64_t crash,
+	 * crashed, `age_ms` ago. `crash` is the id of that crash. Returns false if that
+	 * was known; the suspicion is then not sent on. */
+	bool (*on_suspicion)(void *ctx, uint64_t fingerprint, uint64_t crash,
 			     uint32_t age_ms);
 } gossip_ops_t;
 
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -130,19 +130,25 @@
 	gossip_push(gossip, now);
 }
 
-void gossip_broadcast_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
-				uint64_t crash)
+static void queue_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
+			    uint64_t crash, usec_t created)
 {
 	suspicion_update_t *update = g_new0(suspicion_update_t, 1);
 
 	update->fingerprint = fingerprint;
 	update->crash = crash;
-	update->created = now;
+	update->created = created;
 	update->transmissions = gossip_transmissions(gossip);
-	TAILQ_INSERT_HEAD(&gossip->suspicions, update, link);
+	TAILQ_INSERT_TAIL(&gossip->suspicions, update, link);
 	gossip_push(gossip, now);
 }
 
+void gossip_broadcast_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
+				uint64_t crash)
+{
+	queue_suspicion(gossip, now, fingerprint, crash, now);
+}
+
 /* Another node sent the same entry, so the update is sent fewer times. */
 static void reduce_transmissions(gossip_t *gossip, const member_t *member)
 {
@@ -175,25 +181,13 @@
 
 static void handle_suspicion(gossip_t *gossip, usec_t now, const Egret__Suspicion *wire)
 {
-	suspicion_update_t *update;
+	usec_t age = (usec_t)wire->age_ms * USEC_PER_MSEC;
 
-	if ((usec_t)wire->age_ms * USEC_PER_MSEC >= SUSPICION_LIFETIME)
+	if (age >= SUSPICION_LIFETIME)
 		return;
-	TAILQ_FOREACH(update, &gossip->suspicions, link)
-	{
-		if (update->fingerprint == wire->fingerprint &&
-		    update->crash == wire->crash)
-			return;
-	}
-	update = g_new0(suspicion_update_t, 1);
-	update->fingerprint = wire->fingerprint;
-	update->crash = wire->crash;
-	update->created = now - (usec_t)wire->age_ms * USEC_PER_MSEC;
-	update->transmissions = gossip_transmissions(gossip);
-	TAILQ_INSERT_TAIL(&gossip->suspicions, update, link);
-	gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash,
-				  wire->age_ms);
-	gossip_push(gossip, now);
+	if (gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash,
+				      wire->age_ms))
+		queue_suspicion(gossip, now, wire->fingerprint, wire->crash, now - age);
 }
 
 static void relay_probe(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
--- a/tests/fuzz/fuzz_gossip.c
+++ b/tests/fuzz/fuzz_gossip.c
@@ -34,13 +34,14 @@
 	(void)value;
 }
 
-static void ignore_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
+static bool ignore_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
 			     uint32_t age_ms)
 {
 	(void)ctx;
 	(void)fingerprint;
 	(void)crash;
 	(void)age_ms;
+	return true;
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -2,7 +2,8 @@
  * and restarts. */
 #include "case.h"
 
-#include "membership/gossip.h"
+#include "claims/suspects.h"
+#include "membership/gossip_state.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -17,6 +18,7 @@
 	net_t *net;
 	int index;
 	gossip_t *gossip;
+	suspects_t *suspects;
 	uint64_t revision;
 	uint64_t highest; /* highest configuration revision so far */
 	bool down;
@@ -38,6 +40,7 @@
 	GRand *rand;
 	GQueue packets; /* of packet_t, by due time */
 	uint64_t bytes;
+	uint64_t suspicions_sent;
 };
 
 static int compare_due(gconstpointer a, gconstpointer b, gpointer unused)
@@ -62,6 +65,7 @@
 
 	assert_true(len + DATAGRAM_TAG_BYTES <= GOSSIP_DATAGRAM_BYTES);
 	net->bytes += len;
+	net->suspicions_sent += message->n_suspicions;
 	if (to->down || from->group != to->group || g_rand_double(net->rand) < net->loss)
 		return;
 	packet_t *packet = g_new0(packet_t, 1);
@@ -96,17 +100,17 @@
 	(void)member;
 }
 
-static void ignore_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
-			     uint32_t age)
+static bool handle_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
+			     uint32_t age_ms)
 {
-	(void)ctx;
-	(void)fingerprint;
-	(void)crash;
-	(void)age;
+	peer_t *peer = ctx;
+
+	return suspects_handle_remote_crash(peer->suspects, fingerprint, crash,
+					    age_ms * USEC_PER_MSEC, peer->net->now);
 }
 
 static const gossip_ops_t ops = {send_packet, config_revision, handle_newer_revision,
-				 ignore_member, ignore_suspicion};
+				 ignore_member, handle_suspicion};
 
 static void start_peer(net_t *net, int i, uint64_t generation)
 {
@@ -125,12 +129,14 @@
 	g_strlcpy(self.service, "s", sizeof(self.service));
 	peer->gossip = gossip_create(&self, seeds, &ops, peer,
 				     (uint64_t)g_rand_int(net->rand) + 1);
+	peer->suspects = suspects_create();
 }
 
 static void stop_peer(net_t *net, int i)
 {
 	net->peers[i].down = true;
 	g_clear_pointer(&net->peers[i].gossip, gossip_destroy);
+	g_clear_pointer(&net->peers[i].suspects, suspects_destroy);
 }
 
 static void deliver_due(net_t *net)
@@ -345,6 +351,41 @@
 static const merge_case_t merge_cases[] = {
 	{"entries in random order: the newest stays", 50}};
 
+typedef struct suspicion_case {
+	const char *name;
+	int peers;
+	double loss;
+} suspicion_case_t;
+
+static void test_suspicion_spread(void **state)
+{
+	const suspicion_case_t *c = *state;
+	net_t *net = create_net(c->peers, c->loss, 3);
+	int refused = 0;
+
+	run(net, 10 * USEC_PER_SEC);
+	net->suspicions_sent = 0;
+	for (uint64_t crash = 1; crash <= SUSPECT_CRASH_THRESHOLD; crash++) {
+		suspects_handle_crash(net->peers[0].suspects, 77, crash, net->now);
+		gossip_broadcast_suspicion(net->peers[0].gossip, net->now, 77, crash);
+	}
+	run(net, 3 * USEC_PER_SEC);
+	for (int i = 0; i < c->peers; i++)
+		refused += suspects_is_refused(net->peers[i].suspects, 77, net->now);
+	assert_int_equal(refused, c->peers);
+	run(net, 20 * USEC_PER_SEC);
+	assert_true(net->suspicions_sent <=
+		    (uint64_t)c->peers * SUSPECT_CRASH_THRESHOLD *
+			    gossip_transmissions(net->peers[0].gossip));
+	destroy_net(net);
+}
+
+static const suspicion_case_t suspicion_cases[] = {
+	{"each node passes a crash suspicion on once, 5 nodes", 5, 0},
+	{"each node passes a crash suspicion on once, 40 nodes", 40, 0},
+	{"each node passes a crash suspicion on once, 40 nodes, 5 % loss", 40, 0.05},
+};
+
 int main(void)
 {
 	int failed = RUN_CASES("join_crash_restart", join_cases, test_join_crash_restart);
@@ -352,6 +393,7 @@
 	failed += RUN_CASES("update_propagation", propagation_cases,
 			    test_update_propagation);
 	failed += RUN_CASES("partition_heals", heal_cases, test_partition_heals);
+	failed += RUN_CASES("suspicion_spread", suspicion_cases, test_suspicion_spread);
 	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
 	return failed;
 }
