tests: give the stand-in target of the platform a listen backlog for its bursts

Python's server listens with a backlog of 5, so a burst of new connections was dropped and the node's connect timed out after 1 s. The check is unchanged.

--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -39,6 +39,11 @@
     raise AssertionError(f"timed out after {seconds} s waiting for {what}")
 
 
+class TargetServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128  # listen backlog; with 5, a burst of new connections is dropped
+
+
 class Target:
     """Stand-in for a target: records the requests it receives, and adds a Response-Seal
     header to each response."""
@@ -75,8 +80,7 @@
             def log_message(self, *_):
                 pass
 
-        self.server = http.server.ThreadingHTTPServer((ip, port), Handler)
-        self.server.daemon_threads = True
+        self.server = TargetServer((ip, port), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def close(self):
