request: do not state not-run after an attempt that may have run

Callers of an idempotent route got 503 not-run although a target had begun to run the request. Cause: the outcome of a refused request was that of its last attempt; if the first attempt ended as unknown (its target closed the connection) and the retry was refused, not-run was stated. With an idempotency key the claim was removed as well, so the same key could run again.

An unknown attempt now stays with the request, and http_request_refuse(), the only place where a refusal is set, ends such a request as unknown. On the platform the status is 502 instead of 503.

--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -90,6 +90,7 @@
 	call_t *call;	       /* NULL between attempts */
 	uint32_t retries_lent; /* to the current attempt */
 	uint32_t attempt_count;
+	bool may_have_run;		   /* an earlier attempt's outcome is unknown */
 	uint32_t reroutes;		   /* attempts that reached no target */
 	char instance[ADDRESS_TEXT_BYTES]; /* of the current attempt */
 	struct tevent_timer *retry_timer;
@@ -122,8 +123,9 @@
 /* Looks up a request of the worker by its number; NULL if it is over. */
 http_request_t *http_request_find(worker_t *worker, uint64_t number);
 
-/* Ends the request without a response of a target: drops its call, if any. No effect if
- * it has an outcome. */
+/* Ends the request without a response of a target: drops its call, if any. A request of
+ * which an earlier attempt may have run ends as unknown, also if `outcome` is not-run. No
+ * effect if it has an outcome. */
 void http_request_refuse(http_request_t *request, Egret__Outcome outcome,
 			 Egret__Reason reason);
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -361,6 +361,37 @@
         assert received_paths.count(b"/write/die") == 1, received_paths
 
 
+def case_refusal_after_unknown_attempt():
+    """A request whose first attempt may have run is not answered not-run when a later attempt
+    is refused; with an idempotency key such an answer would allow a second run."""
+    refusal = (b"HTTP/1.1 503 Service Unavailable\r\nEgret-Outcome: not-run\r\n"
+               b"Content-Length: 0\r\n\r\n")
+    received = []
+
+    def serve(server):
+        while True:
+            client, _ = server.accept()
+            while client.recv(65536):
+                received.append(server)
+                if len(received) == 1:
+                    break
+                client.sendall(refusal)
+            client.close()
+    with running_deployment(ONE_SERVICE) as d:
+        for node in d.nodes:
+            node.target.kill()
+            server = socket.create_server((HOST, 0))
+            threading.Thread(target=serve, args=(server,), daemon=True).start()
+            body = json.dumps({"service": "back", "slots": 20, "cold_slots": 20,
+                               "address": "%s:%d" % server.getsockname()}).encode()
+            assert request("PUT", node.address["outbound"], "/v1/target", body)[0] == 200
+        wait_until(lambda: send(d, "/back/x") and received, 8, "the targets to be used")
+        received.clear()
+        status, headers, _ = send(d, "/back/x")
+        assert len(received) > 1, "the request was not retried"
+        assert (status, headers["Egret-Outcome"]) == (502, "unknown"), (status, dict(headers))
+
+
 def case_crash_request():
     """A request that crashes every target it runs on is refused by all nodes after two
     crashes, before it can crash all instances; other requests are still served."""
