http: take a response only with a complete head

Callers saw a 200 or 204 with an empty body, and a not-run refusal, although the target had closed the connection inside the head of its response.

Cause: libcurl ends such a transfer with CURLE_OK, and the header callback of target_send used each line as it came.

http/response_head parses the head into one of four states (start, fields, complete, malformed). curl_loop feeds it, calls on_head once the head is complete, and fails a transfer whose head is not with CURLE_PARTIAL_FILE, for all its users. Interim heads are discarded; trailers and a status line among the fields are no longer read as headers. The outcome of a cut head is unknown, so that a request that is not idempotent does not run again.

--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -1,17 +1,11 @@
 #include "egretscaled/request/target_call_state.h"
 
 #include <string.h>
-#include <strings.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
 /* Size of curl's receive buffer. It is below 64 KiB because freeing a block of 64 KiB or
  * more makes malloc() merge all free chunks. */
 #define CURL_BUFFER_BYTES (16L << 10)
-/* Longest head of a response, with interim responses and trailers: it has to fit into the
- * caller's connection memory (CONNECTION_MEMORY_BYTES in mhd_loop.c). curl alone does not
- * bound the trailers. */
-#define RESPONSE_HEAD_MAX_BYTES (12u << 10)
-
 static size_t read_request_body(char *buffer, size_t size, size_t count, void *ctx)
 {
 	target_call_t *tc = ctx;
@@ -32,51 +26,35 @@
 	return tc->worker->node->settings->dialect;
 }
 
-static bool parse_status_line(target_call_t *tc, const char *line, size_t len)
+static int64_t content_length(const response_head_t *head)
 {
-	if (len < 12 || strncasecmp(line, "HTTP/", 5) != 0)
-		return false;
-	if (tc->reply.headers)
-		g_ptr_array_free(tc->reply.headers, TRUE);
-	tc->reply = (call_reply_t){.headers = headers_create(),
-				   .content_length = LENGTH_UNKNOWN};
-	tc->parsed_headers = (response_headers_t){0};
-	char *copy = g_strndup(line, len);
-	const char *space = strchr(copy, ' ');
-	tc->reply.status = space ? (uint32_t)strtoul(space + 1, NULL, 10) : 0;
-	g_free(copy);
-	return true;
+	const char *length = headers_find(head->headers, "Content-Length");
+
+	/* A transfer coding overrides the length. */
+	if (!length || headers_find(head->headers, "Transfer-Encoding"))
+		return LENGTH_UNKNOWN;
+	return g_ascii_strtoll(length, NULL, 10);
 }
 
-/* A result below the length makes curl fail the transfer and close the connection. */
-static size_t receive_header(char *line, size_t size, size_t count, void *ctx)
+static bool handle_response_head(void *ctx, const response_head_t *head)
 {
 	target_call_t *tc = ctx;
-	size_t len = size * count;
-
-	tc->response_head_bytes += len;
-	if (tc->response_head_bytes > RESPONSE_HEAD_MAX_BYTES)
-		return 0;
-	if (parse_status_line(tc, line, len) || !tc->reply.headers)
-		return len;
-	char *copy = g_strchomp(g_strndup(line, len));
-	char *colon = strchr(copy, ':');
-	if (colon) {
-		*colon = '\0';
-		char *value = g_strstrip(colon + 1);
-		if (strcasecmp(copy, "content-length") == 0)
-			tc->reply.content_length = g_ascii_strtoll(value, NULL, 10);
-		if (dialect_of(tc)->read_response_header(copy, value, tc->reply.status,
-							 tc->call->context.request_id,
-							 &tc->parsed_headers) &&
-		    !header_is_stripped(copy))
-			headers_add(tc->reply.headers, copy, value);
+	response_headers_t parsed = {0};
+
+	tc->reply = (call_reply_t){.status = head->status,
+				   .headers = headers_create(),
+				   .content_length = content_length(head)};
+	for (guint i = 0; i < head->headers->len; i++) {
+		const header_t *header = head->headers->pdata[i];
+		if (dialect_of(tc)->read_response_header(
+			    header->name, header->value, head->status,
+			    tc->call->context.request_id, &parsed) &&
+		    !header_is_stripped(header->name))
+			headers_add(tc->reply.headers, header->name, header->value);
 	}
-	g_free(copy);
-	if (tc->parsed_headers.not_run || tc->parsed_headers.other_process)
+	if (parsed.not_run || parsed.other_process)
 		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
-	/* A response to another request. */
-	return tc->parsed_headers.other_request ? 0 : len;
+	return !parsed.other_request;
 }
 
 static size_t receive_body(char *data, size_t size, size_t count, void *ctx)
@@ -84,6 +62,9 @@
 	target_call_t *tc = ctx;
 	size_t len = size * count;
 
+	/* Without a head if the target switched protocols. */
+	if (tc->reply.status == 0)
+		return 0;
 	if (!tc->headers_delivered)
 		target_call_deliver_headers(tc);
 	if (body_room(tc->call->reply_body) < len) {
@@ -165,8 +146,7 @@
 	curl_easy_setopt(tc->easy, CURLOPT_URL, tc->url);
 	curl_easy_setopt(tc->easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(tc->easy, CURLOPT_HTTPHEADER, tc->headers);
-	curl_easy_setopt(tc->easy, CURLOPT_HEADERFUNCTION, receive_header);
-	curl_easy_setopt(tc->easy, CURLOPT_HEADERDATA, tc);
+	curl_loop_on_head(tc->easy, handle_response_head, tc);
 	curl_easy_setopt(tc->easy, CURLOPT_WRITEFUNCTION, receive_body);
 	curl_easy_setopt(tc->easy, CURLOPT_WRITEDATA, tc);
 	curl_easy_setopt(tc->easy, CURLOPT_BUFFERSIZE, CURL_BUFFER_BYTES);
--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -32,6 +32,9 @@
 	curl_loop_t *loop;
 	curl_done_fn done;
 	void *ctx;
+	curl_head_fn on_head; /* or NULL */
+	void *on_head_ctx;
+	response_head_t head;
 	int request_writes; /* how often curl began to write the request; a second write
 			       is aborted */
 } transfer_t;
@@ -46,8 +49,11 @@
 
 static void release_handle(curl_loop_t *loop, CURL *easy)
 {
+	transfer_t *transfer = transfer_of(easy);
+
 	g_hash_table_remove(loop->to_resume, easy);
-	g_free(transfer_of(easy));
+	response_head_clear(&transfer->head);
+	g_free(transfer);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, NULL);
 	if (loop->pool->len >= POOLED_HANDLES_MAX) {
 		curl_easy_cleanup(easy);
@@ -86,6 +92,8 @@
 		CURLcode code = msg->data.result;
 		transfer_t *transfer = transfer_of(easy);
 
+		if (code == CURLE_OK && transfer->head.state != RESPONSE_HEAD_COMPLETE)
+			code = CURLE_PARTIAL_FILE;
 		watch_idle_connection(loop, easy);
 		curl_multi_remove_handle(loop->multi, easy);
 		transfer->done(transfer->ctx, easy, code);
@@ -256,6 +264,22 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* A result below the length makes curl fail the transfer and close the connection. */
+static size_t receive_header(char *line, size_t size, size_t count, void *clientp)
+{
+	transfer_t *transfer = clientp;
+	size_t len = size * count;
+	bool was_complete = transfer->head.state == RESPONSE_HEAD_COMPLETE;
+	response_head_state_t state = response_head_add_line(&transfer->head, line, len);
+
+	if (state == RESPONSE_HEAD_MALFORMED)
+		return 0;
+	if (state == RESPONSE_HEAD_COMPLETE && !was_complete && transfer->on_head &&
+	    !transfer->on_head(transfer->on_head_ctx, &transfer->head))
+		return 0;
+	return len;
+}
+
 curl_loop_t *curl_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
 			      long max_cached_connections)
 {
@@ -306,9 +330,19 @@
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, loop);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_request);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, receive_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
 	return easy;
 }
 
+void curl_loop_on_head(CURL *easy, curl_head_fn fn, void *ctx)
+{
+	transfer_t *transfer = transfer_of(easy);
+
+	transfer->on_head = fn;
+	transfer->on_head_ctx = ctx;
+}
+
 bool curl_loop_start(curl_loop_t *loop, CURL *easy, curl_done_fn done, void *ctx)
 {
 	transfer_t *transfer = transfer_of(easy);
--- a/include/egretscaled/request/target_call_state.h
+++ b/include/egretscaled/request/target_call_state.h
@@ -31,10 +31,8 @@
 	struct curl_slist *headers; /* of the request */
 	char *url;
 	call_reply_t reply;
-	response_headers_t parsed_headers; /* of the response */
 	char target_id[MEMBER_TEXT_BYTES]; /* of the target's process that the request
 					      names */
-	size_t response_head_bytes; /* received, with interim responses and trailers */
 	bool headers_delivered;
 	bool response_paused; /* the reply body is full */
 	bool request_paused;  /* the request body has no data yet */
--- a/include/http/curl_loop.h
+++ b/include/http/curl_loop.h
@@ -1,6 +1,8 @@
 #ifndef EGRET_HTTP_CURL_LOOP_H
 #define EGRET_HTTP_CURL_LOOP_H
 
+#include "http/response_head.h"
+
 #include <curl/curl.h>
 #include <stdbool.h>
 #include <talloc.h>
@@ -15,6 +17,10 @@
  *	and curl would repeat the request on a new one, the transfer fails instead,
  *	so that curl never makes a request run twice.
  *
+ *	A response whose head is incomplete fails the transfer with
+ *	CURLE_PARTIAL_FILE, although curl itself regards the end of the connection as
+ *	the end of such a response. A malformed head fails it with CURLE_WRITE_ERROR.
+ *
  *	An idle connection on which the server sends bytes, or which it closes, is shut
  *	down at once.
  *
@@ -32,13 +38,21 @@
 
 typedef void (*curl_done_fn)(void *ctx, CURL *easy, CURLcode code);
 
+/* Returns false to fail the transfer with CURLE_WRITE_ERROR, which closes the connection.
+ */
+typedef bool (*curl_head_fn)(void *ctx, const response_head_t *head);
+
 /* max_cached_connections limits the idle connections kept for reuse. */
 curl_loop_t *curl_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
 			      long max_cached_connections);
 void curl_loop_destroy(curl_loop_t *loop);
 
+/* The loop uses the handle's options for header, socket and private data itself. */
 CURL *curl_loop_acquire(curl_loop_t *loop);
 
+/* Calls fn once the head of the final response is complete, before any of its body. */
+void curl_loop_on_head(CURL *easy, curl_head_fn fn, void *ctx);
+
 /*
  * Starts the transfer. Returns false if curl rejects the handle; done is then never
  * called and curl_loop_stop() returns the handle to the pool.
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -24,12 +24,14 @@
 from on_platform import (  # noqa: E402,F401
     case_on_platform_changes, case_on_platform_edge, case_on_platform_hurried_stop,
     case_on_platform_ports, case_on_platform_stop)
+from on_platform_responses import case_on_platform_cut_head  # noqa: E402,F401
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
     case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
+from raw_target import RawTarget, incomplete_heads  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
 CHANGE_APPLY_SEC = 3  # documented time within which a change takes effect on all nodes
@@ -45,6 +47,8 @@
 }
 ONE_SERVICE = {"zones": ["za"],
                "services": [{"name": "back", "instances": 2, "slots": 20, "service_ms": 5}]}
+ONE_INSTANCE = {"zones": ["za"],
+                "services": [{"name": "back", "instances": 1, "slots": 20, "service_ms": 5}]}
 
 
 def route(name, prefix, service, **fields):
@@ -361,6 +365,44 @@
         assert received_paths.count(b"/write/die") == 1, received_paths
 
 
+def use_raw_target(d, respond):
+    """Lets the node of a deployment with one instance use a RawTarget as its target."""
+    target = RawTarget(f"{HOST}:0", respond)
+    d.nodes[0].target.kill()
+    body = json.dumps({"service": "back", "address": target.address, "slots": 1,
+                       "cold_slots": 1}).encode()
+    assert request("PUT", d.nodes[0].address["outbound"], "/v1/target", body)[0] == 200
+    wait_until(lambda: send(d, "/write/warm", 0, method="POST")[0] == 200, 8,
+               "the target to be used")
+    return target
+
+
+def case_cut_head():
+    """A response that ends inside its head or its trailers is never taken as complete; the
+    outcome is unknown, whatever the head stated so far."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    cut_trailers = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: a\r\n"
+    rows = incomplete_heads("Content-Type: text/plain\r\n", "Egret-Outcome: not-run\r\n")
+    responses, failures = {}, []
+    with running_deployment(ONE_INSTANCE) as d:
+        target = use_raw_target(d, lambda r: (responses.get(r["path"], answer),
+                                              r["path"] not in responses))
+        for i, (name, text) in enumerate(rows):
+            for method, prefix in (("GET", "/back"), ("POST", "/write")):
+                path = f"{prefix}/cut-{i}"
+                responses[path] = text
+                status, headers, _ = send(d, path, 0, method=method)
+                got, runs = (status, headers["Egret-Outcome"]), target.runs(path)
+                if got != (502, "unknown") or (method == "POST" and runs != 1):
+                    failures.append(f"{method}, {name}: {got}, runs {runs}")
+        responses["/write/trailers"] = cut_trailers
+        try:
+            failures.append(f"trailers: {send(d, '/write/trailers', 0, method='POST')}")
+        except http.client.IncompleteRead:
+            pass
+    assert not failures, "\n".join(failures)
+
+
 def case_crash_request():
     """A request that crashes every target it runs on is refused by all nodes after two
     crashes, before it can crash all instances; other requests are still served."""
--- a/tests/standins/loadgen.c
+++ b/tests/standins/loadgen.c
@@ -14,6 +14,7 @@
 #include "common/clock.h"
 #include "common/histogram.h"
 #include "http/curl_loop.h"
+#include "http/headers.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -108,17 +109,22 @@
 		status, request->outcome, request->reason, request->stream->method);
 }
 
-static size_t handle_header(char *line, size_t size, size_t count, void *ctx)
+static void copy_header(const response_head_t *head, const char *name, char *out,
+			size_t size)
+{
+	const char *value = headers_find(head->headers, name);
+
+	if (value)
+		g_strlcpy(out, value, size);
+}
+
+static bool handle_head(void *ctx, const response_head_t *head)
 {
 	request_t *request = ctx;
-	char *copy = g_strchomp(g_strndup(line, size * count));
 
-	if (g_ascii_strncasecmp(copy, "Egret-Outcome: ", 15) == 0)
-		g_strlcpy(request->outcome, copy + 15, sizeof(request->outcome));
-	if (g_ascii_strncasecmp(copy, "Egret-Reason: ", 14) == 0)
-		g_strlcpy(request->reason, copy + 14, sizeof(request->reason));
-	g_free(copy);
-	return size * count;
+	copy_header(head, "Egret-Outcome", request->outcome, sizeof(request->outcome));
+	copy_header(head, "Egret-Reason", request->reason, sizeof(request->reason));
+	return true;
 }
 
 static size_t handle_body(char *data, size_t size, size_t count, void *ctx)
@@ -264,8 +270,7 @@
 	request->easy = easy;
 	curl_easy_setopt(easy, CURLOPT_URL, request->url);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->headers);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, handle_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, request);
+	curl_loop_on_head(easy, handle_head, request);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, handle_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, request);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 10000L);
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,212 @@
+/* Tests how the client of the platform's store takes responses that break off, with a
+ * server on a loopback socket. */
+#include "case.h"
+
+#include "common/error.h"
+#include "http/curl_loop.h"
+#include "platform/store.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define COMMITTED "{\"ver\":7}"
+
+typedef enum call_kind {
+	CALL_PUT,
+	CALL_GET,
+	CALL_COMMIT,
+	CALL_ROWS
+} call_kind_t;
+
+typedef struct store_case {
+	const char *name;
+	call_kind_t kind;
+	const char *response; /* to each request; the server then closes */
+	int error;	      /* expected code; 0 for success */
+} store_case_t;
+
+typedef struct server {
+	int fd;
+	const char *response;
+	GThread *thread;
+} server_t;
+
+/* Reads the head of a request and the body that its length states. */
+static void read_request(int fd)
+{
+	char data[8192];
+	size_t len = 0;
+	ssize_t n;
+
+	while (len < sizeof(data) - 1 &&
+	       (n = recv(fd, data + len, sizeof(data) - 1 - len, 0)) > 0) {
+		len += (size_t)n;
+		data[len] = '\0';
+		const char *end = strstr(data, "\r\n\r\n");
+		const char *length = strstr(data, "Content-Length: ");
+		guint64 body = length ? g_ascii_strtoull(length + 16, NULL, 10) : 0;
+		if (end && (size_t)(end + 4 - data) + body <= len)
+			return;
+	}
+}
+
+static void *serve(void *data)
+{
+	const server_t *server = data;
+	char rest[256];
+	int fd;
+
+	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+		read_request(fd);
+		send(fd, server->response, strlen(server->response), MSG_NOSIGNAL);
+		shutdown(fd, SHUT_WR);
+		while (recv(fd, rest, sizeof(rest), 0) > 0)
+			;
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Returns the URL of the server. */
+static char *start_server(server_t *server, const char *response)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+
+	server->response = response;
+	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	assert_int_equal(bind(server->fd, (struct sockaddr *)&address, len), 0);
+	assert_int_equal(listen(server->fd, 8), 0);
+	getsockname(server->fd, (struct sockaddr *)&address, &len);
+	server->thread = g_thread_new("server", serve, server);
+	return g_strdup_printf("http://127.0.0.1:%u", ntohs(address.sin_port));
+}
+
+static void stop_server(server_t *server)
+{
+	shutdown(server->fd, SHUT_RDWR);
+	g_thread_join(server->thread);
+	close(server->fd);
+}
+
+typedef struct result {
+	bool done;
+	int error;
+} result_t;
+
+static void finish(result_t *result, const GError *error)
+{
+	result->done = true;
+	result->error = error ? error->code : 0;
+}
+
+static void handle_object(void *ctx, const uint8_t *data, size_t len, const GError *error)
+{
+	(void)data;
+	(void)len;
+	finish(ctx, error);
+}
+
+static void handle_commit(void *ctx, uint64_t revision, const GError *error)
+{
+	assert_int_equal(revision, error ? 0 : 7);
+	finish(ctx, error);
+}
+
+static void handle_rows(void *ctx, uint64_t revision, const store_row_t *rows,
+			size_t count, const GError *error)
+{
+	(void)revision;
+	(void)rows;
+	(void)count;
+	finish(ctx, error);
+}
+
+static void start_call(store_t *store, call_kind_t kind, result_t *result)
+{
+	static const store_write_t write = {.key = "claim/a/b", .value = "{}"};
+
+	switch (kind) {
+	case CALL_PUT:
+		store_object_put(store, "o", (const uint8_t *)"x", 1, handle_object,
+				 result);
+		break;
+	case CALL_GET:
+		store_object_get(store, "o", handle_object, result);
+		break;
+	case CALL_COMMIT:
+		store_commit(store, &write, 1, handle_commit, result);
+		break;
+	case CALL_ROWS:
+		store_changes(store, "record/", 0, handle_rows, result);
+		break;
+	}
+}
+
+static void test_store(void **state)
+{
+	const store_case_t *c = *state;
+	server_t server;
+	result_t result = {0};
+	char *url = start_server(&server, c->response);
+	struct tevent_context *ev = tevent_context_init(NULL);
+	curl_loop_t *loop = curl_loop_create(ev, ev, 2);
+	store_t *store = platform_store_create(loop, url, RECORD_SOURCE_ROWS, NULL);
+
+	start_call(store, c->kind, &result);
+	while (!result.done && tevent_loop_once(ev) == 0)
+		;
+	assert_int_equal(result.error, c->error);
+	store_destroy(store);
+	curl_loop_destroy(loop);
+	talloc_free(ev);
+	stop_server(&server);
+	g_free(url);
+}
+
+static const store_case_t store_cases[] = {
+	{"put: acknowledged", CALL_PUT, OK "Content-Length: 0\r\n\r\n", 0},
+	{"put: only a status line", CALL_PUT, OK, EGRET_ERROR_UNKNOWN_RESULT},
+	{"put: no empty line", CALL_PUT, OK "Content-Length: 0\r\n",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"put: part of a header line", CALL_PUT, OK "Content-Le",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"put: only an interim head", CALL_PUT, "HTTP/1.1 100 Continue\r\n\r\n",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"put: part of the body", CALL_PUT, OK "Content-Length: 9\r\n\r\n{}",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"put: not done", CALL_PUT, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+	 EGRET_ERROR_UNAVAILABLE},
+	{"put: a refusal without its empty line", CALL_PUT, "HTTP/1.1 503 X\r\n",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"get: complete", CALL_GET, OK "Content-Length: 2\r\n\r\nok", 0},
+	{"get: only a status line", CALL_GET, OK, EGRET_ERROR_UNKNOWN_RESULT},
+	{"get: part of the body", CALL_GET, OK "Content-Length: 3\r\n\r\nok",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"get: chunks without an end", CALL_GET,
+	 OK "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", EGRET_ERROR_UNKNOWN_RESULT},
+	{"commit: acknowledged", CALL_COMMIT, OK "Content-Length: 9\r\n\r\n" COMMITTED,
+	 0},
+	{"commit: only a status line", CALL_COMMIT, OK, EGRET_ERROR_UNKNOWN_RESULT},
+	{"commit: part of the body", CALL_COMMIT,
+	 OK "\r\n{\"ver\":", EGRET_ERROR_UNKNOWN_RESULT},
+	{"commit: conflict without the empty line", CALL_COMMIT, "HTTP/1.1 412 X\r\n",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"commit: a refusal without its empty line", CALL_COMMIT, "HTTP/1.1 503 X\r\n",
+	 EGRET_ERROR_UNKNOWN_RESULT},
+	{"rows: complete", CALL_ROWS,
+	 OK "Content-Length: 20\r\n\r\n{\"rows\":[],\"ver\":12}", 0},
+	{"rows: only a status line", CALL_ROWS, OK, EGRET_ERROR_UNKNOWN_RESULT},
+	{"rows: part of the body", CALL_ROWS, OK "\r\n{\"rows\":[],", EGRET_ERROR_JSON},
+};
+
+int main(void)
+{
+	return RUN_CASES("store", store_cases, test_store);
+}
