request: close a connection on which the target refused a request

A faulty target wrote its refusal again on the kept connection just before its next response. The caller of the next request was told not-run although the request ran; where the route allowed a second attempt, a request that is not idempotent ran twice.

Cause: in the product's own mode a response has no id. On the platform an id is compared only if the response has one, and it is the same if the entry node retries a refused request on the same instance and connection.

A connection is closed after a refusal (not-run, or 421 on the platform), in both dialects, so no refusal can be repeated on it. Price: a new connection to the target for each of its refusals.

--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -52,8 +52,12 @@
 		    !header_is_stripped(header->name))
 			headers_add(tc->reply.headers, header->name, header->value);
 	}
-	if (parsed.not_run || parsed.other_process)
+	if (parsed.not_run || parsed.other_process) {
 		tc->reply.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
+		/* A faulty target may write a refusal again where the response to the
+		 * next request is expected. */
+		curl_easy_setopt(tc->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
 	return !parsed.other_request;
 }
 
--- a/tests/e2e/on_platform_responses.py
+++ b/tests/e2e/on_platform_responses.py
@@ -49,3 +49,51 @@
                 pass
             target.close()
     assert not failures, "\n".join(failures)
+
+
+# (name, status and header lines of a refusal)
+REFUSALS = [
+    ("a refusal with its id", "503 X", "Not-Executed: 1\r\nRequest-Attempt-Id: {id}\r\n"),
+    ("a refusal without an id", "503 X", "Not-Executed: 1\r\n"),
+    ("a refusal of another instance", "421 X", "Request-Attempt-Id: {id}\r\n"),
+    ("a refusal of another instance without an id", "421 X", ""),
+]
+
+
+def case_on_platform_repeated_refusal():
+    """A target writes its refusal again on the connection before its next response, to a new
+    request or to the same one. No client gets a refusal of a request that ran."""
+    failures, repeated, ran, refused_ids = [], {}, [], set()
+
+    def respond(request):
+        request_id = request["headers"]["request-attempt-id"]
+        answer = f"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {request_id}\r\n" \
+            "Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok".encode()
+        earlier = repeated.get(request["connection"])
+        refuses = request_id.startswith("refuse") or \
+            (request_id.startswith("retry") and request_id not in refused_ids)
+        if refuses:
+            refused_ids.add(request_id)
+            head = f"HTTP/1.1 {row[1]}\r\n{row[2]}".replace("{id}", request_id)
+            repeated[request["connection"]] = f"{head}Content-Length: 0\r\n\r\n".encode()
+            return (f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Attempt-Id: {request_id}\r\n"
+                    "Content-Length: 0\r\n\r\n").encode(), True
+        ran.append(request_id)
+        return ([earlier, answer] if earlier else answer), not request_id.startswith("close")
+
+    with PlatformDeployment() as d:
+        d.configure(deep=["deep", "h.example", "/f/deep/", "non_idempotent", "3s", "1s", 0, None, 2,
+                          False, "back"])
+        method, path = ONCE
+        row = REFUSALS[0]
+        target = replace_target(d, 1, respond)
+        for n, row in enumerate(REFUSALS):
+            for name in ("refuse", "new", "retry", "close"):
+                d.report_all()
+                request_id = f"{name}-{n}"
+                status = d.send(path, method, {"Request-Attempt-Id": request_id})[0]
+                expected = (503, 0) if name == "refuse" else (200, 1)
+                if (status, ran.count(request_id)) != expected and name != "close":
+                    failures.append(f"{row[0]}, {name}: {status}, runs {ran.count(request_id)}")
+        target.close()
+    assert not failures, "\n".join(failures)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -24,7 +24,8 @@
 from on_platform import (  # noqa: E402,F401
     case_on_platform_changes, case_on_platform_edge, case_on_platform_hurried_stop,
     case_on_platform_ports, case_on_platform_stop)
-from on_platform_responses import case_on_platform_cut_head  # noqa: E402,F401
+from on_platform_responses import (  # noqa: E402,F401
+    case_on_platform_cut_head, case_on_platform_repeated_refusal)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
@@ -403,6 +404,31 @@
     assert not failures, "\n".join(failures)
 
 
+def case_repeated_refusal():
+    """A target writes its refusal again on the connection before its next response. No caller is
+    told not-run for a request that ran."""
+    refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    refused_on, ran, results = set(), set(), {}
+
+    def respond(r):
+        if "/refuse" in r["path"]:
+            refused_on.add(r["connection"])
+            return refusal, True
+        ran.add(r["path"])
+        return ([refusal, answer] if r["connection"] in refused_on else answer), True
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, respond)
+        for i in range(20):
+            for path in (f"/write/refuse-{i}", f"/write/run-{i}"):
+                status, headers, _ = send(d, path, 0, method="POST")
+                results[path] = (status, headers["Egret-Outcome"])
+    wrong = [path for path in ran if path in results and results[path] != (200, "answered")]
+    assert not wrong, f"{len(wrong)} of {len(ran)} requests that ran: {results[wrong[0]]}"
+    refused = [path for path in results if results[path] == (503, "not-run")]
+    assert len(refused) >= 20 and len(ran) >= 10, results
+
+
 def case_crash_request():
     """A request that crashes every target it runs on is refused by all nodes after two
     crashes, before it can crash all instances; other requests are still served."""
