platform: attribute a response to a request by its id only

A target's response without Request-Attempt-Id was taken as the response to the request that waited on the connection. A repeated refusal without an id made a request that is not idempotent run at a second attempt although it ran at the first.

Cause: the dialect read single header lines and compared an id only where one came. Instances echo the id (PROTOCOL.md), so its absence shows that a response is not theirs.

read_response of the dialect now reads the complete head with the request's headers. On the platform a response has to have the id of the request and no other; else nothing in it counts, the outcome is unknown and the connection is closed. A request without an id gets a response without one. In the product's own mode a target may send Egret-Context back; a different value is treated in the same way. The response cases of test_dialect are kept, with whole heads instead of single lines; the return value that they checked, always true, is gone.

--- a/egretscaled/node/dialect_egret.c
+++ b/egretscaled/node/dialect_egret.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define BEARER "Bearer "
+#define HEADER_TOKEN "Egret-Context"
 #define TIMEOUT_MAX_MS 600000
 #define STATUS_DEFAULT 502
 #define SLOTS_MAX 100000
@@ -87,7 +88,7 @@
 
 	*out = (request_headers_t){
 		.idempotency_key = lookup(ctx, "Idempotency-Key"),
-		.parent_token = lookup(ctx, "Egret-Context"),
+		.parent_token = lookup(ctx, HEADER_TOKEN),
 	};
 	if (authorization && g_str_has_prefix(authorization, BEARER))
 		out->api_key = authorization + strlen(BEARER);
@@ -111,22 +112,23 @@
 {
 	char text[32];
 
-	add(ctx, "Egret-Context", attempt->token);
+	add(ctx, HEADER_TOKEN, attempt->token);
 	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
 		   attempt->time_left / USEC_PER_MSEC);
 	add(ctx, "Egret-Timeout-Ms", text);
 }
 
-static bool egret_read_response_header(const char *name, const char *value,
-				       uint32_t status, const char *request_id,
-				       response_headers_t *out)
+static void egret_read_response(const sent_request_t *request, uint32_t status,
+				const GPtrArray *headers, response_headers_t *out)
 {
 	(void)status;
-	(void)request_id;
-	if (g_ascii_strcasecmp(name, "egret-outcome") == 0 &&
-	    strcmp(value, "not-run") == 0)
-		out->not_run = true;
-	return true;
+	const char *outcome = headers_find(headers, "Egret-Outcome");
+	/* Targets need not send the token back. */
+	const char *token = headers_find(headers, HEADER_TOKEN);
+
+	*out = (response_headers_t){0};
+	out->other_request = token && strcmp(token, request->token) != 0;
+	out->not_run = !out->other_request && outcome && strcmp(outcome, "not-run") == 0;
 }
 
 static void egret_add_outcome_headers(Egret__Outcome outcome, add_header_fn add,
@@ -221,7 +223,7 @@
 		.strips_request_header = egret_strips_request_header,
 		.add_origin_headers = egret_add_origin_headers,
 		.add_attempt_headers = egret_add_attempt_headers,
-		.read_response_header = egret_read_response_header,
+		.read_response = egret_read_response,
 		.add_outcome_headers = egret_add_outcome_headers,
 		.read_target_report = egret_read_target_report,
 		.refusal_status = egret_refusal_status,
--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -39,17 +39,18 @@
 static bool handle_response_head(void *ctx, const response_head_t *head)
 {
 	target_call_t *tc = ctx;
-	response_headers_t parsed = {0};
+	sent_request_t request = {.headers = tc->call->headers, .token = tc->token};
+	response_headers_t parsed;
 
+	dialect_of(tc)->read_response(&request, head->status, head->headers, &parsed);
+	if (parsed.other_request)
+		return false;
 	tc->reply = (call_reply_t){.status = head->status,
 				   .headers = headers_create(),
 				   .content_length = content_length(head)};
 	for (guint i = 0; i < head->headers->len; i++) {
 		const header_t *header = head->headers->pdata[i];
-		if (dialect_of(tc)->read_response_header(
-			    header->name, header->value, head->status,
-			    tc->call->context.request_id, &parsed) &&
-		    !header_is_stripped(header->name))
+		if (!header_is_stripped(header->name))
 			headers_add(tc->reply.headers, header->name, header->value);
 	}
 	if (parsed.not_run || parsed.other_process) {
@@ -58,7 +59,7 @@
 		 * next request is expected. */
 		curl_easy_setopt(tc->easy, CURLOPT_FORBID_REUSE, 1L);
 	}
-	return !parsed.other_request;
+	return true;
 }
 
 static size_t receive_body(char *data, size_t size, size_t count, void *ctx)
--- a/include/egretscaled/node/dialect.h
+++ b/include/egretscaled/node/dialect.h
@@ -49,10 +49,17 @@
 	usec_t time_left;      /* until the deadline */
 } attempt_headers_t;
 
+/* The request to which a response is expected. */
+typedef struct sent_request {
+	const GPtrArray *headers; /* of header_t, without those of the attempt */
+	const char *token;	  /* of attempt_headers_t */
+} sent_request_t;
+
 /* What the headers of a target's response state. */
 typedef struct response_headers {
 	bool not_run;	    /* the target states that it did not run the request */
-	bool other_request; /* the response is for another request */
+	bool other_request; /* the response does not identify the request as the dialect
+			       requires; nothing else in it may be used */
 	bool other_process; /* the address belongs to another process of the target */
 	uint32_t idle_timeout_sec; /* of the target's connection; 0 if not stated */
 } response_headers_t;
@@ -79,9 +86,9 @@
 	/* Adds the headers of one attempt, set by the target's node. */
 	void (*add_attempt_headers)(const attempt_headers_t *attempt, add_header_fn add,
 				    void *ctx);
-	/* Reads one header of a response; returns whether it is forwarded. */
-	bool (*read_response_header)(const char *name, const char *value, uint32_t status,
-				     const char *request_id, response_headers_t *out);
+	/* Reads the complete head of a response. */
+	void (*read_response)(const sent_request_t *request, uint32_t status,
+			      const GPtrArray *headers, response_headers_t *out);
 	/* Adds the header that states the outcome to the caller. */
 	void (*add_outcome_headers)(Egret__Outcome outcome, add_header_fn add, void *ctx);
 	/*
--- a/tests/e2e/on_platform_responses.py
+++ b/tests/e2e/on_platform_responses.py
@@ -97,3 +97,34 @@
                     failures.append(f"{row[0]}, {name}: {status}, runs {ran.count(request_id)}")
         target.close()
     assert not failures, "\n".join(failures)
+
+
+# (name, status and header lines of a response)
+UNIDENTIFIED = [
+    ("a success without an id", "200 OK", ""),
+    ("a success with two ids", "200 OK", "Request-Attempt-Id: {id}\r\nRequest-Attempt-Id: x\r\n"),
+    ("a failure without an id", "500 X", ""),
+    ("a refusal without an id", "503 X", "Not-Executed: 1\r\n"),
+    ("a refusal of another request", "503 X", "Not-Executed: 1\r\nRequest-Attempt-Id: x\r\n"),
+    ("a response of another instance without an id", "421 X", ""),
+]
+
+
+def case_on_platform_unidentified():
+    """A response without the id of the request is not taken as the response to it: whether the
+    request ran is unknown, so it does not run again."""
+    failures = []
+    with PlatformDeployment() as d:
+        d.configure(deep=["deep", "h.example", "/f/deep/", "non_idempotent", "3s", "1s", 0, None, 2,
+                          False, "back"])
+        method, path = ONCE
+        target = replace_target(d, 1, lambda request: (
+            f"HTTP/1.1 {row[1]}\r\n{row[2]}Response-Seal: seal\r\nContent-Length: 0\r\n\r\n"
+            .replace("{id}", request["headers"]["request-attempt-id"]).encode(), True))
+        for n, row in enumerate(UNIDENTIFIED):
+            d.report_all()
+            status, headers, _ = d.send(f"{path}-{n}", method)
+            if status != 502 or headers["Response-Seal"] or target.runs(f"{path}-{n}") != 1:
+                failures.append(f"{row[0]}: {status}, runs {target.runs(f'{path}-{n}')}")
+        target.close()
+    assert not failures, "\n".join(failures)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -25,7 +25,7 @@
     case_on_platform_changes, case_on_platform_edge, case_on_platform_hurried_stop,
     case_on_platform_ports, case_on_platform_stop)
 from on_platform_responses import (  # noqa: E402,F401
-    case_on_platform_cut_head, case_on_platform_repeated_refusal)
+    case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
@@ -429,6 +429,30 @@
     assert len(refused) >= 20 and len(ran) >= 10, results
 
 
+def case_repeated_answer():
+    """A target that sends Egret-Context back writes its last response on the connection again
+    before the next one. No caller gets the response to another request."""
+    last, results = {}, {}
+
+    def respond(r):
+        body = r["path"].encode()
+        response = b"HTTP/1.1 200 OK\r\nEgret-Context: %s\r\nContent-Length: %d\r\n\r\n%s" % (
+            r["headers"]["egret-context"].encode(), len(body), body)
+        repeated = last.get(r["connection"])
+        last[r["connection"]] = response
+        return ([repeated, response] if repeated else response), True
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, respond)
+        for i in range(20):
+            path = f"/write/{i}"
+            status, headers, body = send(d, path, 0, method="POST")
+            results[path] = (status, headers["Egret-Outcome"], body if status == 200 else b"")
+    wrong = {path: result for path, result in results.items() if result not in (
+        (200, "answered", path.encode()), (502, "unknown", b""))}
+    assert not wrong, wrong
+    assert sum(status == 200 for status, _, _ in results.values()) >= 5, results
+
+
 def case_crash_request():
     """A request that crashes every target it runs on is refused by all nodes after two
     crashes, before it can crash all instances; other requests are still served."""
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -37,13 +37,9 @@
 static void decode_headers(char *text)
 {
 	request_headers_t headers;
-	response_headers_t response = {0};
 	usec_t duration;
 
 	platform_dialect()->read_request(lookup_header, text, &headers);
-	platform_dialect()->read_response_header("Keep-Alive", text, 200, "id",
-						 &response);
-	platform_dialect()->read_response_header(text, text, 421, "id", &response);
 	duration_parse(text, &duration);
 }
 
--- a/tests/unit/test_dialect.c
+++ b/tests/unit/test_dialect.c
@@ -184,48 +184,115 @@
 
 typedef struct response_case {
 	const char *name;
-	const char *header;
-	const char *value;
+	const dialect_t *(*dialect)(void);
+	const char *request_id; /* NULL if the request has none */
 	uint32_t status;
+	const char *headers; /* lines "NAME:VALUE" */
 	response_headers_t expected;
 } response_case_t;
 
+static void add_header_lines(GPtrArray *headers, const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		char *value = strchr(*line, ':');
+		if (!value)
+			continue;
+		*value = '\0';
+		headers_add(headers, *line, value + 1);
+	}
+	g_strfreev(lines);
+}
+
 static void test_response(void **state)
 {
 	const response_case_t *c = *state;
-	response_headers_t headers = {0};
-
-	assert_true(platform_dialect()->read_response_header(
-		c->header, c->value, c->status, "9c41", &headers));
-	assert_int_equal(headers.not_run, c->expected.not_run);
-	assert_int_equal(headers.other_request, c->expected.other_request);
-	assert_int_equal(headers.other_process, c->expected.other_process);
-	assert_int_equal(headers.idle_timeout_sec, c->expected.idle_timeout_sec);
+	sent_request_t request = {.headers = headers_create(), .token = "t1"};
+	GPtrArray *headers = headers_create();
+	response_headers_t found;
+
+	if (c->request_id)
+		headers_add((GPtrArray *)request.headers, "Request-Attempt-Id",
+			    c->request_id);
+	add_header_lines(headers, c->headers);
+	c->dialect()->read_response(&request, c->status, headers, &found);
+	assert_int_equal(found.not_run, c->expected.not_run);
+	assert_int_equal(found.other_request, c->expected.other_request);
+	assert_int_equal(found.other_process, c->expected.other_process);
+	assert_int_equal(found.idle_timeout_sec, c->expected.idle_timeout_sec);
+	g_ptr_array_unref(headers);
+	g_ptr_array_unref((GPtrArray *)request.headers);
 }
 
+#define ID "Request-Attempt-Id:9c41\n"
+#define OTHER_ID "request-attempt-id:77\n"
+#define OTHER                                                                            \
+	{                                                                                \
+		.other_request = true                                                    \
+	}
+
 static const response_case_t response_cases[] = {
-	{"response: to this request", "Request-Attempt-Id", "9c41", 200, {0}},
-	{"response: to another request",
-	 "request-attempt-id",
-	 "77",
-	 200,
-	 {.other_request = true}},
-	{"response: shed by the target", "Not-Executed", "1", 503, {.not_run = true}},
+	{"response: to this request", platform_dialect, "9c41", 200, ID, {0}},
+	{"response: to another request", platform_dialect, "9c41", 200, OTHER_ID, OTHER},
+	{"response: without an id", platform_dialect, "9c41", 200, "", OTHER},
+	{"response: with two ids", platform_dialect, "9c41", 200, ID OTHER_ID, OTHER},
+	{"response: an error without an id", platform_dialect, "9c41", 500, "", OTHER},
+	{"response: to a request without an id",
+	 platform_dialect,
+	 NULL,
+	 400,
+	 "Not-Executed:1\n",
+	 {.not_run = true}},
+	{"response: an id to a request without one", platform_dialect, NULL, 200, ID,
+	 OTHER},
+	{"response: shed by the target",
+	 platform_dialect,
+	 "9c41",
+	 503,
+	 ID "Not-Executed:1\n",
+	 {.not_run = true}},
+	{"response: a refusal without an id", platform_dialect, "9c41", 503,
+	 "Not-Executed:1\n", OTHER},
+	{"response: a refusal of another request", platform_dialect, "9c41", 503,
+	 "Not-Executed:1\n" OTHER_ID, OTHER},
 	{"response: another process of the target",
-	 "Instance-Id",
-	 "i-2",
+	 platform_dialect,
+	 "9c41",
 	 421,
+	 ID "Instance-Id:i-2\n",
 	 {.other_process = true}},
+	{"response: another process of the target, without an id", platform_dialect,
+	 "9c41", 421, "Instance-Id:i-2\n", OTHER},
 	{"response: idle timeout",
-	 "Keep-Alive",
-	 "timeout=10, max=5",
+	 platform_dialect,
+	 "9c41",
 	 200,
+	 ID "Keep-Alive:timeout=10, max=5\n",
 	 {.idle_timeout_sec = 10}},
 	{"response: an idle timeout without a number",
-	 "Keep-Alive",
-	 "timeout=",
+	 platform_dialect,
+	 "9c41",
 	 200,
+	 ID "Keep-Alive:timeout=\n",
 	 {0}},
+	{"response: own dialect", dialect_egret, NULL, 200, "", {0}},
+	{"response: own dialect, a refusal",
+	 dialect_egret,
+	 NULL,
+	 503,
+	 "egret-outcome:not-run\n",
+	 {.not_run = true}},
+	{"response: own dialect, a refusal with the token",
+	 dialect_egret,
+	 NULL,
+	 503,
+	 "Egret-Outcome:not-run\nEgret-Context:t1\n",
+	 {.not_run = true}},
+	{"response: own dialect, a refusal with another token", dialect_egret, NULL, 503,
+	 "Egret-Outcome:not-run\nEgret-Context:t2\n", OTHER},
+	{"response: own dialect, a success with another token", dialect_egret, NULL, 200,
+	 "Egret-Context:t2\n", OTHER},
 };
 
 /* Headers that a node sets itself are stripped from a client's request. */
