http: refuse responses with differing lengths

Where such a body ends is unknown, so the head is malformed: the outcome is unknown, and the connection is closed. The same holds for a length that is not a number.

--- a/http/response_head.c
+++ b/http/response_head.c
@@ -57,14 +57,33 @@
 	return RESPONSE_HEAD_FIELDS;
 }
 
+/* Whether all Content-Length fields state the same number. Where the body ends is unknown
+ * otherwise. */
+static bool lengths_agree(const GPtrArray *headers)
+{
+	const char *length = headers_find(headers, "Content-Length");
+
+	if (!length)
+		return true;
+	for (guint i = 0; i < headers->len; i++) {
+		const header_t *header = headers->pdata[i];
+		if (g_ascii_strcasecmp(header->name, "Content-Length") == 0 &&
+		    strcmp(header->value, length) != 0)
+			return false;
+	}
+	return *length && strspn(length, "0123456789") == strlen(length);
+}
+
 static response_head_state_t parse_line(response_head_t *head, char *line)
 {
 	if (head->state == RESPONSE_HEAD_START)
 		return parse_status_line(head, line);
 	if (*line)
 		return parse_field(head, line);
-	return head->status < STATUS_FINAL_MIN ? RESPONSE_HEAD_START
-					       : RESPONSE_HEAD_COMPLETE;
+	if (head->status < STATUS_FINAL_MIN)
+		return RESPONSE_HEAD_START;
+	return lengths_agree(head->headers) ? RESPONSE_HEAD_COMPLETE
+					    : RESPONSE_HEAD_MALFORMED;
 }
 
 response_head_state_t response_head_add_line(response_head_t *head, const char *line,
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -172,6 +172,56 @@
             time.sleep(2.5)
 
 
+def receive_raw(address, request_bytes):
+    """Sends bytes and returns the response up to the end of the connection, and whether it ended
+    regularly (not by a reset)."""
+    host, port = address.split(":")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=5) as connection:
+        connection.sendall(request_bytes)
+        try:
+            while data := connection.recv(65536):
+                received += data
+        except ConnectionResetError:
+            return received, False
+    return received, True
+
+
+def is_complete(response, regular_end):
+    """Whether a caller that closes after the response would regard it as complete."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    head = head.lower()
+    if b"transfer-encoding: chunked" in head:
+        return body.endswith(b"0\r\n\r\n")
+    if b"content-length: " in head:
+        return len(body) == int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+    return regular_end
+
+
+def case_cut_body():
+    """A body that ends early does not look complete."""
+    ok = b"HTTP/1.1 200 OK\r\n"
+    responses = {
+        "chunks-without-an-end": [ok + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b"2\r\nok"],
+        "part-of-the-length": [ok + b"Content-Length: 9\r\n\r\nok", b"ok"],
+        "two-lengths": [ok + b"Content-Length: 2\r\nContent-Length: 9\r\n\r\nok", b"okokoko"],
+    }
+    answer = [ok + b"Content-Length: 2\r\n\r\nok"]
+    failures = []
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, lambda r: (responses.get(r["path"].split("/")[-1], answer),
+                                     r["path"].endswith("warm")))
+        for version in ("1.1",):
+            for name in responses:
+                response, regular_end = receive_raw(
+                    d.nodes[0].address["caller"],
+                    f"POST /write/{name} HTTP/{version}\r\nHost: h\r\nConnection: close\r\n"
+                    "Authorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n".encode())
+                if b" 502 " not in response and is_complete(response, regular_end):
+                    failures.append(f"HTTP/{version}, {name}: {response}")
+    assert not failures, "\n".join(failures)
+
+
 def case_cancel():
     """The disconnect of a caller cancels its calls down to the last hop; without this they
     would keep occupying slots of targets until they end."""
