request: reset the connection of an HTTP/1.0 caller if the body ends early

A caller with HTTP/1.0 took a truncated body as complete if the target had sent it without a length: such a body ends with the connection, which the node closed in the regular way.

The node now resets the connection when it breaks off a response to HTTP/1.0. Callers with HTTP/1.1 see a missing last chunk, as before.

Test: python3 tests/e2e/run.py cut_body failed before the change (4 of 4 bytes of an unfinished chunked body, ended by a regular close) and passes now.

--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -13,19 +13,28 @@
 
 /* --- Response ----------------------------------------------------------- */
 
+/* Ends a body that is incomplete. A caller with HTTP/1.0 takes a regular close as the end
+ * of a body without a length, so its connection is reset. */
+static ssize_t break_off_response(const http_request_t *request)
+{
+	if (!request->http_1_1)
+		mhd_loop_reset(request->connection);
+	return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
 static ssize_t read_response_body(void *ctx, uint64_t position, char *buffer, size_t size)
 {
 	(void)position;
 	http_request_t *request = ctx;
 
 	if (!request->call)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off_response(request);
 	body_t *body = request->call->reply_body;
 	size_t n = body_read(body, buffer, size);
 	if (n > 0)
 		return (ssize_t)n;
 	if (body_aborted(body))
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off_response(request);
 	if (body_finished(body))
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	http_request_suspend(request);
@@ -314,8 +323,8 @@
 
 static enum MHD_Result handle_request(worker_t *worker, http_listener_t listener,
 				      struct MHD_Connection *connection, const char *url,
-				      const char *method, const char *data,
-				      size_t *data_len, void **state)
+				      const char *method, const char *version,
+				      const char *data, size_t *data_len, void **state)
 {
 	http_request_t *request = *state;
 
@@ -323,6 +332,7 @@
 		return continue_request(request, data, data_len);
 	request = create_request(worker, listener, connection, url, method);
 	*state = request;
+	request->http_1_1 = strcmp(version, MHD_HTTP_VERSION_1_1) == 0;
 	if (listener == HTTP_LISTENER_REPORTS)
 		request->is_target_report = true;
 	else if (!(listener == HTTP_LISTENER_CALLERS ? entry_check(request)
@@ -336,9 +346,8 @@
 					 const char *version, const char *data,
 					 size_t *data_len, void **state)
 {
-	(void)version;
-	return handle_request(ctx, HTTP_LISTENER_CALLERS, connection, url, method, data,
-			      data_len, state);
+	return handle_request(ctx, HTTP_LISTENER_CALLERS, connection, url, method,
+			      version, data, data_len, state);
 }
 
 enum MHD_Result http_front_handle_target(void *ctx, struct MHD_Connection *connection,
@@ -346,9 +355,8 @@
 					 const char *version, const char *data,
 					 size_t *data_len, void **state)
 {
-	(void)version;
-	return handle_request(ctx, HTTP_LISTENER_TARGET, connection, url, method, data,
-			      data_len, state);
+	return handle_request(ctx, HTTP_LISTENER_TARGET, connection, url, method, version,
+			      data, data_len, state);
 }
 
 enum MHD_Result http_front_handle_report(void *ctx, struct MHD_Connection *connection,
@@ -356,9 +364,8 @@
 					 const char *version, const char *data,
 					 size_t *data_len, void **state)
 {
-	(void)version;
-	return handle_request(ctx, HTTP_LISTENER_REPORTS, connection, url, method, data,
-			      data_len, state);
+	return handle_request(ctx, HTTP_LISTENER_REPORTS, connection, url, method,
+			      version, data, data_len, state);
 }
 
 void http_front_handle_completed(void *ctx, struct MHD_Connection *connection,
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define HANGUP_EVENTS_MAX 64
@@ -238,6 +239,15 @@
 	return info ? info->connect_fd : -1;
 }
 
+void mhd_loop_reset(struct MHD_Connection *connection)
+{
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	/* Sends a reset at once; with SO_LINGER, libmicrohttpd would shut the connection
+	 * down in the regular way before. */
+	connect(connection_fd(connection), &none, sizeof(none));
+}
+
 void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection, mhd_hangup_fn fn,
 		    void *ctx)
 {
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -59,6 +59,7 @@
 	char *method;
 	char *path; /* with the query */
 	char *host;
+	bool http_1_1;			  /* else HTTP/1.0 */
 	request_headers_t parsed_headers; /* the strings belong to the connection */
 	bool headers_valid;		  /* false if the dialect found them malformed */
 	GPtrArray *headers;		  /* of header_t; those that are forwarded */
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -57,6 +57,9 @@
 /* Number of open connections. */
 unsigned int mhd_loop_connections(const mhd_loop_t *loop);
 
+/* Resets the client's connection; to be called before it is closed with an error. */
+void mhd_loop_reset(struct MHD_Connection *connection);
+
 /* Resumes a suspended connection and schedules a run of the daemon. */
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection);
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -199,7 +199,8 @@
 
 
 def case_cut_body():
-    """A body that ends early does not look complete."""
+    """A body that ends early does not look complete, also to a caller with HTTP/1.0, for which the
+    end of the connection ends a body without a length."""
     ok = b"HTTP/1.1 200 OK\r\n"
     responses = {
         "chunks-without-an-end": [ok + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b"2\r\nok"],
@@ -211,7 +212,7 @@
     with running_deployment(ONE_INSTANCE) as d:
         use_raw_target(d, lambda r: (responses.get(r["path"].split("/")[-1], answer),
                                      r["path"].endswith("warm")))
-        for version in ("1.1",):
+        for version in ("1.0", "1.1"):
             for name in responses:
                 response, regular_end = receive_raw(
                     d.nodes[0].address["caller"],
