request: unknown stays unknown when a later attempt is refused

Callers of idempotent routes were told not-run (on the platform 503 with Retry-After, which promises that the request never runs) although an instance had received the request and closed the connection without a response.

Cause: the outcome of a request was the outcome of its last attempt. After an unknown outcome the request is retried, and a refusal of the retry replaced it.

The request now remembers that an earlier attempt may have run.

Test: python3 tests/e2e/run.py refused_after_unknown: before the change 3 of 20 requests were not-run of the 6 that had reached both targets, in 2 of 2 runs; now passes (3 of 3 runs). kills, cut_head, no_second_send, repeated_refusal, repeated_answer and idempotency_key pass.

--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -384,6 +384,8 @@
 		return;
 	}
 	log_failed_attempt(request, reply);
+	if (reply->outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN)
+		request->may_have_run = true;
 	if (!reroute(request, reply) && !schedule_retry(request, reply))
 		http_request_refuse(request, reply->outcome, reply->reason);
 }
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -169,7 +169,8 @@
 		call_destroy(request->call);
 		request->call = NULL;
 	}
-	request->outcome = outcome;
+	request->outcome =
+		request->may_have_run ? EGRET__OUTCOME__OUTCOME_UNKNOWN : outcome;
 	request->reason = reason;
 	refusal_t refusal = http_request_refusal(request);
 	request->status = http_request_dialect(request)->refusal_status(&refusal);
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -97,7 +97,8 @@
 	struct tevent_timer *deadline_timer;
 	char (*excluded)[ADDRESS_TEXT_BYTES]; /* instances that were tried */
 	uint32_t excluded_count;
-	bool routed; /* the router counts the current attempt as in flight */
+	bool may_have_run; /* an earlier attempt ended with an unknown outcome */
+	bool routed;	   /* the router counts the current attempt as in flight */
 	priority_t downstream_level; /* lowest shed level that replies reported */
 
 	/* Idempotency key. */
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -203,7 +203,8 @@
     end of the connection ends a body without a length."""
     ok = b"HTTP/1.1 200 OK\r\n"
     responses = {
-        "chunks-without-an-end": [ok + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", b"2\r\nok"],
+        "chunks-without-an-end": [ok + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                                  b"2\r\nok"],
         "part-of-the-length": [ok + b"Content-Length: 9\r\n\r\nok", b"ok"],
         "two-lengths": [ok + b"Content-Length: 2\r\nContent-Length: 9\r\n\r\nok", b"okokoko"],
     }
@@ -417,14 +418,14 @@
         assert received_paths.count(b"/write/die") == 1, received_paths
 
 
-def use_raw_target(d, respond):
-    """Lets the node of a deployment with one instance use a RawTarget as its target."""
+def use_raw_target(d, respond, i=0):
+    """Lets node i use a RawTarget instead of its target; returns once it has received a request."""
     target = RawTarget(f"{HOST}:0", respond)
-    d.nodes[0].target.kill()
+    d.nodes[i].target.kill()
     body = json.dumps({"service": "back", "address": target.address, "slots": 1,
                        "cold_slots": 1}).encode()
-    assert request("PUT", d.nodes[0].address["outbound"], "/v1/target", body)[0] == 200
-    wait_until(lambda: send(d, "/write/warm", 0, method="POST")[0] == 200, 8,
+    assert request("PUT", d.nodes[i].address["outbound"], "/v1/target", body)[0] == 200
+    wait_until(lambda: send(d, "/write/warm", i, method="POST")[0] == 200 and target.received, 8,
                "the target to be used")
     return target
 
@@ -433,7 +434,8 @@
     """A response that ends inside its head or its trailers is never taken as complete; the
     outcome is unknown, whatever the head stated so far."""
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-    cut_trailers = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: a\r\n"
+    cut_trailers = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    b"2\r\nok\r\n0\r\nX-T: a\r\n")
     rows = incomplete_heads("Content-Type: text/plain\r\n", "Egret-Outcome: not-run\r\n")
     responses, failures = {}, []
     with running_deployment(ONE_INSTANCE) as d:
@@ -480,6 +482,22 @@
     assert len(refused) >= 20 and len(ran) >= 10, results
 
 
+def case_refused_after_unknown():
+    """A request that one instance may have run is not reported as not-run because the next
+    instance refuses it."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    with running_deployment(ONE_SERVICE) as d:
+        runs, refuses = [use_raw_target(d, lambda r, other=other: (
+            (answer, True) if r["path"].endswith("warm") else other), i)
+            for i, other in enumerate(((b"", False), (refusal, True)))]
+        outcomes = {path: send(d, path)[1]["Egret-Outcome"]
+                    for path in (f"/back/{i}" for i in range(20))}
+        both = [path for path in outcomes if runs.runs(path) and refuses.runs(path)]
+        wrong = [path for path in outcomes if runs.runs(path) and outcomes[path] == "not-run"]
+    assert both and not wrong, f"{len(wrong)} wrong, {len(both)} at both, {outcomes}"
+
+
 def case_repeated_answer():
     """A target that sends Egret-Context back writes its last response on the connection again
     before the next one. No caller gets the response to another request."""
