--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -24,12 +24,15 @@
 from on_platform import (  # noqa: E402,F401
     case_on_platform_changes, case_on_platform_edge, case_on_platform_hurried_stop,
     case_on_platform_ports, case_on_platform_stop)
+from on_platform_responses import (  # noqa: E402,F401
+    case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
     case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
+from raw_target import RawTarget, incomplete_heads  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
 CHANGE_APPLY_SEC = 3  # documented time within which a change takes effect on all nodes
@@ -45,6 +48,8 @@
 }
 ONE_SERVICE = {"zones": ["za"],
                "services": [{"name": "back", "instances": 2, "slots": 20, "service_ms": 5}]}
+ONE_INSTANCE = {"zones": ["za"],
+                "services": [{"name": "back", "instances": 1, "slots": 20, "service_ms": 5}]}
 
 
 def route(name, prefix, service, **fields):
@@ -167,6 +172,58 @@
             time.sleep(2.5)
 
 
+def receive_raw(address, request_bytes):
+    """Sends bytes and returns the response up to the end of the connection, and whether it ended
+    regularly (not by a reset)."""
+    host, port = address.split(":")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=5) as connection:
+        connection.sendall(request_bytes)
+        try:
+            while data := connection.recv(65536):
+                received += data
+        except ConnectionResetError:
+            return received, False
+    return received, True
+
+
+def is_complete(response, regular_end):
+    """Whether a caller that closes after the response would regard it as complete."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    head = head.lower()
+    if b"transfer-encoding: chunked" in head:
+        return body.endswith(b"0\r\n\r\n")
+    if b"content-length: " in head:
+        return len(body) == int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+    return regular_end
+
+
+def case_cut_body():
+    """A body that ends early does not look complete, also to a caller with HTTP/1.0, for which the
+    end of the connection ends a body without a length."""
+    ok = b"HTTP/1.1 200 OK\r\n"
+    responses = {
+        "chunks-without-an-end": [ok + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                                  b"2\r\nok"],
+        "part-of-the-length": [ok + b"Content-Length: 9\r\n\r\nok", b"ok"],
+        "two-lengths": [ok + b"Content-Length: 2\r\nContent-Length: 9\r\n\r\nok", b"okokoko"],
+    }
+    answer = [ok + b"Content-Length: 2\r\n\r\nok"]
+    failures = []
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, lambda r: (responses.get(r["path"].split("/")[-1], answer),
+                                     r["path"].endswith("warm")))
+        for version in ("1.0", "1.1"):
+            for name in responses:
+                response, regular_end = receive_raw(
+                    d.nodes[0].address["caller"],
+                    f"POST /write/{name} HTTP/{version}\r\nHost: h\r\nConnection: close\r\n"
+                    "Authorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n".encode())
+                if b" 502 " not in response and is_complete(response, regular_end):
+                    failures.append(f"HTTP/{version}, {name}: {response}")
+    assert not failures, "\n".join(failures)
+
+
 def case_cancel():
     """The disconnect of a caller cancels its calls down to the last hop; without this they
     would keep occupying slots of targets until they end."""
@@ -361,35 +418,108 @@
         assert received_paths.count(b"/write/die") == 1, received_paths
 
 
-def case_refusal_after_unknown_attempt():
-    """A request whose first attempt may have run is not answered not-run when a later attempt
-    is refused; with an idempotency key such an answer would allow a second run."""
-    refusal = (b"HTTP/1.1 503 Service Unavailable\r\nEgret-Outcome: not-run\r\n"
-               b"Content-Length: 0\r\n\r\n")
-    received = []
-
-    def serve(server):
-        while True:
-            client, _ = server.accept()
-            while client.recv(65536):
-                received.append(server)
-                if len(received) == 1:
-                    break
-                client.sendall(refusal)
-            client.close()
+def use_raw_target(d, respond, i=0):
+    """Lets node i use a RawTarget instead of its target; returns once it has received a request."""
+    target = RawTarget(f"{HOST}:0", respond)
+    d.nodes[i].target.kill()
+    body = json.dumps({"service": "back", "address": target.address, "slots": 1,
+                       "cold_slots": 1}).encode()
+    assert request("PUT", d.nodes[i].address["outbound"], "/v1/target", body)[0] == 200
+    wait_until(lambda: send(d, "/write/warm", i, method="POST")[0] == 200 and target.received, 8,
+               "the target to be used")
+    return target
+
+
+def case_cut_head():
+    """A response that ends inside its head or its trailers is never taken as complete; the
+    outcome is unknown, whatever the head stated so far."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    cut_trailers = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    b"2\r\nok\r\n0\r\nX-T: a\r\n")
+    rows = incomplete_heads("Content-Type: text/plain\r\n", "Egret-Outcome: not-run\r\n")
+    responses, failures = {}, []
+    with running_deployment(ONE_INSTANCE) as d:
+        target = use_raw_target(d, lambda r: (responses.get(r["path"], answer),
+                                              r["path"] not in responses))
+        for i, (name, text) in enumerate(rows):
+            for method, prefix in (("GET", "/back"), ("POST", "/write")):
+                path = f"{prefix}/cut-{i}"
+                responses[path] = text
+                status, headers, _ = send(d, path, 0, method=method)
+                got, runs = (status, headers["Egret-Outcome"]), target.runs(path)
+                if got != (502, "unknown") or (method == "POST" and runs != 1):
+                    failures.append(f"{method}, {name}: {got}, runs {runs}")
+        responses["/write/trailers"] = cut_trailers
+        try:
+            failures.append(f"trailers: {send(d, '/write/trailers', 0, method='POST')}")
+        except http.client.IncompleteRead:
+            pass
+    assert not failures, "\n".join(failures)
+
+
+def case_repeated_refusal():
+    """A target writes its refusal again on the connection before its next response. No caller is
+    told not-run for a request that ran."""
+    refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    refused_on, ran, results = set(), set(), {}
+
+    def respond(r):
+        if "/refuse" in r["path"]:
+            refused_on.add(r["connection"])
+            return refusal, True
+        ran.add(r["path"])
+        return ([refusal, answer] if r["connection"] in refused_on else answer), True
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, respond)
+        for i in range(20):
+            for path in (f"/write/refuse-{i}", f"/write/run-{i}"):
+                status, headers, _ = send(d, path, 0, method="POST")
+                results[path] = (status, headers["Egret-Outcome"])
+    wrong = [path for path in ran if path in results and results[path] != (200, "answered")]
+    assert not wrong, f"{len(wrong)} of {len(ran)} requests that ran: {results[wrong[0]]}"
+    refused = [path for path in results if results[path] == (503, "not-run")]
+    assert len(refused) >= 20 and len(ran) >= 10, results
+
+
+def case_refused_after_unknown():
+    """A request that one instance may have run is not reported as not-run because the next
+    instance refuses it."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
     with running_deployment(ONE_SERVICE) as d:
-        for node in d.nodes:
-            node.target.kill()
-            server = socket.create_server((HOST, 0))
-            threading.Thread(target=serve, args=(server,), daemon=True).start()
-            body = json.dumps({"service": "back", "slots": 20, "cold_slots": 20,
-                               "address": "%s:%d" % server.getsockname()}).encode()
-            assert request("PUT", node.address["outbound"], "/v1/target", body)[0] == 200
-        wait_until(lambda: send(d, "/back/x") and received, 8, "the targets to be used")
-        received.clear()
-        status, headers, _ = send(d, "/back/x")
-        assert len(received) > 1, "the request was not retried"
-        assert (status, headers["Egret-Outcome"]) == (502, "unknown"), (status, dict(headers))
+        runs, refuses = [use_raw_target(d, lambda r, other=other: (
+            (answer, True) if r["path"].endswith("warm") else other), i)
+            for i, other in enumerate(((b"", False), (refusal, True)))]
+        outcomes = {path: send(d, path)[1]["Egret-Outcome"]
+                    for path in (f"/back/{i}" for i in range(20))}
+        both = [path for path in outcomes if runs.runs(path) and refuses.runs(path)]
+        wrong = [path for path in outcomes if runs.runs(path) and outcomes[path] != "unknown"]
+    assert both and not wrong, f"{len(wrong)} wrong, {len(both)} at both, {outcomes}"
+
+
+def case_repeated_answer():
+    """A target that sends Egret-Context back writes its last response on the connection again
+    before the next one. No caller gets the response to another request."""
+    last, results = {}, {}
+
+    def respond(r):
+        body = r["path"].encode()
+        response = b"HTTP/1.1 200 OK\r\nEgret-Context: %s\r\nContent-Length: %d\r\n\r\n%s" % (
+            r["headers"]["egret-context"].encode(), len(body), body)
+        repeated = last.get(r["connection"])
+        last[r["connection"]] = response
+        return ([repeated, response] if repeated else response), True
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, respond)
+        for i in range(20):
+            path = f"/write/{i}"
+            status, headers, body = send(d, path, 0, method="POST")
+            results[path] = (status, headers["Egret-Outcome"], body if status == 200 else b"")
+    wrong = {path: result for path, result in results.items() if result not in (
+        (200, "answered", path.encode()), (502, "unknown", b""))}
+    assert not wrong, wrong
+    assert sum(status == 200 for status, _, _ in results.values()) >= 5, results
 
 
 def case_crash_request():
