routing: smooth the downstream pressure independently of the rate of responses

Cause: each recorded pressure first took off what the age of the previous one was worth and stored the result. The smoothed value therefore settles below the reported one, and the lower the fewer responses a node gets for a route: for a constant 2.0 it reads 1.98 with 1000 responses per second, 1.82 with 100, 1.31 with 20 and 0.46 with 4. The error multiplies over the hops from the deepest service to the entry and grows with the number of nodes that share the traffic.

Change: age takes weight from earlier responses instead of lowering their value, and a pressure is held for 300 ms like a shed level.

Test: test_routing downstream_pressure_by_response_rate; without the change it fails for 100, 20 and 4 responses per second.

--- a/include/routing/backpressure.h
+++ b/include/routing/backpressure.h
@@ -12,10 +12,11 @@
  *	A state machine without I/O. Each response carries the lowest shed level and
  *	the highest pressure of the services downstream of the one that answered.
  *	Both are smoothed per key: the name of a route, or the service and method of
- *	an outbound call that has no route. Without new responses a level ages, see
- *	priority_level_aged(), and a pressure falls to 0 within a second. A key
- *	without a record has PRIORITY_LEVEL_ALL and a pressure of 0; beyond 4096 keys
- *	no new ones are recorded.
+ *	an outbound call that has no route. The smoothed pressure does not depend on
+ *	how often responses arrive. Without new responses a level ages, see
+ *	priority_level_aged(), and a pressure is held for 300 ms, then falls to 0 within
+ *	a second. A key without a record has PRIORITY_LEVEL_ALL and a pressure of 0;
+ *	beyond 4096 keys no new ones are recorded.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
--- a/routing/backpressure.c
+++ b/routing/backpressure.c
@@ -5,7 +5,10 @@
 
 #define LEVEL_SMOOTHING 0.2
 #define PRESSURE_SMOOTHING 0.1
-#define PRESSURE_LIFETIME_USEC ((double)USEC_PER_SEC)
+/* Without responses a pressure stays unchanged for the first time and is 0 after the
+ * second. */
+#define PRESSURE_HOLD_USEC (300 * USEC_PER_MSEC)
+#define PRESSURE_LIFETIME_USEC USEC_PER_SEC
 #define KEYS_MAX 4096
 
 typedef struct entry {
@@ -53,16 +56,18 @@
 	entry = g_new0(entry_t, 1);
 	entry->level = PRIORITY_LEVEL_ALL;
 	entry->level_updated = now;
-	entry->pressure_updated = now;
+	entry->pressure_updated = now - PRESSURE_LIFETIME_USEC;
 	g_hash_table_insert(backpressure->entries, g_strdup(key), entry);
 	return entry;
 }
 
-static double current_pressure(const entry_t *entry, usec_t now)
+/* The share that is left of what was recorded at `updated`, 1 to 0. */
+static double pressure_left(usec_t updated, usec_t now)
 {
-	double age = (double)(now - entry->pressure_updated) / PRESSURE_LIFETIME_USEC;
+	double left = (double)(PRESSURE_LIFETIME_USEC - (now - updated)) /
+		      (double)(PRESSURE_LIFETIME_USEC - PRESSURE_HOLD_USEC);
 
-	return entry->pressure * CLAMP(1.0 - age, 0.0, 1.0);
+	return CLAMP(left, 0.0, 1.0);
 }
 
 void backpressure_record_pressure(backpressure_t *backpressure, const char *key,
@@ -72,8 +77,12 @@
 
 	if (!entry)
 		return;
-	double current = current_pressure(entry, now);
-	entry->pressure = current + PRESSURE_SMOOTHING * (pressure - current);
+	/* Age takes weight from the earlier responses; lowering their value instead would
+	 * make the result depend on the number of responses. */
+	double earlier =
+		(1 - PRESSURE_SMOOTHING) * pressure_left(entry->pressure_updated, now);
+	entry->pressure += PRESSURE_SMOOTHING / (earlier + PRESSURE_SMOOTHING) *
+			   (pressure - entry->pressure);
 	entry->pressure_updated = now;
 }
 
@@ -82,7 +91,7 @@
 {
 	const entry_t *entry = g_hash_table_lookup(backpressure->entries, key);
 
-	return entry ? current_pressure(entry, now) : 0;
+	return entry ? entry->pressure * pressure_left(entry->pressure_updated, now) : 0;
 }
 
 void backpressure_record_level(backpressure_t *backpressure, const char *key,
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -488,6 +488,34 @@
 	backpressure_destroy(backpressure);
 }
 
+typedef struct response_rate_case {
+	const char *name;
+	usec_t interval; /* between responses */
+} response_rate_case_t;
+
+static void test_pressure_of_few_responses(void **state)
+{
+	const response_rate_case_t *c = *state;
+	backpressure_t *backpressure = backpressure_create();
+	usec_t now = START;
+
+	for (; now < START + 10 * USEC_PER_SEC; now += c->interval) {
+		backpressure_record_pressure(backpressure, "r", 2.0, now);
+		double pressure =
+			backpressure_pressure(backpressure, "r", now + c->interval - 1);
+		if (now > START + 5 * USEC_PER_SEC)
+			assert_true(pressure > 1.9 && pressure <= 2.0);
+	}
+	backpressure_destroy(backpressure);
+}
+
+static const response_rate_case_t response_rate_cases[] = {
+	{"1000 responses per second", USEC_PER_SEC / 1000},
+	{"100 responses per second", USEC_PER_SEC / 100},
+	{"20 responses per second", USEC_PER_SEC / 20},
+	{"4 responses per second", USEC_PER_SEC / 4},
+};
+
 /* From the start, the nodes together stay within the retry bound, for any number of them.
  */
 static void test_shared_budget(void **state)
@@ -517,6 +545,8 @@
 
 	failed += cmocka_run_group_tests(single, NULL, NULL);
 
+	failed += RUN_CASES("downstream_pressure_by_response_rate", response_rate_cases,
+			    test_pressure_of_few_responses);
 	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
 	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
