--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -48,6 +48,8 @@
         self.instance_id, self.started_ms, self.sequence = "i-1", int(time.time() * 1000), 0
         # Requests as (method, path, headers, body); status and extra headers of a response.
         self.received, self.response, self.delay_sec = [], (200, {}), 0
+        # Makes the outbound call of each request and returns its status, if set.
+        self.outbound_call = None
         target = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -59,6 +61,8 @@
                 time.sleep(target.delay_sec)
                 other_instance = self.headers.get("Expect-Instance") != target.instance_id
                 status, headers = (421, {}) if other_instance else target.response
+                if target.outbound_call and target.outbound_call() != 200:
+                    status = 500
                 self.send_response(status)
                 for name, value in {"Response-Seal": "seal", "Content-Length": "2",
                                     "Request-Attempt-Id": self.headers["Request-Attempt-Id"],
--- a/tests/e2e/on_platform_nodes.py
+++ b/tests/e2e/on_platform_nodes.py
@@ -193,6 +193,27 @@
             assert set(statuses) == {200} and len(statuses) > 40, set(statuses)
 
 
+def case_on_platform_downstream_loss():
+    """While a service that a route's requests call has no instance, most of these requests are
+    refused at the entry and do not run; they are served again once an instance is back."""
+    with PlatformDeployment() as d:
+        front, back = d.targets
+        front.outbound_call = lambda: d.send("/f/deep/x", "POST", source=ADDRESSES[0])[0]
+        assert [d.send("/f/x")[0] for _ in range(5)] == [200] * 5
+        assert front.report() == 200 and back.report("DELETE") == 200
+        before, statuses = len(front.received), []
+        for _ in range(100):
+            statuses.append(d.send("/f/x")[0])
+            time.sleep(0.01)
+        run = len(front.received) - before
+        assert set(statuses) == {500, 503} and run == statuses.count(500) and run < 25, \
+            (run, statuses)
+        back.instance_id, back.started_ms, back.sequence = "i-2", int(time.time() * 1000), 0
+        assert front.report() == 200 and back.report() == 200
+        wait_for("all requests to be served",
+                 lambda: all(d.send("/f/x")[0] == 200 for _ in range(20)), RETURN_TIMEOUT_SEC)
+
+
 def case_on_platform_store():
     """Changes take effect on all nodes although the store is unreachable for one node, refuses
     requests above a rate, is slow, or has compacted its change history."""
