--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -31,7 +31,7 @@
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
     case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
 # pylint: disable=wrong-import-position
-from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
+from deployment import BUILD, HOST, Deployment, binary, http as request, key_record  # noqa: E402
 from raw_target import RawTarget, incomplete_heads  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
@@ -730,6 +730,16 @@
         assert d.nodes[0].process.wait(timeout=15) == 0
 
 
+def case_egretctl_cut_head():
+    """egretctl fails if a node's response ends inside its head."""
+    admin = RawTarget(f"{HOST}:0", lambda r: (b"HTTP/1.1 200 OK\r\n", False))
+    for command in ("drain", "status"):
+        result = subprocess.run([binary("egretctl"), command, f"--admin={admin.address}"],
+                                capture_output=True, timeout=10, check=False)
+        assert result.returncode == 5, (command, result)
+    admin.close()
+
+
 def case_tls():
     """Callers connect with TLS. SIGHUP loads a new certificate and does not close open
     connections."""
