tests: requests whose callers close before their end

python3 tests/e2e/run.py cut_request: 9 forms (in the head, a body with a length, chunks, the last chunk, trailers; short and streamed); none reached the target as a complete request.

--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -224,6 +224,31 @@
     assert not failures, "\n".join(failures)
 
 
+def case_cut_request():
+    """A request whose caller closes before its end never reaches the target as a complete one."""
+    head = "POST {} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+    chunks = "Transfer-Encoding: chunked\r\n\r\n"
+    requests = [
+        head, head + "Content-Length: 0\r\n", head + "Content-Length: 9\r\n\r\nab",
+        head + "Content-Length: 200000\r\n\r\n" + "x" * 100000,
+        head + chunks + "9\r\nab", head + chunks + "2\r\nab\r\n",
+        head + chunks + "2\r\nab\r\n0\r\n", head + chunks + "2\r\nab\r\n0\r\nX-T: a\r\n",
+        head + chunks + ("1000\r\n" + "y" * 4096 + "\r\n") * 30,
+    ]
+    with running_deployment(ONE_INSTANCE) as d:
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        target = use_raw_target(d, lambda r: (answer, True))
+        host, port = d.nodes[0].address["caller"].split(":")
+        for i, text in enumerate(requests):
+            with socket.create_connection((host, int(port)), timeout=5) as connection:
+                connection.sendall(text.replace("{}", f"/write/{i}").encode())
+                time.sleep(0.2)
+        time.sleep(0.5)
+        complete = [i for i in range(len(requests)) if target.runs(f"/write/{i}")]
+        assert not complete, complete
+        assert send(d, "/write/end", 0, method="POST")[0] == 200 and target.runs("/write/end") == 1
+
+
 def case_cancel():
     """The disconnect of a caller cancels its calls down to the last hop; without this they
     would keep occupying slots of targets until they end."""
