--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -31,7 +31,7 @@
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_downstream_loss,
     case_on_platform_frozen, case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
 # pylint: disable=wrong-import-position
-from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
+from deployment import BUILD, HOST, Deployment, binary, http as request, key_record  # noqa: E402
 from raw_target import RawTarget, incomplete_heads  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
@@ -224,6 +224,31 @@
     assert not failures, "\n".join(failures)
 
 
+def case_cut_request():
+    """A request whose caller closes before its end never reaches the target as a complete one."""
+    head = "POST {} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+    chunks = "Transfer-Encoding: chunked\r\n\r\n"
+    requests = [
+        head, head + "Content-Length: 0\r\n", head + "Content-Length: 9\r\n\r\nab",
+        head + "Content-Length: 200000\r\n\r\n" + "x" * 100000,
+        head + chunks + "9\r\nab", head + chunks + "2\r\nab\r\n",
+        head + chunks + "2\r\nab\r\n0\r\n", head + chunks + "2\r\nab\r\n0\r\nX-T: a\r\n",
+        head + chunks + ("1000\r\n" + "y" * 4096 + "\r\n") * 30,
+    ]
+    with running_deployment(ONE_INSTANCE) as d:
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        target = use_raw_target(d, lambda r: (answer, True))
+        host, port = d.nodes[0].address["caller"].split(":")
+        for i, text in enumerate(requests):
+            with socket.create_connection((host, int(port)), timeout=5) as connection:
+                connection.sendall(text.replace("{}", f"/write/{i}").encode())
+                time.sleep(0.2)
+        time.sleep(0.5)
+        complete = [i for i in range(len(requests)) if target.runs(f"/write/{i}")]
+        assert not complete, complete
+        assert send(d, "/write/end", 0, method="POST")[0] == 200 and target.runs("/write/end") == 1
+
+
 def case_cancel():
     """The disconnect of a caller cancels its calls down to the last hop; without this they
     would keep occupying slots of targets until they end."""
@@ -730,6 +755,16 @@
         assert d.nodes[0].process.wait(timeout=15) == 0
 
 
+def case_egretctl_cut_head():
+    """egretctl fails if a node's response ends inside its head."""
+    admin = RawTarget(f"{HOST}:0", lambda r: (b"HTTP/1.1 200 OK\r\n", False))
+    for command in ("drain", "status"):
+        result = subprocess.run([binary("egretctl"), command, f"--admin={admin.address}"],
+                                capture_output=True, timeout=10, check=False)
+        assert result.returncode == 5, (command, result)
+    admin.close()
+
+
 def case_tls():
     """Callers connect with TLS. SIGHUP loads a new certificate and does not close open
     connections."""
