stop: log each request that the end of the process cuts

The `cut` line at a stop gave only a number, so logs could not tell which requests were cut, and whether they had been passed on. Now one line for each request or call of a peer that is cut: id, what it waited for (reading, waiting, called, responding), instance and attempts, time since its arrival and since the stop began.

--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -83,12 +83,13 @@
 		control->skip_waits = true;
 		return;
 	}
+	atomic_store(&control->node->stop_started, clock_boot_usec());
 	atomic_store(&control->node->draining, true);
 	node_update_member(control->node);
 	if (control->leases)
 		leases_io_release(control->leases);
 	enter_phase(control, STOP_NOTICE);
-	control->stop_started = control->phase_started;
+	control->stop_started = atomic_load(&control->node->stop_started);
 }
 
 static void leave_directory(control_t *control)
--- a/egretscaled/peers/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -264,10 +264,35 @@
 	g_hash_table_add(worker->ingress_links, il);
 }
 
+/* Logs the calls that the end of the process cuts. */
+static void log_cut_calls(const ingress_link_t *il)
+{
+	usec_t since_stop =
+		clock_boot_usec() - atomic_load(&il->worker->node->stop_started);
+	GHashTableIter iter;
+	void *value;
+	log_rec_t rec;
+
+	g_hash_table_iter_init(&iter, il->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ingress_call_t *ic = value;
+
+		log_begin(&rec, LOG_LEVEL_WARN, "cut");
+		log_str(&rec, "request", ic->call->context.request_id);
+		log_str(&rec, "service", ic->call->service);
+		log_str(&rec, "state", ic->reply_sent ? "responding" : "called");
+		log_int(&rec, "attempt", (int64_t)ic->attempt);
+		log_int(&rec, "since_stop", since_stop);
+		log_end(&rec);
+	}
+}
+
 void ingress_link_destroy(void *data)
 {
 	ingress_link_t *il = data;
 
+	if (!il->closed && atomic_load(&il->worker->node->draining))
+		log_cut_calls(il);
 	end_all_calls(il);
 	frame_link_destroy(il->link);
 	g_hash_table_destroy(il->calls);
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -1,5 +1,6 @@
 #include "egretscaled/request/http_front.h"
 
+#include "common/log.h"
 #include "egretscaled/rates/rates.h"
 #include "egretscaled/request/entry.h"
 #include "egretscaled/request/http_attempt.h"
@@ -373,6 +374,34 @@
 	*state = NULL;
 }
 
+static const char *state_name(const http_request_t *request)
+{
+	if (request->response_queued)
+		return "responding";
+	if (!request->begun)
+		return "reading";
+	return request->call ? "called" : "waiting";
+}
+
+/* `since_arrival` and `since_stop` are in microseconds. A request that arrived before the
+ * stop has the larger `since_arrival`. */
+static void log_cut(const http_request_t *request)
+{
+	usec_t now = clock_boot_usec();
+	log_rec_t rec;
+
+	log_begin(&rec, LOG_LEVEL_WARN, "cut");
+	log_str(&rec, "request", request->context.request_id);
+	log_str(&rec, "service", request->service);
+	log_str(&rec, "state", state_name(request));
+	log_str(&rec, "instance", request->instance);
+	log_int(&rec, "attempts", request->attempt_count);
+	log_int(&rec, "since_arrival", now - request->arrived_at);
+	log_int(&rec, "since_stop",
+		now - atomic_load(&request->worker->node->stop_started));
+	log_end(&rec);
+}
+
 void http_front_abort_requests(worker_t *worker)
 {
 	GList *requests = g_hash_table_get_values(worker->requests);
@@ -380,6 +409,8 @@
 	for (GList *item = requests; item; item = item->next) {
 		http_request_t *request = item->data;
 
+		if (!request->aborted)
+			log_cut(request);
 		if (request->suspended)
 			mhd_loop_unwatch(request->loop, request->connection);
 		http_request_abort(request);
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -96,12 +96,13 @@
 	worker_t **workers;
 	uint32_t worker_count;
 
-	atomic_bool ready;	   /* serves requests; see node_check_ready() */
-	atomic_bool has_config;	   /* the configuration is up to date */
-	atomic_bool has_node_list; /* the addresses of all nodes are known */
-	atomic_bool has_directory; /* the directory entries of the nodes are known */
-	atomic_bool draining;	   /* the stop sequence has begun */
-	atomic_uint requests;	   /* HTTP requests and peer calls in flight */
+	atomic_bool ready;	      /* serves requests; see node_check_ready() */
+	atomic_bool has_config;	      /* the configuration is up to date */
+	atomic_bool has_node_list;    /* the addresses of all nodes are known */
+	atomic_bool has_directory;    /* the directory entries of the nodes are known */
+	atomic_bool draining;	      /* the stop sequence has begun */
+	_Atomic(usec_t) stop_started; /* boot clock, valid once `draining` is set */
+	atomic_uint requests;	      /* HTTP requests and peer calls in flight */
 };
 
 node_t *node_create(settings_t *settings, const node_ops_t *ops, GError **error);
