stop: accept only requests that end before the process does

What callers saw: a stopping node took requests from kept connections until the end of its drain time, passed them on and cut them there.

Cause: nothing related the time that a request needs to the time that the process has left, and no response told callers to use another connection, so they stayed.

Change: the phases of a stop and the decision to accept are a state machine of their own (admission/stop). During the notice everything is accepted. After that a request, or a call of a peer, is accepted if its deadline lies within the drain time; else it is refused at once as not run (reason draining), and an entry node reroutes such a call. Responses to callers say Connection: close from the start of the stop on.

Outbound calls of the node's own target are accepted with later deadlines too while 1 s is left: their request already runs and fails with them, and they normally take a fraction of that. The listener of callers stays open until the target runs no calls, as such calls may need new connections. Then it is closed: to a caller, a refused connection says at once and without doubt that nothing was read, for requests that must not be repeated too, and clients and load balancers go on to the next address; a 503 after a complete request tells them no more. A node that answers 503 to callers that stay would not end sooner either.

What has not ended at the end of the drain time (it was accepted during the notice and works longer) gets a final response instead of a bare close: 502, or 503 if it still waited for its turn. Calls of peers get the same as a reply, so that the entry node does not wait 1 s for a fence from a process that is gone. A second signal does this at once. The decision is made when the request was read, not at its headers, so that its response is not lost to a reset while the client still sends. At the very end a worker leaves its loop only when no request that it read is without a response (50 ms at most).

--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -31,17 +31,6 @@
 #define PLATFORM_DRAIN_NOTICE (2300 * USEC_PER_MSEC)
 /* Part of the time from SIGTERM to SIGKILL that is available to requests in flight. */
 #define DRAIN_PART(span) ((span) / 6 * 5)
-/* Time for the left state to reach the peers before the process ends. */
-#define LEAVE_NOTICE (300 * USEC_PER_MSEC)
-
-typedef enum stop_phase {
-	STOP_NONE,
-	STOP_NOTICE, /* peers are notified; requests are still accepted */
-	STOP_DRAIN,  /* logged as "finish": no new callers; requests in flight end */
-	STOP_LEAVE,  /* the directory entry is set to left */
-	STOP_DONE,
-} stop_phase_t;
-
 typedef struct control {
 	node_t *node;
 	struct tevent_context *ev;
@@ -55,41 +44,56 @@
 	mhd_loop_t *admin;
 	mhd_loop_t *readiness; /* on the platform only, else NULL */
 	struct tevent_timer *timer;
-	stop_phase_t phase;
-	usec_t phase_started;
-	usec_t stop_started;
+	bool refuses_callers; /* no new connections of callers are accepted */
+	bool left;	      /* the directory entry is set to left */
+	bool done;
 	usec_t last_tick;
 	usec_t next_settings_check;
 	struct stat settings_stat;
-	bool skip_waits; /* a second signal arrived */
 } control_t;
 
-static void enter_phase(control_t *control, stop_phase_t phase)
+static void log_phase(const node_t *node, stop_phase_t phase)
 {
-	static const char *const names[] = {"none", "notice", "finish", "leave", "done"};
 	log_rec_t rec;
 
-	control->phase = phase;
-	control->phase_started = clock_boot_usec();
 	log_begin(&rec, LOG_LEVEL_INFO, "stop");
-	log_str(&rec, "phase", names[phase]);
-	log_int(&rec, "requests", atomic_load(&control->node->requests));
+	log_str(&rec, "phase", stop_phase_name(phase));
+	log_int(&rec, "requests", atomic_load(&node->requests));
 	log_end(&rec);
 }
 
+static usec_t notice_time(const node_t *node)
+{
+	if (!node->settings->on_platform)
+		return DRAIN_NOTICE;
+	return MIN(PLATFORM_DRAIN_NOTICE, node_bounds(node)->stop_time / 2);
+}
+
+/* Time from the start of a stop until requests in flight are cancelled. */
+static usec_t drain_time(const node_t *node)
+{
+	const settings_t *settings = node->settings;
+
+	if (!settings->on_platform)
+		return (usec_t)settings->drain_timeout_sec * USEC_PER_SEC + DRAIN_NOTICE;
+	return DRAIN_PART(node_bounds(node)->stop_time);
+}
+
 static void begin_stop(control_t *control)
 {
-	if (control->phase != STOP_NONE) {
-		control->skip_waits = true;
+	node_t *node = control->node;
+	stop_times_t times = {.notice = notice_time(node), .drain = drain_time(node)};
+
+	pthread_mutex_lock(&node->stop_lock);
+	bool began = stop_begin(node->stop, clock_boot_usec(), &times);
+	pthread_mutex_unlock(&node->stop_lock);
+	if (!began)
 		return;
-	}
-	atomic_store(&control->node->stop_started, clock_boot_usec());
-	atomic_store(&control->node->draining, true);
-	node_update_member(control->node);
+	atomic_store(&node->draining, true);
+	node_update_member(node);
 	if (control->leases)
 		leases_io_release(control->leases);
-	enter_phase(control, STOP_NOTICE);
-	control->stop_started = atomic_load(&control->node->stop_started);
+	log_phase(node, STOP_NOTICE);
 }
 
 static void leave_directory(control_t *control)
@@ -106,72 +110,70 @@
 
 static void stop_accepting_callers(control_t *control)
 {
+	if (control->refuses_callers)
+		return;
+	control->refuses_callers = true;
 	for (uint32_t i = 0; i < control->node->worker_count; i++)
 		worker_post(control->node->workers[i], worker_quiesce, NULL);
 }
 
-static void count_aborted_requests(control_t *control)
+/* Whether the target runs calls, which may make outbound calls on new connections. */
+static bool target_works(node_t *node)
 {
-	unsigned int aborted = atomic_load(&control->node->requests);
-	log_rec_t rec;
+	gate_load_t load;
 
-	if (aborted == 0)
-		return;
-	counter_add(COUNTER_CUT_AT_STOP, aborted);
-	log_begin(&rec, LOG_LEVEL_WARN, "cut");
-	log_int(&rec, "requests", aborted);
-	log_end(&rec);
+	pthread_mutex_lock(&node->gate_lock);
+	gate_load(node->gate, clock_boot_usec(), &load);
+	pthread_mutex_unlock(&node->gate_lock);
+	return load.inflight > 0;
 }
 
-static usec_t notice_time(const node_t *node)
+static void cancel_requests(const control_t *control)
 {
-	if (!node->settings->on_platform)
-		return DRAIN_NOTICE;
-	return MIN(PLATFORM_DRAIN_NOTICE, node_bounds(node)->stop_time / 2);
+	node_t *node = control->node;
+	unsigned int cancelled = atomic_load(&node->requests);
+	log_rec_t rec;
+
+	counter_add(COUNTER_CUT_AT_STOP, cancelled);
+	log_begin(&rec, LOG_LEVEL_WARN, "cut");
+	log_int(&rec, "requests", cancelled);
+	log_end(&rec);
+	node_close_gate(node);
+	for (uint32_t i = 0; i < node->worker_count; i++)
+		worker_post(node->workers[i], worker_cancel_requests, NULL);
 }
 
-/* Time from the start of a stop until requests in flight are aborted. */
-static usec_t drain_limit(const node_t *node)
+static void enter_phase(control_t *control, stop_phase_t phase)
 {
-	const settings_t *settings = node->settings;
-
-	if (!settings->on_platform)
-		return (usec_t)settings->drain_timeout_sec * USEC_PER_SEC + DRAIN_NOTICE;
-	return DRAIN_PART(node_bounds(node)->stop_time);
+	log_phase(control->node, phase);
+	if (phase == STOP_CANCEL)
+		cancel_requests(control);
+	if ((phase == STOP_LEAVE || phase == STOP_CANCEL) && !control->left) {
+		control->left = true;
+		stop_accepting_callers(control);
+		leave_directory(control);
+	}
+	control->done = phase == STOP_DONE;
 }
 
 static void advance_stop(control_t *control, usec_t now)
 {
 	node_t *node = control->node;
-	usec_t elapsed = now - control->phase_started;
-	bool timed_out = now - control->stop_started >= drain_limit(node);
+	stop_phase_t phase;
+	bool changed;
 
-	switch (control->phase) {
-	case STOP_NOTICE:
-		if (elapsed < notice_time(node) && !control->skip_waits)
-			return;
+	if (!atomic_load(&node->draining))
+		return;
+	do {
+		pthread_mutex_lock(&node->stop_lock);
+		changed = stop_advance(node->stop, now, atomic_load(&node->requests));
+		phase = stop_phase(node->stop);
+		pthread_mutex_unlock(&node->stop_lock);
+		if (changed)
+			enter_phase(control, phase);
+	} while (changed);
+	if (phase == STOP_DRAIN && !target_works(node))
 		stop_accepting_callers(control);
-		enter_phase(control, STOP_DRAIN);
-		break;
-	case STOP_DRAIN:
-		if (atomic_load(&node->requests) > 0 && !timed_out &&
-		    !control->skip_waits)
-			return;
-		count_aborted_requests(control);
-		leave_directory(control);
-		enter_phase(control, STOP_LEAVE);
-		break;
-	case STOP_LEAVE:
-		/* Requests may still arrive on open connections. */
-		if (atomic_load(&node->requests) > 0 && !timed_out &&
-		    !control->skip_waits)
-			return;
-		if (elapsed >= LEAVE_NOTICE || control->skip_waits)
-			enter_phase(control, STOP_DONE);
-		break;
-	default:
-		break;
-	}
 }
 
 /* After the process was paused, the node is not ready until it has read the configuration
@@ -430,7 +432,7 @@
 	pthread_sigmask(SIG_SETMASK, &old, NULL);
 	if (!started || !start_control(&control, error))
 		return EXIT_FAILED;
-	while (control.phase != STOP_DONE) {
+	while (!control.done) {
 		if (tevent_loop_once(control.ev) != 0)
 			break;
 	}
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -45,6 +45,7 @@
 	pthread_mutex_init(&node->inflight_lock, NULL);
 	pthread_mutex_init(&node->router_lock, NULL);
 	pthread_mutex_init(&node->suspect_lock, NULL);
+	pthread_mutex_init(&node->stop_lock, NULL);
 }
 
 static void fill_self(node_t *node, member_t *self)
@@ -94,6 +95,7 @@
 	node->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->suspects = suspects_create();
+	node->stop = stop_create();
 	return node;
 }
 
@@ -114,6 +116,7 @@
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
 	suspects_destroy(node->suspects);
+	stop_destroy(node->stop);
 	peer_auth_destroy(node->auth);
 	g_free(node->workers);
 	g_ptr_array_free(node->old_bounds, TRUE);
@@ -409,6 +412,32 @@
 		node_run_gate(node);
 }
 
+bool node_accepts(node_t *node, usec_t deadline, bool is_outbound)
+{
+	if (!atomic_load(&node->draining))
+		return true;
+	pthread_mutex_lock(&node->stop_lock);
+	bool accepts = stop_accepts(node->stop, clock_boot_usec(), deadline, is_outbound);
+	pthread_mutex_unlock(&node->stop_lock);
+	return accepts;
+}
+
+usec_t node_stop_elapsed(node_t *node)
+{
+	pthread_mutex_lock(&node->stop_lock);
+	usec_t elapsed = stop_elapsed(node->stop, clock_boot_usec());
+	pthread_mutex_unlock(&node->stop_lock);
+	return elapsed;
+}
+
+void node_close_gate(node_t *node)
+{
+	pthread_mutex_lock(&node->gate_lock);
+	gate_close(node->gate);
+	pthread_mutex_unlock(&node->gate_lock);
+	node_run_gate(node);
+}
+
 void node_run_gate(node_t *node)
 {
 	gate_ticket_t *ticket;
--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -15,6 +15,9 @@
 #define CACHED_CONNECTIONS 2000L
 #define ACCEPT_BATCH 32
 #define SWEEP_PERIOD USEC_PER_SEC
+/* Longest wait at the end of the process for the responses to requests that were read
+ * just before. */
+#define EXIT_WAIT (50 * USEC_PER_MSEC)
 
 typedef struct posted_task {
 	worker_task_fn fn;
@@ -297,11 +300,17 @@
 	return worker;
 }
 
+static bool may_end(const worker_t *worker)
+{
+	return worker->stopping && (g_hash_table_size(worker->requests) == 0 ||
+				    clock_boot_usec() >= worker->stop_until);
+}
+
 static void *worker_main(void *arg)
 {
 	worker_t *worker = arg;
 
-	while (!worker->stopping) {
+	while (!may_end(worker)) {
 		if (tevent_loop_once(worker->ev) != 0)
 			break;
 	}
@@ -321,6 +330,7 @@
 {
 	(void)unused;
 	worker->stopping = true;
+	worker->stop_until = clock_boot_usec() + EXIT_WAIT;
 }
 
 void worker_stop(worker_t *worker)
@@ -335,6 +345,12 @@
 	mhd_loop_quiesce(worker->caller_loop);
 }
 
+void worker_cancel_requests(worker_t *worker, void *unused)
+{
+	(void)unused;
+	worker->ops->cancel_requests(worker);
+}
+
 void worker_destroy(worker_t *worker)
 {
 	if (!worker)
--- a/egretscaled/peers/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -101,13 +101,14 @@
 	worker_defer(ic->worker, send_reply, ic);
 }
 
-static void send_refusal(ingress_link_t *il, uint64_t attempt, Egret__Reason reason)
+static void send_refusal(ingress_link_t *il, uint64_t attempt, Egret__Outcome outcome,
+			 Egret__Reason reason)
 {
 	Egret__Frame frame = EGRET__FRAME__INIT;
 	Egret__Reply wire = EGRET__REPLY__INIT;
 
 	wire.attempt = attempt;
-	wire.outcome = EGRET__OUTCOME__OUTCOME_NOT_RUN;
+	wire.outcome = outcome;
 	wire.reason = reason;
 	wire.end = true;
 	frame.kind_case = EGRET__FRAME__KIND_REPLY;
@@ -122,7 +123,14 @@
 	if (!call || g_hash_table_contains(il->calls, &wire->attempt)) {
 		call_destroy(call);
 		counter_add(COUNTER_PEER_BAD_FRAMES, 1);
-		send_refusal(il, wire->attempt, EGRET__REASON__REASON_BAD_REQUEST);
+		send_refusal(il, wire->attempt, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			     EGRET__REASON__REASON_BAD_REQUEST);
+		return;
+	}
+	if (!node_accepts(il->worker->node, call->context.deadline, false)) {
+		call_destroy(call);
+		send_refusal(il, wire->attempt, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			     EGRET__REASON__REASON_DRAINING);
 		return;
 	}
 	counter_add(COUNTER_CALLS_IN, 1);
@@ -232,6 +240,32 @@
 	g_list_free(calls);
 }
 
+static void cancel_link_calls(ingress_link_t *il)
+{
+	GList *calls = g_hash_table_get_values(il->calls);
+
+	for (GList *item = calls; item; item = item->next) {
+		ingress_call_t *ic = item->data;
+
+		if (ic->reply_scheduled)
+			continue;
+		send_refusal(il, ic->attempt, EGRET__OUTCOME__OUTCOME_UNKNOWN,
+			     EGRET__REASON__REASON_DRAINING);
+		end_call(ic);
+	}
+	g_list_free(calls);
+}
+
+void ingress_cancel_calls(worker_t *worker)
+{
+	GHashTableIter iter;
+	void *link;
+
+	g_hash_table_iter_init(&iter, worker->ingress_links);
+	while (g_hash_table_iter_next(&iter, &link, NULL))
+		cancel_link_calls(link);
+}
+
 static void free_link(worker_t *worker, void *ctx)
 {
 	g_hash_table_remove(worker->ingress_links, ctx);
@@ -267,8 +301,7 @@
 /* Logs the calls that the end of the process cuts. */
 static void log_cut_calls(const ingress_link_t *il)
 {
-	usec_t since_stop =
-		clock_boot_usec() - atomic_load(&il->worker->node->stop_started);
+	usec_t since_stop = node_stop_elapsed(il->worker->node);
 	GHashTableIter iter;
 	void *value;
 	log_rec_t rec;
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -345,11 +345,21 @@
 	return has_limit;
 }
 
+static bool is_accepted(const http_request_t *request, bool is_outbound)
+{
+	return node_accepts(request->worker->node, request->context.deadline,
+			    is_outbound);
+}
+
 void entry_begin(http_request_t *request)
 {
 	const char *account = request->context.account;
 	double pressure = *account ? rates_pressure(request->worker, account) : 0;
 
+	if (!is_accepted(request, request->from_target)) {
+		refuse(request, EGRET__REASON__REASON_DRAINING);
+		return;
+	}
 	set_fingerprint(request);
 	request->context.rank = priority_rank(request->context.request_id,
 					      pressure > 0 ? MIN(pressure, 1.0) : 1.0);
@@ -464,7 +474,9 @@
 void outbound_begin(http_request_t *request)
 {
 	set_fingerprint(request);
-	if (is_suspect(request))
+	if (!is_accepted(request, true))
+		refuse(request, EGRET__REASON__REASON_DRAINING);
+	else if (is_suspect(request))
 		refuse(request, EGRET__REASON__REASON_SUSPECT);
 	else if (is_shed(request))
 		refuse(request, EGRET__REASON__REASON_SHED);
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -85,6 +85,14 @@
 	return response;
 }
 
+/* While the node stops, its callers are to use other nodes. Its target is not: the calls
+ * that it makes for the requests that it still runs go through this node. */
+static bool closes_connection(const http_request_t *request)
+{
+	return request->listener == HTTP_LISTENER_CALLERS && !request->from_target &&
+	       atomic_load(&request->worker->node->draining);
+}
+
 static enum MHD_Result queue_response(http_request_t *request)
 {
 	struct MHD_Response *response;
@@ -102,6 +110,8 @@
 	}
 	http_request_dialect(request)->add_outcome_headers(request->outcome,
 							   add_response_header, response);
+	if (closes_connection(request))
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
 	request->response_queued = true;
 	enum MHD_Result result =
 		MHD_queue_response(request->connection, request->status, response);
@@ -374,6 +384,24 @@
 	*state = NULL;
 }
 
+void http_front_cancel_requests(worker_t *worker)
+{
+	GList *requests = g_hash_table_get_values(worker->requests);
+
+	for (GList *item = requests; item; item = item->next) {
+		http_request_t *request = item->data;
+		bool may_have_run = request->call && !request->call->replied;
+
+		if (!request->aborted && !request->is_target_report)
+			http_request_refuse(request,
+					    may_have_run
+						    ? EGRET__OUTCOME__OUTCOME_UNKNOWN
+						    : EGRET__OUTCOME__OUTCOME_NOT_RUN,
+					    EGRET__REASON__REASON_DRAINING);
+	}
+	g_list_free(requests);
+}
+
 static const char *state_name(const http_request_t *request)
 {
 	if (request->response_queued)
@@ -397,8 +425,7 @@
 	log_str(&rec, "instance", request->instance);
 	log_int(&rec, "attempts", request->attempt_count);
 	log_int(&rec, "since_arrival", now - request->arrived_at);
-	log_int(&rec, "since_stop",
-		now - atomic_load(&request->worker->node->stop_started));
+	log_int(&rec, "since_stop", node_stop_elapsed(request->worker->node));
 	log_end(&rec);
 }
 
--- a/egretscaled/wiring.c
+++ b/egretscaled/wiring.c
@@ -72,6 +72,12 @@
 	}
 }
 
+static void cancel_requests(worker_t *worker)
+{
+	http_front_cancel_requests(worker);
+	ingress_cancel_calls(worker);
+}
+
 static void tick(worker_t *worker, usec_t now)
 {
 	loans_io_tick(worker, now);
@@ -95,6 +101,7 @@
 		.create = create_tables,
 		.destroy = destroy_tables,
 		.abort_requests = http_front_abort_requests,
+		.cancel_requests = cancel_requests,
 		.on_peer_connection = ingress_accept,
 		.on_frame = handle_frame,
 		.serve = target_call_start,
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -63,7 +63,8 @@
 	X(PEER_BAD_FRAMES, "peer_bad_frames", "peer connections closed for bad frames")  \
 	X(IDLE_CONNECTIONS_SHUT, "idle_connections_shut",                                \
 	  "idle connections that the server closed or sent bytes on")                    \
-	X(CUT_AT_STOP, "cut_at_stop", "requests cut by the end of the drain timeout")
+	X(CUT_AT_STOP, "cut_at_stop",                                                    \
+	  "requests cancelled at the end of the drain timeout")
 
 typedef enum counter_id {
 #define COUNTER_ENUM(id, name, help) COUNTER_##id,
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -3,6 +3,7 @@
 
 #include "accounts/shares.h"
 #include "admission/gate.h"
+#include "admission/stop.h"
 #include "claims/attempts.h"
 #include "config/config.h"
 #include "egretscaled/node/inflight.h"
@@ -93,16 +94,18 @@
 	pthread_mutex_t suspect_lock;
 	struct suspects *suspects;
 
+	pthread_mutex_t stop_lock;
+	stop_t *stop;
+
 	worker_t **workers;
 	uint32_t worker_count;
 
-	atomic_bool ready;	      /* serves requests; see node_check_ready() */
-	atomic_bool has_config;	      /* the configuration is up to date */
-	atomic_bool has_node_list;    /* the addresses of all nodes are known */
-	atomic_bool has_directory;    /* the directory entries of the nodes are known */
-	atomic_bool draining;	      /* the stop sequence has begun */
-	_Atomic(usec_t) stop_started; /* boot clock, valid once `draining` is set */
-	atomic_uint requests;	      /* HTTP requests and peer calls in flight */
+	atomic_bool ready;	   /* serves requests; see node_check_ready() */
+	atomic_bool has_config;	   /* the configuration is up to date */
+	atomic_bool has_node_list; /* the addresses of all nodes are known */
+	atomic_bool has_directory; /* the directory entries of the nodes are known */
+	atomic_bool draining;	   /* the stop sequence has begun */
+	atomic_uint requests;	   /* HTTP requests and peer calls in flight */
 };
 
 node_t *node_create(settings_t *settings, const node_ops_t *ops, GError **error);
@@ -156,6 +159,16 @@
 /* Builds a leave report from the target's last report, for a leave with an empty body. */
 void node_make_leave_report(node_t *node, target_report_t *out);
 
+/* Whether the node, which may be stopping, accepts a request or a call of a peer that
+ * arrives now with this deadline. Acquires stop_lock. */
+bool node_accepts(node_t *node, usec_t deadline, bool is_outbound);
+
+/* Returns the time since the start of the stop, 0 before. Acquires stop_lock. */
+usec_t node_stop_elapsed(node_t *node);
+
+/* Closes the gate for good and refuses the calls that wait at it. Acquires gate_lock. */
+void node_close_gate(node_t *node);
+
 /* Passes the verdicts of gate_next() to on_gate_verdict. Acquires gate_lock. */
 void node_run_gate(node_t *node);
 
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -41,6 +41,8 @@
 	/* Aborts all requests and resumes their connections: libmicrohttpd must not be
 	 * stopped with suspended connections. */
 	void (*abort_requests)(worker_t *worker);
+	/* Gives a final response to each request and call in flight that has none. */
+	void (*cancel_requests)(worker_t *worker);
 	/* A peer connected. */
 	void (*on_peer_connection)(worker_t *worker, int fd);
 	/* A frame that belongs to no call; returns false if its kind is unknown. */
@@ -89,12 +91,14 @@
 	GQueue inbox; /* of posted_task_t */
 	pthread_t thread;
 	bool stopping;
+	usec_t stop_until; /* boot clock, valid while stopping */
 };
 
 worker_t *worker_create(node_t *node, const worker_ops_t *ops, GError **error);
 bool worker_start(worker_t *worker, GError **error);
 
-/* Ends the event loop and joins the thread. */
+/* Ends the event loop once no HTTP request is in flight, or after EXIT_WAIT, and joins
+ * the thread. */
 void worker_stop(worker_t *worker);
 void worker_destroy(worker_t *worker);
 
@@ -121,4 +125,7 @@
 /* Stops accepting callers. Requests in flight continue. */
 void worker_quiesce(worker_t *worker, void *unused);
 
+/* Calls cancel_requests of worker_ops_t. */
+void worker_cancel_requests(worker_t *worker, void *unused);
+
 #endif
--- a/include/egretscaled/peers/ingress.h
+++ b/include/egretscaled/peers/ingress.h
@@ -15,6 +15,10 @@
 /* Accepts a link on the connected socket, which the link then owns. */
 void ingress_accept(worker_t *worker, int fd);
 
+/* Replies to each call that runs on the target or waits for it with an unknown outcome,
+ * and cancels it. */
+void ingress_cancel_calls(worker_t *worker);
+
 /* Cancels the calls of an ingress_link_t and frees it (GDestroyNotify of
  * worker->ingress_links). */
 void ingress_link_destroy(void *link);
--- a/include/egretscaled/request/http_front.h
+++ b/include/egretscaled/request/http_front.h
@@ -33,6 +33,10 @@
 void http_front_handle_completed(void *ctx, struct MHD_Connection *connection,
 				 void **state, enum MHD_RequestTerminationCode code);
 
+/* Refuses every request of the worker that has no response yet: with an unknown outcome
+ * if it may have run. */
+void http_front_cancel_requests(worker_t *worker);
+
 /* Aborts every request of the worker and resumes its connection: libmicrohttpd aborts the
  * process if it is stopped with suspended connections. */
 void http_front_abort_requests(worker_t *worker);
--- /dev/null
+++ b/tests/e2e/stops.py
@@ -0,0 +1,100 @@
+"""Planned stops of nodes with the product's own interface."""
+
+import glob
+import json
+import signal
+import threading
+import time
+
+from deployment import Deployment, http as request, key_record
+from late_callers import LateCallers, check_responses
+
+KEY_HEADERS = {"Authorization": "Bearer key-a"}
+DRAIN_TIMEOUT_SEC = 3
+NOTICE_SEC = 1  # DRAIN_NOTICE in egretscaled/main.c
+
+
+def slow_deployment(service_ms, drain_timeout_sec):
+    """Two nodes with a target each that works for `service_ms` and more."""
+    class SlowDeployment(Deployment):
+        def __enter__(self):
+            super().__enter__()
+            try:
+                self.apply([
+                    {"kind": "client_account", "name": "a", "schema_version": 1, "rate": 1000,
+                     "burst": 500}, key_record("a-1", "a", "key-a"),
+                    {"kind": "route", "name": "write", "schema_version": 1, "prefix": "/write",
+                     "service": "back", "importance": 5, "timeout_ms": 20000}])
+                self.start_nodes()
+                self.wait(self.keepers_ready, "a keeper of each partition in each zone")
+            except BaseException:
+                self.__exit__()
+                raise
+            return self
+    layout = {"zones": ["za"], "services": [
+        {"name": "back", "instances": 2, "slots": 200, "service_ms": service_ms}]}
+    return SlowDeployment(layout, history=True, flags=[f"--drain-timeout={drain_timeout_sec}"])
+
+
+def started(d):
+    """Returns the ids of the requests that a target began to run."""
+    ids = set()
+    for path in glob.glob(d.path("*.history")):
+        with open(path, encoding="utf-8") as file:
+            ids |= {line["id"] for line in map(json.loads, file) if line["event"] == "start"}
+    return ids
+
+
+def case_stop_late_requests():
+    """Callers on kept connections send to a stopping node until it is gone: each request that it
+    read gets a complete response, and none that ran is answered as not run."""
+    with slow_deployment(1000, DRAIN_TIMEOUT_SEC) as d:
+        node = d.nodes[0]
+        end = NOTICE_SEC + DRAIN_TIMEOUT_SEC
+        callers = LateCallers(node.address["caller"], "/write/x", KEY_HEADERS, "X-Test-Id", end + 1)
+
+        def stop():
+            time.sleep(0.3)
+            callers.started = time.monotonic()
+            node.process.send_signal(signal.SIGTERM)
+        callers.run(node.process, stop)
+        assert node.process.wait(timeout=5) == 0
+        check_responses(callers, started(d), d.logs[node.name])
+        refused = [r for r in callers.results if r.status == 503]
+        assert refused, "no request was refused while the node stopped"
+        for result in refused:
+            assert result.headers["Egret-Reason"] == "draining", dict(result.headers)
+            assert result.headers["Retry-After"] and result.headers["Connection"] == "close"
+
+
+def case_stop_unfinished_calls():
+    """A node that gives up on requests at the end of its drain timeout answers them: callers, and
+    the nodes whose calls its target runs, do not wait for a lost connection to be noticed."""
+    with slow_deployment(60000, 0) as d:
+        stopping = d.nodes[0]
+        results = {}
+
+        def send(name, node):
+            try:
+                status, headers, _ = request("POST", node.address["caller"], "/write/x", b"",
+                                             {**KEY_HEADERS, "X-Test-Id": name}, 30)
+                results[name] = (status, headers["Egret-Outcome"])
+            except OSError as error:
+                results[name] = error
+        threads = [threading.Thread(target=send, args=(f"{node.name}-{i}", node))
+                   for node in d.nodes for i in range(10)]
+        for thread in threads:
+            thread.start()
+        d.wait(lambda: len(started(d)) == 20, "all requests to run")
+        stopping.process.send_signal(signal.SIGTERM)
+        assert stopping.process.wait(timeout=10) == 0
+        time.sleep(0.3)  # for the responses to arrive
+        for node in d.nodes:
+            node.target.kill()
+        answered = dict(results)
+        for thread in threads:
+            thread.join()
+        mine = [name for name in answered if name.startswith(stopping.name)]
+        assert len(mine) == 10, answered
+        assert len(answered) > 10, "no call of the other node ended"
+        assert set(answered.values()) == {(502, "unknown")}, answered
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -73,7 +73,7 @@
             f"--admin-listen={self.address['admin']}",
             f"--platform=http://{d.platform_for_nodes}",
             f"--peer-secret-file={d.secret_file}", f"--workers={d.workers}",
-            f"--log-level={d.log_level}", "--log-format=json", *seeds, *extra])
+            f"--log-level={d.log_level}", "--log-format=json", *seeds, *d.flags, *extra])
 
     def start_target(self):
         if not self.service:
@@ -115,8 +115,9 @@
     """
 
     def __init__(self, layout, seed=1, workers=1, log_level="info", history=False,
-                 platform_relay=False):
+                 platform_relay=False, flags=()):
         self.layout = layout
+        self.flags = list(flags)  # of all nodes
         self.seed = seed
         self.workers = workers
         self.log_level = log_level
