stop: use the target of a stopping node until its callers have left

What callers saw: while nodes were stopped in turn, requests failed with 500 or 503 for lack of instances of the deepest service, more than the nodes that were really away explain.

Cause: peers were told at once that the target of a stopping node drains, although that node runs on for 2.7 s and more until its callers have left.

Change: a phase before the end of the notice (withdraw) tells peers; until then the target counts as up. In the product's own mode, whose notice is the 1 s meant for the peers, nothing changes.

--- a/admission/stop.c
+++ b/admission/stop.c
@@ -47,8 +47,11 @@
 
 	switch (stop->phase) {
 	case STOP_NOTICE:
+		return stop->hurried || elapsed >= stop->times.withdraw ? STOP_WITHDRAW
+									: STOP_NOTICE;
+	case STOP_WITHDRAW:
 		return stop->hurried || elapsed >= stop->times.notice ? STOP_DRAIN
-								      : STOP_NOTICE;
+								      : STOP_WITHDRAW;
 	case STOP_DRAIN:
 		if (in_flight == 0)
 			return STOP_LEAVE;
@@ -94,6 +97,7 @@
 	case STOP_NONE:
 		return true;
 	case STOP_NOTICE:
+	case STOP_WITHDRAW:
 	case STOP_DRAIN:
 	case STOP_LEAVE:
 		if (stop->hurried)
@@ -109,8 +113,10 @@
 const char *stop_phase_name(stop_phase_t phase)
 {
 	static const char *const names[] = {
-		[STOP_NONE] = "none",	[STOP_NOTICE] = "notice", [STOP_DRAIN] = "finish",
-		[STOP_LEAVE] = "leave", [STOP_CANCEL] = "cancel", [STOP_DONE] = "done",
+		[STOP_NONE] = "none",	      [STOP_NOTICE] = "notice",
+		[STOP_WITHDRAW] = "withdraw", [STOP_DRAIN] = "finish",
+		[STOP_LEAVE] = "leave",	      [STOP_CANCEL] = "cancel",
+		[STOP_DONE] = "done",
 	};
 
 	return names[phase];
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -26,6 +26,7 @@
 #define CONTROL_TICK (100 * USEC_PER_MSEC)
 /* Time for the drain state to reach all peers before the node stops accepting callers. */
 #define DRAIN_NOTICE (1 * USEC_PER_SEC)
+#define PLATFORM_PEER_NOTICE (500 * USEC_PER_MSEC)
 /* The platform's clients stop sending requests after two failed readiness checks, which
  * run once per second. */
 #define PLATFORM_DRAIN_NOTICE (2300 * USEC_PER_MSEC)
@@ -62,27 +63,29 @@
 	log_end(&rec);
 }
 
-static usec_t notice_time(const node_t *node)
-{
-	if (!node->settings->on_platform)
-		return DRAIN_NOTICE;
-	return MIN(PLATFORM_DRAIN_NOTICE, node_bounds(node)->stop_time / 2);
-}
-
-/* Time from the start of a stop until requests in flight are cancelled. */
-static usec_t drain_time(const node_t *node)
+static stop_times_t stop_times(const node_t *node)
 {
 	const settings_t *settings = node->settings;
+	usec_t stop_time = node_bounds(node)->stop_time;
 
 	if (!settings->on_platform)
-		return (usec_t)settings->drain_timeout_sec * USEC_PER_SEC + DRAIN_NOTICE;
-	return DRAIN_PART(node_bounds(node)->stop_time);
+		return (stop_times_t){
+			.notice = DRAIN_NOTICE,
+			.drain = (usec_t)settings->drain_timeout_sec * USEC_PER_SEC +
+				 DRAIN_NOTICE,
+		};
+	usec_t notice = MIN(PLATFORM_DRAIN_NOTICE, stop_time / 2);
+	return (stop_times_t){
+		.withdraw = MAX(notice - PLATFORM_PEER_NOTICE, 0),
+		.notice = notice,
+		.drain = DRAIN_PART(stop_time),
+	};
 }
 
 static void begin_stop(control_t *control)
 {
 	node_t *node = control->node;
-	stop_times_t times = {.notice = notice_time(node), .drain = drain_time(node)};
+	stop_times_t times = stop_times(node);
 
 	pthread_mutex_lock(&node->stop_lock);
 	bool began = stop_begin(node->stop, clock_boot_usec(), &times);
@@ -90,7 +93,6 @@
 	if (!began)
 		return;
 	atomic_store(&node->draining, true);
-	node_update_member(node);
 	if (control->leases)
 		leases_io_release(control->leases);
 	log_phase(node, STOP_NOTICE);
@@ -146,6 +148,10 @@
 static void enter_phase(control_t *control, stop_phase_t phase)
 {
 	log_phase(control->node, phase);
+	if (phase == STOP_WITHDRAW) {
+		atomic_store(&control->node->withdrawn, true);
+		node_update_member(control->node);
+	}
 	if (phase == STOP_CANCEL)
 		cancel_requests(control);
 	if ((phase == STOP_LEAVE || phase == STOP_CANCEL) && !control->left) {
@@ -271,7 +277,10 @@
 	(void)number;
 	(void)count;
 	(void)info;
-	begin_stop(private_data);
+	control_t *control = private_data;
+
+	begin_stop(control);
+	advance_stop(control, clock_boot_usec());
 }
 
 /* Reads certificate and key. On an error the current ones stay in use. */
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -301,10 +301,11 @@
 	pthread_mutex_lock(&node->gate_lock);
 	target = node->target;
 	pthread_mutex_unlock(&node->gate_lock);
-	fields.ready = atomic_load(&node->ready) && !atomic_load(&node->draining);
+	bool withdrawn = atomic_load(&node->withdrawn);
+	fields.ready = atomic_load(&node->ready) && !withdrawn;
 	fields.target = EGRET__TARGET_STATE__TARGET_NONE;
 	if (target.present) {
-		bool draining = target.draining || atomic_load(&node->draining);
+		bool draining = target.draining || withdrawn;
 		g_strlcpy(fields.service, target.last_report.service,
 			  sizeof(fields.service));
 		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING
--- a/include/admission/stop.h
+++ b/include/admission/stop.h
@@ -12,11 +12,11 @@
  *
  * DESCRIPTION
  *	A state machine without I/O. Until the notice time is over, callers and peers
- *	learn of the stop and every request is accepted. After that, a request is
- *	accepted only if its deadline is not later than the end of the drain time, so
- *	that it is not cut. Once no request is in flight, the node leaves the
- *	directory and the process ends. Requests that are still in flight at the end
- *	of the drain time are cancelled.
+ *	learn of the stop and every request is accepted. Peers learn of it later than
+ *	callers, so that the target's capacity is used until then. After that, a request
+ *is accepted only if its deadline is not later than the end of the drain time, so that it
+ *is not cut. Once no request is in flight, the node leaves the directory and the process
+ *ends. Requests that are still in flight at the end of the drain time are cancelled.
  *
  *	An outbound call belongs to a request that the target already runs and that
  *	fails if the call is refused. It is also accepted with a later deadline as
@@ -30,15 +30,18 @@
 
 typedef enum stop_phase {
 	STOP_NONE,
-	STOP_NOTICE, /* all requests are accepted */
-	STOP_DRAIN,  /* requests are accepted that end in time */
-	STOP_LEAVE,  /* as STOP_DRAIN; nothing is in flight, or was at the start */
+	STOP_NOTICE,   /* all requests are accepted; callers learn of the stop */
+	STOP_WITHDRAW, /* as STOP_NOTICE; peers learn that the target gets no more calls
+			*/
+	STOP_DRAIN,    /* requests are accepted that end in time */
+	STOP_LEAVE,    /* as STOP_DRAIN; nothing is in flight, or was at the start */
 	STOP_CANCEL, /* nothing is accepted; what is in flight gets its final response */
 	STOP_DONE,   /* the process may end */
 } stop_phase_t;
 
 /* Since the start of the stop. */
 typedef struct stop_times {
+	usec_t withdraw;
 	usec_t notice;
 	usec_t drain; /* the notice time is part of it */
 } stop_times_t;
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -105,6 +105,7 @@
 	atomic_bool has_node_list; /* the addresses of all nodes are known */
 	atomic_bool has_directory; /* the directory entries of the nodes are known */
 	atomic_bool draining;	   /* the stop sequence has begun */
+	atomic_bool withdrawn;	   /* peers are to send the target no more calls */
 	atomic_uint requests;	   /* HTTP requests and peer calls in flight */
 };
 
--- a/tests/e2e/on_platform_stops.py
+++ b/tests/e2e/on_platform_stops.py
@@ -10,6 +10,8 @@
 STOP_SEC = 6  # setting grace: from SIGTERM to SIGKILL
 # No new callers are accepted from 2.3 s on (PLATFORM_DRAIN_NOTICE in egretscaled/main.c).
 AFTER_NOTICE_SEC = 2.6
+# PLATFORM_DRAIN_NOTICE less PLATFORM_PEER_NOTICE: other nodes send its target no more calls.
+WITHDRAW_SEC = 1.8
 
 
 def case_on_platform_stop_late():
@@ -61,3 +63,20 @@
         caller.join()
         assert results == {"call": 200, "request": 200}, results
         assert d.daemons[0].wait(STOP_SEC) == 0
+
+
+def case_on_platform_stop_capacity():
+    """While callers of a stopping node are still leaving, its target gets calls of other nodes:
+    without them the service has no capacity here, although nothing is gone yet."""
+    with PlatformDeployment() as d:
+        assert d.send("/f/x", node=1)[0] == 200
+        d.daemons[0].send_signal(signal.SIGTERM)
+        start = time.monotonic()
+        statuses = []
+        while time.monotonic() - start < WITHDRAW_SEC - 0.3:
+            statuses.append(d.send("/f/x", node=1)[0])
+            time.sleep(0.05)
+        assert set(statuses) == {200}, statuses
+        time.sleep(max(0, start + WITHDRAW_SEC + 0.3 - time.monotonic()))
+        assert d.send("/f/x", node=1)[0] == 503
+        assert d.daemons[0].wait(STOP_SEC) == 0
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -7,6 +7,7 @@
 
 #define MS USEC_PER_MSEC
 #define START (7 * USEC_PER_SEC)
+#define WITHDRAW (1500 * MS)
 #define NOTICE (2000 * MS)
 #define DRAIN (5000 * MS)
 #define STEPS_MAX 8
@@ -24,7 +25,8 @@
 	step_t steps[STEPS_MAX];
 } phase_case_t;
 
-static const stop_times_t times = {.notice = NOTICE, .drain = DRAIN};
+static const stop_times_t times = {
+	.withdraw = WITHDRAW, .notice = NOTICE, .drain = DRAIN};
 
 static void advance(stop_t *stop, usec_t now, uint32_t in_flight)
 {
@@ -51,7 +53,9 @@
 static const phase_case_t phase_cases[] = {
 	{"idle: the process ends after the notices",
 	 {{0, 0, true, STOP_NOTICE},
-	  {1999, 0, false, STOP_NOTICE},
+	  {1499, 0, false, STOP_NOTICE},
+	  {1500, 0, false, STOP_WITHDRAW},
+	  {1999, 0, false, STOP_WITHDRAW},
 	  {2000, 0, false, STOP_LEAVE},
 	  {2299, 0, false, STOP_LEAVE},
 	  {2300, 0, false, STOP_DONE}}},
@@ -131,7 +135,8 @@
 
 static const accept_case_t accept_cases[] = {
 	{"no stop", -1, 1, 0, 20000, false, true},
-	{"notice: any deadline", 1990, 1, 0, 20000, false, true},
+	{"notice: any deadline", 1490, 1, 0, 20000, false, true},
+	{"withdraw: any deadline", 1990, 1, 0, 20000, false, true},
 	{"drain: the deadline is the end", 2000, 1, 0, 5000, false, true},
 	{"drain: the deadline is after the end", 2000, 1, 0, 5001, false, false},
 	{"drain: late, with a short deadline", 4900, 1, 0, 5000, false, true},
