claims: a stop waits for calls whose caller hung up

What callers saw: a request with an idempotency key whose caller hung up goes on so that its response is stored; if the node was stopped meanwhile, the process ended without waiting for it. The request had run, but each repetition of the key got 409 claim-running, for ever.

Cause: such a call is adopted by the claim and its HTTP request is freed, and a stop waits only for HTTP requests and calls of peers. The call counts now as in flight until its response is stored.

Same class as the requests that were accepted late in a stop: work whose end lies after the end of the process that carries it.

Test: e2e stop_adopted_call; on the code before, the other node answers 409 claim-running. Own mode only; callers send no keys on the platform.

--- a/egretscaled/request/claims_io.c
+++ b/egretscaled/request/claims_io.c
@@ -46,8 +46,10 @@
 {
 	if (--handle->references > 0)
 		return;
-	if (handle->adopted_call)
+	if (handle->adopted_call) {
 		call_destroy(handle->adopted_call);
+		atomic_fetch_sub(&handle->worker->node->requests, 1);
+	}
 	if (handle->response_body)
 		g_byte_array_free(handle->response_body, TRUE);
 	if (handle->response.headers)
--- a/egretscaled/request/claims_response.c
+++ b/egretscaled/request/claims_response.c
@@ -198,6 +198,8 @@
 	handle->adopted_call = request->call;
 	handle->request_number = 0;
 	request->call = NULL;
+	/* A stop waits for the call although its request is freed. */
+	atomic_fetch_add(&request->worker->node->requests, 1);
 	if (handle->response_body) {
 		body_on_readable(handle->adopted_call->reply_body, collect_response,
 				 handle);
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -106,7 +106,7 @@
 	atomic_bool has_directory; /* the directory entries of the nodes are known */
 	atomic_bool draining;	   /* the stop sequence has begun */
 	atomic_bool withdrawn;	   /* peers are to send the target no more calls */
-	atomic_uint requests;	   /* HTTP requests and peer calls in flight */
+	atomic_uint requests; /* HTTP requests, peer calls and adopted calls in flight */
 };
 
 node_t *node_create(settings_t *settings, const node_ops_t *ops, GError **error);
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -30,7 +30,8 @@
     case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
-from stops import case_stop_late_requests, case_stop_unfinished_calls  # noqa: E402,F401
+from stops import (  # noqa: E402,F401
+    case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
 
--- a/tests/e2e/stops.py
+++ b/tests/e2e/stops.py
@@ -1,6 +1,7 @@
 """Planned stops of nodes with the product's own interface."""
 
 import glob
+import http.client
 import json
 import signal
 import threading
@@ -98,3 +99,20 @@
         assert len(mine) == 10, answered
         assert len(answered) > 10, "no call of the other node ended"
         assert set(answered.values()) == {(502, "unknown")}, answered
+
+
+def case_stop_adopted_call():
+    """A request with an idempotency key whose caller hung up goes on so that its response is
+    stored; a stop of the node waits for it. Otherwise the key would stay in use for ever."""
+    with slow_deployment(4000, 15) as d:
+        stopping, other = d.nodes
+        headers = {**KEY_HEADERS, "Idempotency-Key": "k", "X-Test-Id": "k"}
+        caller = http.client.HTTPConnection(stopping.address["caller"], timeout=15)
+        caller.request("POST", "/write/x", headers=headers)
+        d.wait(lambda: started(d) == {"k"}, "the request to run")
+        caller.close()
+        time.sleep(0.2)
+        stopping.process.send_signal(signal.SIGTERM)
+        assert stopping.process.wait(timeout=20) == 0
+        status, got, _ = request("POST", other.address["caller"], "/write/x", b"", headers, 20)
+        assert (status, got["Egret-Outcome"]) == (200, "answered"), (status, dict(got))
