request: drop a request whose client hung up before it was read

Cause: a node notices that a client has closed its connection only while the request is suspended, which it is after the call has been sent. A request that waited unread, here in the listen backlog of a node without free descriptors, was passed on first and cancelled after that.

Change: the connection is polled for a hang-up before a request begins. Reports of targets stay valid.

Test: e2e on_platform_hangup.

--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -292,6 +292,14 @@
 		body_end(request->call->request_body);
 }
 
+/* Whether the client gave up while its request waited to be read. A report of the target
+ * is valid even so. */
+static bool is_abandoned(const http_request_t *request)
+{
+	return request->listener != HTTP_LISTENER_REPORTS && !request->is_target_report &&
+	       mhd_client_hung_up(request->connection);
+}
+
 static enum MHD_Result continue_request(http_request_t *request, const char *data,
 					size_t *data_len)
 {
@@ -303,8 +311,11 @@
 		end_upload(request);
 	bool can_begin = request->body_ended ||
 			 request->buffered_body->len >= HTTP_BUFFERED_BODY_BYTES;
-	if (can_begin && !request->begun && !request->response_ready)
+	if (can_begin && !request->begun && !request->response_ready) {
+		if (is_abandoned(request))
+			return MHD_NO;
 		begin_request(request);
+	}
 	if (request->response_ready && request->body_ended && !request->response_queued)
 		return queue_response(request);
 	if (!http_request_has_work(request))
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -4,6 +4,7 @@
 #include "common/error.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -260,6 +261,13 @@
 		epoll_ctl(loop->hangup_epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 }
 
+bool mhd_client_hung_up(struct MHD_Connection *connection)
+{
+	struct pollfd pollfd = {.fd = connection_fd(connection), .events = POLLRDHUP};
+
+	return poll(&pollfd, 1, 0) > 0;
+}
+
 enum MHD_Result mhd_respond_text(struct MHD_Connection *connection, unsigned int status,
 				 const char *content_type, const char *text)
 {
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -68,6 +68,10 @@
 		    void *ctx);
 void mhd_loop_unwatch(mhd_loop_t *loop, struct MHD_Connection *connection);
 
+/* Whether the client has closed the connection or the connection has failed, also while
+ * bytes of the client are still unread. */
+bool mhd_client_hung_up(struct MHD_Connection *connection);
+
 /* Queues a complete response; text is copied. */
 enum MHD_Result mhd_respond_text(struct MHD_Connection *connection, unsigned int status,
 				 const char *content_type, const char *text);
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -392,6 +392,30 @@
         assert status == 0, f"exit status {status}, the client got {results}"
 
 
+def case_on_platform_hangup():
+    """A request that its client gave up before the node read it does not reach a target."""
+    with PlatformDeployment() as d:
+        host, port = d.listen_address(0, "outbound").split(":")
+        before = [len(target.received) for target in d.targets]
+        connections = [http.client.HTTPConnection(host, int(port), timeout=5) for _ in range(20)]
+        for connection in connections:
+            connection.connect()
+        d.daemons[0].send_signal(signal.SIGSTOP)
+        for n, connection in enumerate(connections):
+            method, path = (("GET", "/f/x"), ("POST", "/f/deep/x"))[n % 2]
+            connection.request(method, path, headers={
+                "Host": "h.example", "Request-Attempt-Id": f"left-{n}", "Deadline-Ms": "2000",
+                "Authorization": "Bearer key-a"})
+            connection.close()
+        time.sleep(0.5)
+        d.daemons[0].send_signal(signal.SIGCONT)
+        time.sleep(0.5)
+        reached = [headers["Request-Attempt-Id"] for target, count in zip(d.targets, before)
+                   for _, _, headers, _ in target.received[count:]]
+        assert not reached, reached
+        assert d.send("/f/x")[0] == 200 and d.send("/f/deep/x", "POST")[0] == 200
+
+
 def case_on_platform_ports():
     """A deployment starts on the ports of one that has ended. A start that fails, here on ports
     in use, leaves no process behind."""
