http: bound callers' connections by the process's descriptors

Callers of a crowded zone got no response, or one long after their deadline: their connections waited in the listen backlog until others closed. Meanwhile the node could not connect to peers either, and took its own target for gone.

Cause: a node keeps every caller's connection open (limit 20000), while a process here may have 4100 descriptors. Clients repeat refused requests on new connections and keep the old ones, so a burst of refusals uses up the descriptors; after EMFILE, libmicrohttpd accepts again only after a connection was closed.

Test: e2e on_platform_descriptors (512 clients, 256 descriptors) timed out waiting for a response on the code without this change and passes with it.

--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -8,11 +8,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define EXIT_USAGE 2
 #define WORKERS_MAX 64
 #define DRAIN_TIMEOUT_MAX_SEC 3600
 #define DRAIN_TIMEOUT_DEFAULT_SEC 30
+/* Limit used if it cannot be read, and the highest one used if it is unlimited. */
+#define DESCRIPTORS_DEFAULT 1024
+#define DESCRIPTORS_LIMIT_MAX 65536
 #define ENVIRONMENT_PREFIX "EGRETSCALE_"
 
 /* Values used if the settings file has none. */
@@ -270,6 +274,15 @@
 	exit(EXIT_USAGE);
 }
 
+static uint32_t descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return DESCRIPTORS_DEFAULT;
+	return (uint32_t)MIN(limit.rlim_cur, DESCRIPTORS_LIMIT_MAX);
+}
+
 settings_t *settings_parse(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -285,6 +298,7 @@
 	parse.settings->zones = g_new0(char *, 1);
 	parse.settings->drain_timeout_sec = DRAIN_TIMEOUT_DEFAULT_SEC;
 	parse.settings->workers = 1;
+	parse.settings->descriptors_max = descriptor_limit();
 	parse.settings->log_level = LOG_LEVEL_INFO;
 	argp_parse(&argp, argc, argv, 0, NULL, &parse);
 	read_environment(&parse);
@@ -314,6 +328,7 @@
 	settings->on_platform = from->on_platform;
 	settings->dialect = from->dialect;
 	settings->bounds = from->bounds;
+	settings->descriptors_max = from->descriptors_max;
 	settings->peer_listen = from->peer_listen;
 	settings->caller_listen = from->caller_listen;
 	settings->admin_listen = from->admin_listen;
--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -12,6 +12,10 @@
 #include <unistd.h>
 
 #define CALLER_IDLE_TIMEOUT_SEC 120
+/* Connections of callers, of a worker's part of the descriptors: open at once, and kept
+ * open after a response. The rest is for targets, peers, the store and files. */
+#define CALLERS_MAX(descriptors) MAX((descriptors) / 2, 1)
+#define CALLERS_KEPT(descriptors) MAX((descriptors) / 4, 1)
 #define CACHED_CONNECTIONS 2000L
 #define ACCEPT_BATCH 32
 #define SWEEP_PERIOD USEC_PER_SEC
@@ -130,6 +134,7 @@
 				      GError **error)
 {
 	node_t *node = worker->node;
+	uint32_t descriptors = node->settings->descriptors_max / node->settings->workers;
 
 	pthread_mutex_lock(&node->config_lock);
 	char *cert = g_strdup(node->tls_cert);
@@ -140,6 +145,8 @@
 		.tls_cert = cert,
 		.tls_key = key,
 		.idle_timeout_sec = CALLER_IDLE_TIMEOUT_SEC,
+		.connections_max = CALLERS_MAX(descriptors),
+		.connections_kept = CALLERS_KEPT(descriptors),
 		.shared_listener = shared_listener,
 	};
 	mhd_loop_t *loop = mhd_loop_create(worker->ev, worker->ev, &options,
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -101,6 +101,8 @@
 	}
 	http_request_dialect(request)->add_outcome_headers(request->outcome,
 							   add_response_header, response);
+	if (mhd_loop_is_crowded(request->loop))
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
 	request->response_queued = true;
 	enum MHD_Result result =
 		MHD_queue_response(request->connection, request->status, response);
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #define HANGUP_EVENTS_MAX 64
-#define CONNECTIONS_MAX 20000
+#define CONNECTIONS_DEFAULT_MAX 20000
 /* Holds the headers of a request and its response. Kept small because libmicrohttpd
  * clears it for each request. */
 #define CONNECTION_MEMORY_BYTES (16u << 10)
@@ -23,6 +23,9 @@
 	struct tevent_timer *timer;
 	struct tevent_immediate *run;
 	bool run_scheduled;
+	unsigned int connections; /* open */
+	unsigned int connections_max;
+	unsigned int connections_kept;
 	int hangup_epoll_fd;
 	int listen_fd;	     /* owned by libmicrohttpd until quiesced, then -1 */
 	GHashTable *watches; /* fd -> watch_t */
@@ -127,7 +130,23 @@
 	return strlen(text);
 }
 
-static struct MHD_Daemon *start_daemon(const mhd_loop_options_t *options, int fd,
+static void handle_connection(void *ctx, struct MHD_Connection *connection,
+			      void **socket_context,
+			      enum MHD_ConnectionNotificationCode code)
+{
+	(void)connection;
+	(void)socket_context;
+	mhd_loop_t *loop = ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		loop->connections++;
+	/* libmicrohttpd listens again only in the run after a connection was closed. */
+	else if (loop->connections-- == loop->connections_max)
+		schedule_run(loop);
+}
+
+static struct MHD_Daemon *start_daemon(mhd_loop_t *loop,
+				       const mhd_loop_options_t *options, int fd,
 				       MHD_AccessHandlerCallback handler,
 				       MHD_RequestCompletedCallback completed, void *ctx)
 {
@@ -146,9 +165,9 @@
 		MHD_OPTION_NOTIFY_COMPLETED, completed, ctx, MHD_OPTION_UNESCAPE_CALLBACK,
 		keep_escaped, NULL, MHD_OPTION_CONNECTION_TIMEOUT,
 		options->idle_timeout_sec, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_ARRAY,
-		options->tls_cert ? tls : none, MHD_OPTION_END);
+		loop->connections_max, MHD_OPTION_NOTIFY_CONNECTION, handle_connection,
+		loop, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+		MHD_OPTION_ARRAY, options->tls_cert ? tls : none, MHD_OPTION_END);
 }
 
 mhd_loop_t *mhd_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
@@ -163,15 +182,21 @@
 
 	if (fd < 0)
 		return NULL;
-	struct MHD_Daemon *daemon = start_daemon(options, fd, handler, completed, ctx);
+	mhd_loop_t *loop = talloc_zero(parent, mhd_loop_t);
+	loop->connections_max = options->connections_max ? options->connections_max
+							 : CONNECTIONS_DEFAULT_MAX;
+	loop->connections_kept = options->connections_kept ? options->connections_kept
+							   : loop->connections_max;
+	struct MHD_Daemon *daemon =
+		start_daemon(loop, options, fd, handler, completed, ctx);
 	if (!daemon) {
 		close(fd);
+		talloc_free(loop);
 		g_set_error(error, EGRET_ERROR, EGRET_ERROR_LIBRARY,
 			    "libmicrohttpd failed to start "
 			    "(with TLS: check certificate and key)");
 		return NULL;
 	}
-	mhd_loop_t *loop = talloc_zero(parent, mhd_loop_t);
 	loop->ev = ev;
 	loop->daemon = daemon;
 	loop->listen_fd = fd;
@@ -219,10 +244,12 @@
 
 unsigned int mhd_loop_connections(const mhd_loop_t *loop)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(loop->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+	return loop->connections;
+}
 
-	return info ? info->num_connections : 0;
+bool mhd_loop_is_crowded(const mhd_loop_t *loop)
+{
+	return loop->connections > loop->connections_kept;
 }
 
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection)
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -63,6 +63,7 @@
 	char *caller_key;
 	uint32_t drain_timeout_sec;
 	uint32_t workers;
+	uint32_t descriptors_max; /* of the process */
 	log_level_t log_level;
 	log_format_t log_format;
 } settings_t;
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -28,6 +28,10 @@
 	const char *tls_key;
 	unsigned int idle_timeout_sec; /* seconds until an idle connection is closed; 0
 					  for never */
+	unsigned int connections_max;  /* open at once; others wait in the listen backlog.
+					  0: 20000 */
+	unsigned int
+		connections_kept; /* above this number the loop is crowded; 0: never */
 	/* If not NULL, the new loop listens on the socket of this one and ignores
 	 * `address`, so that no connection in the backlog is lost when the new loop
 	 * replaces the old one. */
@@ -57,6 +61,10 @@
 /* Number of open connections. */
 unsigned int mhd_loop_connections(const mhd_loop_t *loop);
 
+/* Whether more connections are open than options.connections_kept. Their number falls if
+ * the next responses say "Connection: close". */
+bool mhd_loop_is_crowded(const mhd_loop_t *loop);
+
 /* Resumes a suspended connection and schedules a run of the daemon. */
 void mhd_loop_resume(mhd_loop_t *loop, struct MHD_Connection *connection);
 
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import os
+import resource
 import signal
 import subprocess
 import threading
@@ -25,6 +26,7 @@
 # constants in egretscaled/main.c, PLATFORM_DRAIN_NOTICE (2.3 s) has passed and LEAVE_NOTICE
 # (0.3 s) is almost over; the node exits after it.
 LATE_REQUEST_SEC = 2.57
+MAX_FDS = 256  # setting max_fds, also set as the resource limit of the nodes
 PORTS = ("peer", "outbound", "readiness", "control", "app")
 ROUTE_COLUMNS = ["name", "authority", "prefix", "kind", "timeout", "target_latency", "priority",
                  "backends", "attempts", "public", "service"]
@@ -110,7 +112,7 @@
                 "port_range": [self.base_port, self.base_port + 1], "app_addr": listen["app"],
                 "seeds": [],
                 "provider": {"address": self.relay_addresses.get(i, self.platform_address)},
-                "listen": listen,
+                "listen": listen, "limits": {"max_fds": MAX_FDS},
                 "bounds": {"drain": f"{LEAVE_TIMEOUT_SEC}s", "grace": "6s",
                            "config_apply": f"{CONFIG_APPLY_SEC}s",
                            "quota_window": f"{QUOTA_WINDOW_SEC}s", "quota_overage": QUOTA_OVERAGE,
@@ -172,8 +174,10 @@
         path = self.path(f"settings-{i}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(i), file)
-        return self.spawn(f"node-{i}", [binary("egretscaled"), "--log-format=json", *self.flags],
+        node = self.spawn(f"node-{i}", [binary("egretscaled"), "--log-format=json", *self.flags],
                           env={**os.environ, "EGRETSCALE_SETTINGS": path})
+        resource.prlimit(node.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+        return node
 
     def ready(self, i):
         try:
@@ -416,6 +420,32 @@
         assert d.send("/f/x")[0] == 200 and d.send("/f/deep/x", "POST")[0] == 200
 
 
+def case_on_platform_descriptors():
+    """Clients that keep more connections open than a node has descriptors are all served, and
+    the node still connects to peers and to its target."""
+    with PlatformDeployment() as d:
+        host, port = d.listen_address(0, "outbound").split(":")
+        connections, results = [], []
+        try:
+            for n in range(2 * MAX_FDS):
+                connection = http.client.HTTPConnection(host, int(port), timeout=5)
+                connections.append(connection)
+                method, path = (("GET", "/f/x"), ("POST", "/f/deep/x"))[n % 2]
+                connection.request(method, path, headers={
+                    "Host": "h.example", "Request-Attempt-Id": f"kept-{n}",
+                    "Deadline-Ms": "2000", "Authorization": "Bearer key-a"})
+                response = connection.getresponse()
+                response.read()
+                results.append((response.status, response.headers["Connection"]))
+                d.report_all()
+        finally:
+            for connection in connections:
+                connection.close()
+        assert {status for status, _ in results} == {200}, results
+        kept = sum(header != "close" for _, header in results)
+        assert MAX_FDS / 8 < kept < MAX_FDS / 2, kept
+
+
 def case_on_platform_ports():
     """A deployment starts on the ports of one that has ended. A start that fails, here on ports
     in use, leaves no process behind."""
