--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -446,6 +446,32 @@
         assert MAX_FDS / 8 < kept < MAX_FDS / 2, kept
 
 
+def case_on_platform_exhausted():
+    """A node that has no descriptor for a connection to its target does not take it for gone."""
+    with PlatformDeployment() as d:
+        front, pid, statuses = d.targets[0], d.daemons[0].pid, []
+        host, port = d.listen_address(0, "outbound").split(":")
+        front.delay_sec = 1.0
+        slow = threading.Thread(target=lambda: statuses.append(d.send("/f/slow")[0]))
+        slow.start()  # occupies the kept connection to the target
+        wait_for("the slow request to run", lambda: front.received[-1][1] == "/f/slow", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        connection.connect()
+        time.sleep(0.2)
+        used = {int(name) for name in os.listdir(f"/proc/{pid}/fd")}
+        unused = min(set(range(len(used) + 1)) - used)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (unused, MAX_FDS))
+        connection.request("GET", "/f/y", headers={
+            "Host": "h.example", "Request-Attempt-Id": "y", "Deadline-Ms": "2000",
+            "Authorization": "Bearer key-a"})
+        status = connection.getresponse().status
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+        slow.join()
+        front.delay_sec = 0
+        statuses += [status, d.send("/f/x")[0]]
+        assert statuses == [200, 503, 200], statuses
+
+
 def case_on_platform_ports():
     """A deployment starts on the ports of one that has ended. A start that fails, here on ports
     in use, leaves no process behind."""
