--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -74,6 +74,7 @@
 static bool is_well_formed(const http_request_t *request)
 {
 	if (!path_is_safe(request->path) ||
+	    mhd_response_headers_max(request->connection) == 0 ||
 	    header_is_repeated(request, "Authorization") ||
 	    header_is_repeated(request, "Content-Length") ||
 	    header_is_repeated(request, "Idempotency-Key") ||
--- a/http/headers.c
+++ b/http/headers.c
@@ -42,6 +42,18 @@
 	g_ptr_array_add(headers, header);
 }
 
+size_t headers_bytes(const GPtrArray *headers)
+{
+	size_t bytes = 0;
+
+	for (guint i = 0; headers && i < headers->len; i++) {
+		const header_t *header = headers->pdata[i];
+		bytes += strlen(header->name) + strlen(": ") + strlen(header->value) +
+			 strlen("\r\n");
+	}
+	return bytes;
+}
+
 const char *headers_find(const GPtrArray *headers, const char *name)
 {
 	for (guint i = 0; headers && i < headers->len; i++) {
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -11,9 +11,13 @@
 
 #define HANGUP_EVENTS_MAX 64
 #define CONNECTIONS_DEFAULT_MAX 20000
-/* Holds the headers of a request and its response. Kept small because libmicrohttpd
- * clears it for each request. */
+/* Holds the heads of a request and its response. Kept small because libmicrohttpd clears
+ * it for each request. */
 #define CONNECTION_MEMORY_BYTES (16u << 10)
+/* Reserved for the headers that the node and libmicrohttpd add to a response. */
+#define RESPONSE_HEADERS_EXTRA_BYTES 1024u
+/* What libmicrohttpd allocates for a header, a cookie or an argument. */
+#define HEADER_ENTRY_BYTES 64u
 
 struct mhd_loop {
 	struct tevent_context *ev;
@@ -295,6 +299,24 @@
 	return poll(&pollfd, 1, 0) > 0;
 }
 
+size_t mhd_response_headers_max(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	const char *cookies = MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+							  MHD_HTTP_HEADER_COOKIE);
+	int entries = MHD_get_connection_values(
+		connection, MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
+		NULL, NULL);
+	size_t used = RESPONSE_HEADERS_EXTRA_BYTES + (info ? info->header_size : 0) +
+		      (size_t)entries * HEADER_ENTRY_BYTES;
+
+	/* libmicrohttpd copies the cookies to split them. */
+	if (cookies)
+		used += strlen(cookies);
+	return used < CONNECTION_MEMORY_BYTES ? CONNECTION_MEMORY_BYTES - used : 0;
+}
+
 enum MHD_Result mhd_respond_text(struct MHD_Connection *connection, unsigned int status,
 				 const char *content_type, const char *text)
 {
--- a/include/http/headers.h
+++ b/include/http/headers.h
@@ -21,6 +21,9 @@
 GPtrArray *headers_create(void);
 void headers_add(GPtrArray *headers, const char *name, const char *value);
 
+/* Bytes of the headers in a message. The list may be NULL. */
+size_t headers_bytes(const GPtrArray *headers);
+
 /* Returns the value of the first header of that name, ignoring case, or NULL. The list
  * may be NULL. The value belongs to the list. */
 const char *headers_find(const GPtrArray *headers, const char *name);
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -80,6 +80,10 @@
  * bytes of the client are still unread. */
 bool mhd_client_hung_up(struct MHD_Connection *connection);
 
+/* Bytes that the headers of a response may have, next to the head of the request.
+ * libmicrohttpd closes the connection instead of sending a response with more. */
+size_t mhd_response_headers_max(struct MHD_Connection *connection);
+
 /* Queues a complete response; text is copied. */
 enum MHD_Result mhd_respond_text(struct MHD_Connection *connection, unsigned int status,
 				 const char *content_type, const char *text);
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -472,6 +472,30 @@
         assert statuses == [200, 503, 200], statuses
 
 
+def case_on_platform_heads():
+    """A request that runs gets a complete response, however large the heads of both are: 502 if
+    they do not fit into a connection's memory."""
+    with PlatformDeployment() as d:
+        failures = []
+        for response_bytes in (0, 2000, 4000, 6000, 8000, 10000, 11800):
+            d.report_all()
+            for target in d.targets:
+                target.response = (200, {"X-Filler": "r" * response_bytes})
+            for request_bytes in (0, 2000, 4000, 6000, 8000, 10000, 12000, 14000, 40000):
+                for count in (1, 60):
+                    filler = {f"X-{n}": "h" * (request_bytes // count) for n in range(count)}
+                    before = len(d.targets[1].received)
+                    try:
+                        status = d.send("/f/deep/x", "POST", filler)[0]
+                    except (OSError, http.client.HTTPException):
+                        status = "closed"
+                    ran = len(d.targets[1].received) != before
+                    fits = request_bytes + response_bytes + 80 * count <= 13000
+                    if (ran and status not in (200, 502)) or (fits and status != 200):
+                        failures.append((response_bytes, request_bytes, count, status, ran))
+        assert not failures, failures
+
+
 def case_on_platform_ports():
     """A deployment starts on the ports of one that has ended. A start that fails, here on ports
     in use, leaves no process behind."""
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -23,8 +23,8 @@
 import check  # noqa: E402  pylint: disable=wrong-import-position
 from on_platform import (  # noqa: E402,F401
     case_on_platform_changes, case_on_platform_descriptors, case_on_platform_edge,
-    case_on_platform_exhausted, case_on_platform_hangup, case_on_platform_hurried_stop,
-    case_on_platform_ports, case_on_platform_stop)
+    case_on_platform_exhausted, case_on_platform_hangup, case_on_platform_heads,
+    case_on_platform_hurried_stop, case_on_platform_ports, case_on_platform_stop)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
