--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import os
+import resource
 import signal
 import subprocess
 import threading
@@ -25,6 +26,7 @@
 # constants in egretscaled/main.c, PLATFORM_DRAIN_NOTICE (2.3 s) has passed and LEAVE_NOTICE
 # (0.3 s) is almost over; the node exits after it.
 LATE_REQUEST_SEC = 2.57
+MAX_FDS = 256  # setting max_fds, also set as the resource limit of the nodes
 PORTS = ("peer", "outbound", "readiness", "control", "app")
 ROUTE_COLUMNS = ["name", "authority", "prefix", "kind", "timeout", "target_latency", "priority",
                  "backends", "attempts", "public", "service"]
@@ -118,7 +120,7 @@
                 "port_range": [self.base_port, self.base_port + 1], "app_addr": listen["app"],
                 "seeds": [],
                 "provider": {"address": self.relay_addresses.get(i, self.platform_address)},
-                "listen": listen,
+                "listen": listen, "limits": {"max_fds": MAX_FDS},
                 "bounds": {"drain": f"{LEAVE_TIMEOUT_SEC}s", "grace": "6s",
                            "config_apply": f"{CONFIG_APPLY_SEC}s",
                            "quota_window": f"{QUOTA_WINDOW_SEC}s", "quota_overage": QUOTA_OVERAGE,
@@ -180,8 +182,10 @@
         path = self.path(f"settings-{i}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(i), file)
-        return self.spawn(f"node-{i}", [binary("egretscaled"), "--log-format=json", *self.flags],
+        node = self.spawn(f"node-{i}", [binary("egretscaled"), "--log-format=json", *self.flags],
                           env={**os.environ, "EGRETSCALE_SETTINGS": path})
+        resource.prlimit(node.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+        return node
 
     def ready(self, i):
         try:
@@ -401,6 +405,106 @@
         assert status == 0 and results == [502], f"exit status {status}, the client got {results}"
 
 
+def case_on_platform_hangup():
+    """A request that its client gave up before the node read it does not reach a target."""
+    with PlatformDeployment() as d:
+        host, port = d.listen_address(0, "outbound").split(":")
+        before = [len(target.received) for target in d.targets]
+        connections = [http.client.HTTPConnection(host, int(port), timeout=5) for _ in range(20)]
+        for connection in connections:
+            connection.connect()
+        d.daemons[0].send_signal(signal.SIGSTOP)
+        for n, connection in enumerate(connections):
+            method, path = (("GET", "/f/x"), ("POST", "/f/deep/x"))[n % 2]
+            connection.request(method, path, headers={
+                "Host": "h.example", "Request-Attempt-Id": f"left-{n}", "Deadline-Ms": "2000",
+                "Authorization": "Bearer key-a"})
+            connection.close()
+        time.sleep(0.5)
+        d.daemons[0].send_signal(signal.SIGCONT)
+        time.sleep(0.5)
+        reached = [headers["Request-Attempt-Id"] for target, count in zip(d.targets, before)
+                   for _, _, headers, _ in target.received[count:]]
+        assert not reached, reached
+        assert d.send("/f/x")[0] == 200 and d.send("/f/deep/x", "POST")[0] == 200
+
+
+def case_on_platform_descriptors():
+    """Clients that keep more connections open than a node has descriptors are all served, and
+    the node still connects to peers and to its target."""
+    with PlatformDeployment() as d:
+        host, port = d.listen_address(0, "outbound").split(":")
+        connections, results = [], []
+        try:
+            for n in range(2 * MAX_FDS):
+                connection = http.client.HTTPConnection(host, int(port), timeout=5)
+                connections.append(connection)
+                method, path = (("GET", "/f/x"), ("POST", "/f/deep/x"))[n % 2]
+                connection.request(method, path, headers={
+                    "Host": "h.example", "Request-Attempt-Id": f"kept-{n}",
+                    "Deadline-Ms": "2000", "Authorization": "Bearer key-a"})
+                response = connection.getresponse()
+                response.read()
+                results.append((response.status, response.headers["Connection"]))
+                d.report_all()
+        finally:
+            for connection in connections:
+                connection.close()
+        assert {status for status, _ in results} == {200}, results
+        kept = sum(header != "close" for _, header in results)
+        assert MAX_FDS / 8 < kept < MAX_FDS / 2, kept
+
+
+def case_on_platform_exhausted():
+    """A node that has no descriptor for a connection to its target does not take it for gone."""
+    with PlatformDeployment() as d:
+        front, pid, statuses = d.targets[0], d.daemons[0].pid, []
+        host, port = d.listen_address(0, "outbound").split(":")
+        front.delay_sec = 1.0
+        slow = threading.Thread(target=lambda: statuses.append(d.send("/f/slow")[0]))
+        slow.start()  # occupies the kept connection to the target
+        wait_for("the slow request to run", lambda: front.received[-1][1] == "/f/slow", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        connection.connect()
+        time.sleep(0.2)
+        used = {int(name) for name in os.listdir(f"/proc/{pid}/fd")}
+        unused = min(set(range(len(used) + 1)) - used)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (unused, MAX_FDS))
+        connection.request("GET", "/f/y", headers={
+            "Host": "h.example", "Request-Attempt-Id": "y", "Deadline-Ms": "2000",
+            "Authorization": "Bearer key-a"})
+        status = connection.getresponse().status
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+        slow.join()
+        front.delay_sec = 0
+        statuses += [status, d.send("/f/x")[0]]
+        assert statuses == [200, 503, 200], statuses
+
+
+def case_on_platform_heads():
+    """A request that runs gets a complete response, however large the heads of both are: 502 if
+    they do not fit into a connection's memory."""
+    with PlatformDeployment() as d:
+        failures = []
+        for response_bytes in (0, 2000, 4000, 6000, 8000, 10000, 11800):
+            d.report_all()
+            for target in d.targets:
+                target.response = (200, {"X-Filler": "r" * response_bytes})
+            for request_bytes in (0, 2000, 4000, 6000, 8000, 10000, 12000, 14000, 40000):
+                for count in (1, 60):
+                    filler = {f"X-{n}": "h" * (request_bytes // count) for n in range(count)}
+                    before = len(d.targets[1].received)
+                    try:
+                        status = d.send("/f/deep/x", "POST", filler)[0]
+                    except (OSError, http.client.HTTPException):
+                        status = "closed"
+                    ran = len(d.targets[1].received) != before
+                    fits = request_bytes + response_bytes + 80 * count <= 13000
+                    if (ran and status not in (200, 502)) or (fits and status != 200):
+                        failures.append((response_bytes, request_bytes, count, status, ran))
+        assert not failures, failures
+
+
 def case_on_platform_ports():
     """A deployment starts on the ports of one that has ended. A start that fails, here on ports
     in use, leaves no process behind."""
