membership: probe the unknown seeds at once after the list of addresses was read

Callers saw: after a power loss of all machines while the store refuses some of them, these nodes answer 503 not-ready for 5 s to 14 s, and for 5 s the others serve as separate groups that do not know each other's instances.

Cause: a node without the list of addresses can only be found by its peers. A node that knows one live member probes one random seed every 5 s, so with three informed nodes and 13 others the last is found after a minute.

Change: for 5 s after seeds were added, those without a directory entry are probed one after the other, one per tick. A datagram to an unknown receiver carries no queued updates, since these are sent a limited number of times.

--- a/include/membership/gossip.h
+++ b/include/membership/gossip.h
@@ -15,14 +15,17 @@
  *	period ends, the member is suspected. A suspected member that does not
  *	announce a higher incarnation within GOSSIP_SUSPECT_TIMEOUT is declared dead.
  *
- *	Every datagram carries the sender's configuration revision, queued crash
- *	suspicions, and as many queued directory entries as fit: into
+ *	Every datagram carries the sender's configuration revision and, if the receiver
+ *	has a directory entry, queued crash suspicions and as many queued directory
+ *	entries as fit: into
  *	GOSSIP_DATAGRAM_BYTES for a push, or a lower limit for probes and
  *	acknowledgements (gossip_message.c). An update is also pushed at once to
  *	GOSSIP_FANOUT random members, up to a number of pushes per second. A random
  *	dead member and a random seed that is not a live member are probed
  *	periodically, so that the two sides of a network partition find each other
- *	again.
+ *	again. For the first seconds after seeds were added, those without a directory
+ *	entry are probed one after the other, so that nodes that restarted together
+ *	find each other although only some of them have the seeds.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call, and the
--- a/include/membership/gossip_state.h
+++ b/include/membership/gossip_state.h
@@ -57,7 +57,11 @@
 	const gossip_ops_t *ops;
 	void *ctx;
 	directory_t *directory;
-	GPtrArray *seeds; /* of char * */
+	GPtrArray *seeds;  /* of char * */
+	bool seeds_added;  /* since the last tick */
+	guint next_seed;   /* index at which the search for an unknown one goes on */
+	usec_t seek_until; /* until then a seed without directory entry is probed in
+			      each tick */
 	GRand *rand;
 	GPtrArray *probe_order; /* of char *: members still to be probed in this round */
 	probe_t probe;
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -5,6 +5,9 @@
 
 #define PUSHES_PER_SECOND_MAX 20
 #define HEAL_PERIOD (5 * USEC_PER_SEC)
+/* For this time after seeds were added, those that are unknown are probed in each tick.
+ */
+#define SEEK_TIME (5 * USEC_PER_SEC)
 /* Transmissions saved for each duplicate received: its sender needs no update. */
 #define DUPLICATE_TRANSMISSIONS 2
 #define SUSPICION_LIFETIME (30 * USEC_PER_SEC)
@@ -59,6 +62,7 @@
 	if (g_ptr_array_find_with_equal_func(gossip->seeds, address, g_str_equal, NULL))
 		return;
 	g_ptr_array_add(gossip->seeds, g_strdup(address));
+	gossip->seeds_added = true;
 }
 
 static bool is_live(const member_t *member)
@@ -358,6 +362,21 @@
 			    ++gossip->next_sequence, NULL);
 }
 
+/* Probes the next seed without a directory entry. */
+static void probe_unknown_seed(gossip_t *gossip, usec_t now)
+{
+	for (guint i = 0; i < gossip->seeds->len; i++) {
+		const char *seed =
+			gossip->seeds->pdata[gossip->next_seed++ % gossip->seeds->len];
+
+		if (directory_lookup(gossip->directory, seed))
+			continue;
+		gossip_send(gossip, now, seed, EGRET__GOSSIP_KIND__GOSSIP_PING,
+			    ++gossip->next_sequence, NULL);
+		return;
+	}
+}
+
 static gboolean relay_is_expired(gpointer key, gpointer value, gpointer now)
 {
 	(void)key;
@@ -381,6 +400,11 @@
 		directory_expire(gossip->directory, now, GOSSIP_SUSPECT_TIMEOUT,
 				 handle_member_dead, gossip);
 	}
+	if (gossip->seeds_added)
+		gossip->seek_until = now + SEEK_TIME;
+	gossip->seeds_added = false;
+	if (now < gossip->seek_until)
+		probe_unknown_seed(gossip, now);
 	bool alone = directory_live_count(gossip->directory) < 2;
 	if (now >= gossip->next_heal) {
 		probe_dead_and_seeds(gossip, now);
--- a/membership/gossip_message.c
+++ b/membership/gossip_message.c
@@ -146,7 +146,11 @@
 		add_member(&datagram, self);
 	if (receiver && receiver->state != EGRET__MEMBER_STATE__MEMBER_ALIVE)
 		add_member(&datagram, receiver);
-	add_suspicions(gossip, &datagram, now);
-	add_updates(gossip, &datagram);
+	/* The queued updates are sent a limited number of times, and nothing may be
+	 * running at the address of an unknown receiver. */
+	if (receiver) {
+		add_suspicions(gossip, &datagram, now);
+		add_updates(gossip, &datagram);
+	}
 	gossip->ops->send(gossip->ctx, address, &datagram.message);
 }
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -112,14 +112,14 @@
 static const gossip_ops_t ops = {send_packet, config_revision, handle_newer_revision,
 				 ignore_member, handle_suspicion};
 
-static void start_peer(net_t *net, int i, uint64_t generation)
+static void start_peer_with_seeds(net_t *net, int i, uint64_t generation,
+				  const char *const *seeds)
 {
 	peer_t *peer = &net->peers[i];
 	member_t self = {.node_id = generation * 100 + (uint64_t)i,
 			 .generation = generation,
 			 .ready = true,
 			 .target = EGRET__TARGET_STATE__TARGET_UP};
-	const char *seeds[] = {"127.0.0.1:1000", "127.0.0.1:1001", NULL};
 
 	peer->net = net;
 	peer->index = i;
@@ -132,6 +132,13 @@
 	peer->suspects = suspects_create();
 }
 
+static void start_peer(net_t *net, int i, uint64_t generation)
+{
+	static const char *const seeds[] = {"127.0.0.1:1000", "127.0.0.1:1001", NULL};
+
+	start_peer_with_seeds(net, i, generation, seeds);
+}
+
 static void stop_peer(net_t *net, int i)
 {
 	net->peers[i].down = true;
@@ -291,6 +298,48 @@
 	}
 }
 
+typedef struct list_case {
+	const char *name;
+	int count;
+	int informed; /* peers that know all addresses; the others know none */
+	int unused;   /* addresses without a peer */
+	double loss;
+} list_case_t;
+
+/* After all peers restarted, those that have the list of addresses find all others. */
+static void test_found_without_address_list(void **state)
+{
+	const list_case_t *c = *state;
+	int addresses = c->count + c->unused;
+
+	for (guint32 seed = 1; seed <= 5; seed++) {
+		net_t *net = create_net(c->count, c->loss, seed);
+		char *all[NODES_MAX + 1] = {NULL};
+		const char *none[] = {NULL};
+
+		for (int i = 0; i < addresses; i++) {
+			all[i] = g_strdup_printf("127.0.0.1:%d", 1000 + i);
+			net->peers[i].down = true;
+		}
+		for (int i = 0; i < c->count; i++) {
+			stop_peer(net, i);
+			start_peer_with_seeds(net, i, 2,
+					      i < c->informed ? (const char *const *)all
+							      : none);
+		}
+		run(net, c->loss > 0 ? 4 * USEC_PER_SEC : 3 * USEC_PER_SEC);
+		for (int i = 0; i < c->count; i++) {
+			for (int k = 0; k < c->informed; k++)
+				assert_true(i == k || state_at(net, k, i) == ALIVE);
+			assert_true(directory_live_count(
+					    gossip_directory(net->peers[i].gossip)) >= 2);
+		}
+		for (int i = 0; i < addresses; i++)
+			g_free(all[i]);
+		destroy_net(net);
+	}
+}
+
 static const net_case_t join_cases[] = {
 	{"12 peers, no loss", 12, 0, 5},
 	{"12 peers, 10% loss", 12, 0.1, 5},
@@ -305,6 +354,12 @@
 	{"16 peers, 5% loss: all alive after a partition", 16, 0.05, 3},
 };
 
+static const list_case_t list_cases[] = {
+	{"16 peers, 3 informed: found within 3 s", 16, 3, 0, 0},
+	{"16 peers, 1 informed, 4 unused addresses: found within 3 s", 16, 1, 4, 0},
+	{"16 peers, 2 informed, 5% loss: found within 4 s", 16, 2, 4, 0.05},
+};
+
 /* --- merging: the result does not depend on the order --------------------------- */
 
 typedef struct merge_case {
@@ -393,6 +448,8 @@
 	failed += RUN_CASES("update_propagation", propagation_cases,
 			    test_update_propagation);
 	failed += RUN_CASES("partition_heals", heal_cases, test_partition_heals);
+	failed += RUN_CASES("found_without_address_list", list_cases,
+			    test_found_without_address_list);
 	failed += RUN_CASES("suspicion_spread", suspicion_cases, test_suspicion_spread);
 	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
 	return failed;
