config_poll: read the store again within 1.5 s while the node is not ready

Callers saw: all machines lost power during an outage of the store; 3 s to 5 s after the store was back, 28% of the requests were served.

Cause: after failures the wait for the next read doubles up to 8 s (4 s to 12 s with its jitter), also on a node that serves nothing because it has no configuration.

Change: while the node is not ready, the wait is at most 1.5 s. The function moved to membership/sync, where it has no clock and is tested.

Test: test_peers store_wait; without the bound "a node that is not ready reads the store within 1.5 s after a long outage" fails (4 s).

--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -3,6 +3,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "egretscaled/rates/shares_io.h"
+#include "membership/sync.h"
 
 #include <jansson.h>
 #include <math.h>
@@ -15,8 +16,6 @@
 #define ZONE_WATCHERS 32
 #define WATCH_PAUSE (10 * USEC_PER_MSEC)
 #define START_POLL_INTERVAL (200 * USEC_PER_MSEC)
-#define BACKOFF_BASE (500 * USEC_PER_MSEC)
-#define BACKOFF_MAX (8 * USEC_PER_SEC)
 #define SEED_INTERVAL (300 * USEC_PER_SEC)
 #define SEED_RETRY_INTERVAL (2 * USEC_PER_SEC)
 
@@ -58,11 +57,11 @@
  * Poisson process, and changes reach the other nodes through their peers. */
 static usec_t next_wait(config_poll_t *poll)
 {
-	if (poll->failures > 0) {
-		usec_t span = BACKOFF_BASE << MIN(poll->failures - 1, 4);
-		return (usec_t)((0.5 + random_unit()) * (double)MIN(span, BACKOFF_MAX));
-	}
-	if (!atomic_load(&poll->node->ready))
+	bool ready = atomic_load(&poll->node->ready);
+
+	if (poll->failures > 0)
+		return sync_store_wait(poll->failures, ready, random_unit());
+	if (!ready)
 		return START_POLL_INTERVAL;
 	uint32_t nodes = count_zone_nodes(poll->node);
 	if (nodes <= ZONE_WATCHERS)
--- a/include/membership/sync.h
+++ b/include/membership/sync.h
@@ -8,7 +8,8 @@
 
 /*
  * NAME
- *	sync - schedule of the pulls of directory and configuration from peers
+ *	sync - schedule of the pulls of directory and configuration from peers, and of
+ *	the reads of the store
  *
  * DESCRIPTION
  *	Gossip only carries changes, so a node that joins gets the older state by
@@ -35,6 +36,8 @@
 /* Number of different peers that must have sent their configuration before a node serves
  * while the platform is unreachable. */
 #define SYNC_CONFIG_PEERS 2
+/* Mean wait, at most, before a node that is not ready reads the store again. */
+#define SYNC_STORE_WAIT_NOT_READY USEC_PER_SEC
 
 sync_t *sync_create(usec_t now);
 void sync_destroy(sync_t *sync);
@@ -53,4 +56,10 @@
 /* Whether SYNC_CONFIG_PEERS different peers sent their configuration. */
 bool sync_config_known(const sync_t *sync);
 
+/* The wait before the store is read again after `failures` failures in a row, at least 1:
+ * half to three halves of 0.5 s, doubled with each failure up to 8 s, or up to
+ * SYNC_STORE_WAIT_NOT_READY while the node serves no requests. `uniform` is a random
+ * value in [0, 1). */
+usec_t sync_store_wait(uint32_t failures, bool ready, double uniform);
+
 #endif
--- a/membership/sync.c
+++ b/membership/sync.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 
+#define STORE_WAIT_BASE (500 * USEC_PER_MSEC)
+#define STORE_WAIT_DOUBLINGS_MAX 4
+
 struct sync {
 	usec_t created;
 	usec_t next_pull;
@@ -57,3 +60,12 @@
 {
 	return g_hash_table_size(sync->config_peers) >= SYNC_CONFIG_PEERS;
 }
+
+usec_t sync_store_wait(uint32_t failures, bool ready, double uniform)
+{
+	usec_t span = STORE_WAIT_BASE << MIN(failures - 1, STORE_WAIT_DOUBLINGS_MAX);
+
+	if (!ready)
+		span = MIN(span, SYNC_STORE_WAIT_NOT_READY);
+	return (usec_t)((0.5 + uniform) * (double)span);
+}
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -82,6 +82,31 @@
 	sync_destroy(sync);
 }
 
+typedef struct store_wait_case {
+	const char *name;
+	uint32_t failures;
+	bool ready;
+	usec_t shortest, longest;
+} store_wait_case_t;
+
+static void test_store_wait(void **state)
+{
+	const store_wait_case_t *c = *state;
+
+	assert_int_equal(sync_store_wait(c->failures, c->ready, 0), c->shortest);
+	assert_int_equal(sync_store_wait(c->failures, c->ready, 1), c->longest);
+}
+
+static const store_wait_case_t store_wait_cases[] = {
+	{"first failure", 1, true, SYNC_MS(250), SYNC_MS(750)},
+	{"third failure", 3, true, SYNC_MS(1000), SYNC_MS(3000)},
+	{"long outage", 40, true, SYNC_MS(4000), SYNC_MS(12000)},
+	{"first failure of a node that is not ready", 1, false, SYNC_MS(250),
+	 SYNC_MS(750)},
+	{"a node that is not ready reads the store within 1.5 s after a long outage", 40,
+	 false, SYNC_MS(500), SYNC_MS(1500)},
+};
+
 /* A node without known members contacts a seed. */
 static void test_contact(void **state)
 {
@@ -223,7 +248,9 @@
 
 int main(void)
 {
-	int failed = RUN_CASES("sync", sync_cases, test_sync);
+	int failed = RUN_CASES("store_wait", store_wait_cases, test_store_wait);
+
+	failed += RUN_CASES("sync", sync_cases, test_sync);
 
 	failed += RUN_CASES("single", plain_cases, test_plain);
 	return failed;
