routing: infer the calls of a route from its completed requests

Cause: which calls the requests of a route make is learned only from calls that arrive while requests of one route alone are in flight. The knowledge is lost with the restart, and under load there is no such moment. The node then reports no downstream pressure for the route, its entry nodes shed nothing, so even more requests are in flight.

Change: a call is also inferred for a route if nearly all of its completed requests had one in their time and it was not observed for another route. Observed calls are kept as before.

Test: test_routing learned_calls; its three cases fail without the inference.

Open: while two routes are always in flight and one of them is never observed, a call that is nearly always made within the other's time is inferred for both.

--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -197,10 +197,14 @@
 	pthread_mutex_unlock(&node->gossip_lock);
 }
 
-static void record_success(target_call_t *tc, usec_t now)
+/* The target has run the request and answered it. */
+static void record_completion(target_call_t *tc, usec_t now)
 {
 	node_t *node = tc->worker->node;
 
+	pthread_mutex_lock(&node->router_lock);
+	route_calls_completed(node->outbound_calls, tc->call->route, tc->started_at, now);
+	pthread_mutex_unlock(&node->router_lock);
 	pthread_mutex_lock(&node->suspect_lock);
 	suspects_handle_success(node->suspects, tc->call->context.fingerprint, now);
 	pthread_mutex_unlock(&node->suspect_lock);
@@ -239,7 +243,7 @@
 	if (crashed)
 		record_crash(tc, now);
 	else if (code == CURLE_OK && !refused)
-		record_success(tc, now);
+		record_completion(tc, now);
 	release_gate_slot(tc, now, own_latency(tc, now, summary.outbound_time),
 			  code == CURLE_OK ? outcome : LIMIT_IGNORED, crashed);
 	call_detach(call);
--- a/include/routing/route_calls.h
+++ b/include/routing/route_calls.h
@@ -12,10 +12,13 @@
  *
  * DESCRIPTION
  *	A state machine without I/O, for targets whose outbound calls do not name
- *	the request that they belong to. A call is attributed to a route only if all
- *	requests in flight on the target at that time are of this route. Other calls
- *	only keep what is known: the recorded call of each route in flight. A recorded
- *	call expires ROUTE_CALLS_RETENTION_USEC after it was last seen.
+ *	the request that they belong to. A call is observed for a route if all
+ *	requests in flight on the target at that time are of this route. Under load
+ *	there may be no such time. A call is therefore also inferred for a route if
+ *	nearly all completed requests of the route had one in their time and it was
+ *	not observed for another route. Other calls only keep what is known: the call
+ *	of each route in flight. A call expires ROUTE_CALLS_RETENTION_USEC after it
+ *	was last seen.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
@@ -32,13 +35,16 @@
 void route_calls_begin(route_calls_t *route_calls, const char *route);
 void route_calls_end(route_calls_t *route_calls, const char *route);
 
+/* The target has answered a request of the route that was sent to it at `started`. */
+void route_calls_completed(route_calls_t *route_calls, const char *route, usec_t started,
+			   usec_t now);
+
 /* Records an outbound call of the target: `call_route` is the route of the call,
  * `service` the service that it goes to. */
 void route_calls_record(route_calls_t *route_calls, const char *call_route,
 			const char *service, usec_t now);
 
-/* Calls `fn` once for each route that the requests of `route` call, from the recorded
- * calls that have not expired. */
+/* Calls `fn` once for each route that the requests of `route` are known to call. */
 typedef void (*route_calls_fn)(void *ctx, const char *call_route, const char *service);
 void route_calls_foreach(route_calls_t *route_calls, const char *route, usec_t now,
 			 route_calls_fn fn, void *ctx);
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -451,6 +451,71 @@
 	{"an unknown call is not attributed", false, true, ""},
 };
 
+typedef struct load_case {
+	const char *name;
+	const char *index_caller; /* the call "index" was observed for it; or NULL */
+	const char *expected_read, *expected_book, *expected_upload;
+} load_case_t;
+
+typedef struct load_route {
+	const char *route, *call, *service;
+	int period_ms, offset_ms, duration_ms, call_ms;
+} load_route_t;
+
+/* The state after a restart under load: at all times requests of all routes are in
+ * flight. */
+static void test_calls_learned_under_load(void **state)
+{
+	static const load_route_t load[] = {
+		{"read", "check", "ledger", 30, 0, 100, 20},
+		{"read", "check", "ledger", 30, 15, 130, 60},
+		{"book", "index", "plans", 170, 5, 180, 30},
+		{"upload", NULL, NULL, 55, 10, 60, 0},
+	};
+	const load_case_t *c = *state;
+	route_calls_t *calls = route_calls_create();
+
+	if (c->index_caller) {
+		route_calls_begin(calls, c->index_caller);
+		route_calls_record(calls, "index", "plans", START);
+		route_calls_end(calls, c->index_caller);
+	}
+	for (int ms = 0; ms < 6000; ms++) {
+		usec_t now = START + ms * USEC_PER_MSEC;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(load); i++) {
+			const load_route_t *r = &load[i];
+			int at = ms - r->offset_ms;
+
+			if (at >= 0 && at % r->period_ms == 0)
+				route_calls_begin(calls, r->route);
+			if (r->call && at >= r->call_ms &&
+			    (at - r->call_ms) % r->period_ms == 0)
+				route_calls_record(calls, r->call, r->service, now);
+			if (at < r->duration_ms ||
+			    (at - r->duration_ms) % r->period_ms != 0)
+				continue;
+			route_calls_completed(calls, r->route,
+					      now - r->duration_ms * USEC_PER_MSEC, now);
+			route_calls_end(calls, r->route);
+		}
+	}
+	usec_t end = START + 6 * USEC_PER_SEC;
+	assert_route_calls(calls, "read", end, c->expected_read);
+	assert_route_calls(calls, "book", end, c->expected_book);
+	assert_route_calls(calls, "upload", end, c->expected_upload);
+	route_calls_destroy(calls);
+}
+
+static const load_case_t load_cases[] = {
+	{"calls are inferred from completed requests", NULL, "check>ledger ",
+	 "check>ledger index>plans ", "check>ledger "},
+	{"a call observed for one route stays with it", "book", "check>ledger ",
+	 "check>ledger index>plans ", "check>ledger "},
+	{"a call observed for one route is not inferred for others", "other",
+	 "check>ledger ", "check>ledger ", "check>ledger "},
+};
+
 /* The pressure of a service follows the reports, which lose their weight with age. */
 static void test_service_pressure(void **state)
 {
@@ -548,6 +613,7 @@
 	failed += RUN_CASES("downstream_pressure_by_response_rate", response_rate_cases,
 			    test_pressure_of_few_responses);
 	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
+	failed += RUN_CASES("learned_calls", load_cases, test_calls_learned_under_load);
 	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
 	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
