--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -245,7 +245,7 @@
 
 	/* Sends a reset at once; with SO_LINGER, libmicrohttpd would shut the connection
 	 * down in the regular way before. */
-	connect(connection_fd(connection), &none, sizeof(none));
+	(void)connect(connection_fd(connection), &none, sizeof(none));
 }
 
 void mhd_loop_watch(mhd_loop_t *loop, struct MHD_Connection *connection, mhd_hangup_fn fn,
