--- a/tests/e2e/stops.py
+++ b/tests/e2e/stops.py
@@ -104,7 +104,7 @@
 def case_stop_adopted_call():
     """A request with an idempotency key whose caller hung up goes on so that its response is
     stored; a stop of the node waits for it. Otherwise the key would stay in use for ever."""
-    with slow_deployment(4000, 15) as d:
+    with slow_deployment(2000, 15) as d:
         stopping, other = d.nodes
         headers = {**KEY_HEADERS, "Idempotency-Key": "k", "X-Test-Id": "k"}
         caller = http.client.HTTPConnection(stopping.address["caller"], timeout=15)
