--- a/include/admission/stop.h
+++ b/include/admission/stop.h
@@ -13,10 +13,12 @@
  * DESCRIPTION
  *	A state machine without I/O. Until the notice time is over, callers and peers
  *	learn of the stop and every request is accepted. Peers learn of it later than
- *	callers, so that the target's capacity is used until then. After that, a request
- *is accepted only if its deadline is not later than the end of the drain time, so that it
- *is not cut. Once no request is in flight, the node leaves the directory and the process
- *ends. Requests that are still in flight at the end of the drain time are cancelled.
+ *	callers, so that the target's capacity is used until then.
+ *
+ *	After that, a request is accepted only if its deadline is not later than the
+ *	end of the drain time, so that it is not cut. Once no request is in flight,
+ *	the node leaves the directory and the process ends. Requests that are still in
+ *	flight at the end of the drain time are cancelled.
  *
  *	An outbound call belongs to a request that the target already runs and that
  *	fails if the call is refused. It is also accepted with a later deadline as
