request: a request whose response is being stored may have run

What callers saw: a request with an idempotency key ran, and its deadline passed while its response was being stored: it was answered 504 with outcome not-run. By the code the claim is released too if the store has not begun, so that a repetition of the key would run again (not shown by a run).

Cause: three places (deadline, cancelled outbound call, cancelled at the end of a stop) took a call with a reply for one that did not run. That holds for a reply that states not-run; with a key, the reply of a request that ran stays with it until the response is stored. One function decides it now.

Test: e2e deadline_while_storing; on the code before: 504, Egret-Outcome: not-run.

--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -218,12 +218,11 @@
 	(void)te;
 	(void)when;
 	http_request_t *request = private_data;
-	bool may_have_run = request->call != NULL && !request->call->replied;
+	bool may_have_run = http_request_may_have_run(request);
 
 	request->deadline_timer = NULL;
 	if (may_have_run)
 		http_attempt_end_routing(request, ROUTER_FAILED, NULL);
-	/* A call in flight may have run. */
 	http_request_refuse(request,
 			    may_have_run ? EGRET__OUTCOME__OUTCOME_UNKNOWN
 					 : EGRET__OUTCOME__OUTCOME_NOT_RUN,
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -390,7 +390,7 @@
 
 	for (GList *item = requests; item; item = item->next) {
 		http_request_t *request = item->data;
-		bool may_have_run = request->call && !request->call->replied;
+		bool may_have_run = http_request_may_have_run(request);
 
 		if (!request->aborted && !request->is_target_report)
 			http_request_refuse(request,
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -186,16 +186,24 @@
 	http_request_finish(request);
 }
 
+bool http_request_may_have_run(const http_request_t *request)
+{
+	const call_t *call = request->call;
+
+	return call &&
+	       (!call->replied || call->reply.outcome != EGRET__OUTCOME__OUTCOME_NOT_RUN);
+}
+
 static void cancel_on_worker(worker_t *worker, void *ctx)
 {
 	http_request_t *request = http_request_find(worker, (uint64_t)(uintptr_t)ctx);
 
 	if (!request || request->response_ready)
 		return;
-	bool may_have_run = request->call && !request->call->replied;
 	http_request_refuse(request,
-			    may_have_run ? EGRET__OUTCOME__OUTCOME_UNKNOWN
-					 : EGRET__OUTCOME__OUTCOME_NOT_RUN,
+			    http_request_may_have_run(request)
+				    ? EGRET__OUTCOME__OUTCOME_UNKNOWN
+				    : EGRET__OUTCOME__OUTCOME_NOT_RUN,
 			    EGRET__REASON__REASON_CANCELLED);
 }
 
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -122,6 +122,10 @@
 /* Looks up a request of the worker by its number; NULL if it is over. */
 http_request_t *http_request_find(worker_t *worker, uint64_t number);
 
+/* Whether the current attempt may have run: it is in flight, or its reply does not state
+ * not-run and was not processed or delivered yet. */
+bool http_request_may_have_run(const http_request_t *request);
+
 /* Ends the request without a response of a target: drops its call, if any. No effect if
  * it has an outcome. */
 void http_request_refuse(http_request_t *request, Egret__Outcome outcome,
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -414,6 +414,25 @@
         assert len(ids) == len(set(ids))
 
 
+def case_deadline_while_storing():
+    """A request that ran is not answered as not run if its deadline passes while its response is
+    being stored, and its key stays claimed."""
+    with running_deployment(ONE_SERVICE, history=True) as d:
+        def post(test_id, node):
+            return send(d, "/write/x", node, {**KEY_HEADERS, "Idempotency-Key": "k", "X-Test-Id":
+                                              test_id, "Egret-Timeout-Ms": "1500"}, "POST", b"")
+
+        def started():
+            return [e["id"] for e in check.load(history_files(d)) if e["event"] == "start"]
+        d.platform_fault(slow_ms=900)
+        status, headers, _ = post("first", 0)
+        assert started() == ["first"]
+        assert (status, headers["Egret-Outcome"]) == (504, "unknown"), dict(headers)
+        d.platform_fault()
+        time.sleep(2)
+        assert post("second", 1)[0] == 200 and started() == ["first"], started()
+
+
 # --- Configuration, accounts and tools ---------------------------------------------------
 
 
