config_poll: read the addresses again without waiting for a change of the records

Callers saw: nodes that restart during an outage of the store answer not-ready for up to 6 s after it, although they read the configuration within 1.5 s.

Cause: two waits add up. The addresses are read at the start of a read of the records, at most every 2 s. If the outage ends between the two, the records arrive without the addresses, and the next read is a watch, which waits 4 s for a change of the records.

Change: until the addresses are known, the records are read without waiting, and after a failure the addresses are read again with the next read of the records. Both are paced by the wait after failures in a row.

Test: e2e on_platform_return.

--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -25,6 +25,7 @@
 	struct tevent_context *ev;
 	struct tevent_timer *timer;
 	uint32_t failures;
+	uint32_t seed_failures; /* to read the addresses, in a row */
 	usec_t next_seeds;
 	uint64_t cursor; /* revision that the watch starts from; 0 to read all records */
 	uint32_t generation; /* of the newest watch; replies to earlier ones don't
@@ -58,9 +59,11 @@
 static usec_t next_wait(config_poll_t *poll)
 {
 	bool ready = atomic_load(&poll->node->ready);
+	uint32_t failures =
+		ready ? poll->failures : MAX(poll->failures, poll->seed_failures);
 
-	if (poll->failures > 0)
-		return sync_store_wait(poll->failures, ready, random_unit());
+	if (failures > 0)
+		return sync_store_wait(failures, ready, random_unit());
 	if (!ready)
 		return START_POLL_INTERVAL;
 	uint32_t nodes = count_zone_nodes(poll->node);
@@ -127,6 +130,15 @@
 	schedule(poll, next_wait(poll));
 }
 
+/* A node that is not ready reads the addresses again with its next read of the records.
+ */
+static void record_seeds_failure(config_poll_t *poll)
+{
+	poll->seed_failures++;
+	if (!atomic_load(&poll->node->ready))
+		poll->next_seeds = 0;
+}
+
 static void handle_seeds(void *ctx, uint64_t revision, const store_row_t *rows,
 			 size_t count, const GError *error)
 {
@@ -134,8 +146,11 @@
 	config_poll_t *poll = ctx;
 	node_t *node = poll->node;
 
-	if (error)
+	if (error) {
+		record_seeds_failure(poll);
 		return;
+	}
+	poll->seed_failures = 0;
 	poll->next_seeds = clock_boot_usec() + SEED_INTERVAL;
 	for (size_t i = 0; i < count; i++) {
 		if (rows[i].value)
@@ -169,8 +184,10 @@
 	(void)revision;
 	config_poll_t *poll = ctx;
 
-	if (error && error->code != EGRET_ERROR_NOT_FOUND)
+	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
+		record_seeds_failure(poll);
 		return;
+	}
 	char *key = g_strconcat(NODE_PREFIX, poll->node->address, NULL);
 	json_t *json = json_pack("{s:s}", "zone", poll->node->settings->zone);
 	char *value = json_dumps(json, JSON_COMPACT);
@@ -214,7 +231,11 @@
 	watch->poll = poll;
 	watch->generation = ++poll->generation;
 	exchange_seeds(poll);
-	store_watch(poll->store, RECORD_PREFIX, poll->cursor, handle_changes, watch);
+	/* Without the addresses the records are read without waiting for a change, which
+	 * would delay the next read of the addresses. */
+	uint64_t after = atomic_load(&poll->node->has_node_list) ? poll->cursor : 0;
+
+	store_watch(poll->store, RECORD_PREFIX, after, handle_changes, watch);
 }
 
 static void schedule(config_poll_t *poll, usec_t wait)
--- a/tests/e2e/on_platform_nodes.py
+++ b/tests/e2e/on_platform_nodes.py
@@ -10,6 +10,7 @@
                          QUOTA_SLACK, QUOTA_WINDOW_SEC, INITIAL_NODES, PlatformDeployment,
                          wait_for)
 
+STORE_RETURN_SEC = 2.5  # a node is ready within this time after an outage of the store
 RETURN_TIMEOUT_SEC = 5  # a resumed node gets requests again within this time
 METRICS_PORT = 9464
 LATENCY_OBJECTIVE_SEC = 1  # target_latency of the routes
@@ -193,6 +194,24 @@
             assert set(statuses) == {200} and len(statuses) > 40, set(statuses)
 
 
+def case_on_platform_return():
+    """Nodes that were killed together during an outage of the store serve soon after it ends."""
+    with PlatformDeployment() as d:
+        d.platform_fault(down=True)
+        for daemon in d.daemons:
+            daemon.kill()
+            daemon.wait()
+        d.daemons = [d.start_node(i) for i in range(INITIAL_NODES)]
+        time.sleep(10)  # until the wait between reads of the store no longer grows
+        assert not any(d.ready(i) for i in range(INITIAL_NODES))
+        d.platform_fault()
+        for i in range(INITIAL_NODES):
+            wait_for("a node to be ready", lambda i=i: d.ready(i), STORE_RETURN_SEC)
+        d.report_all()
+        wait_for("requests to be served", lambda: d.send("/f/x")[0] == 200 and
+                 d.send("/f/deep/x", "POST")[0] == 200, RETURN_TIMEOUT_SEC)
+
+
 def case_on_platform_store():
     """Changes take effect on all nodes although the store is unreachable for one node, refuses
     requests above a rate, is slow, or has compacted its change history."""
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -27,7 +27,7 @@
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_frozen,
-    case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_store, case_on_platform_weights)
+    case_on_platform_join, case_on_platform_leave, case_on_platform_limit, case_on_platform_return, case_on_platform_store, case_on_platform_weights)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, http as request, key_record  # noqa: E402
 
