peers: count a call before the stop decides whether to accept it

Found by review: a call of a peer was accepted and counted as in flight after that. The control thread could find no request in flight in between and end the process, which cut the accepted call. Requests of callers are counted when they are created. By reading; not shown by a run.

--- a/egretscaled/peers/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -127,14 +127,16 @@
 			     EGRET__REASON__REASON_BAD_REQUEST);
 		return;
 	}
+	/* Counted first, so that a stop does not end between the two. */
+	atomic_fetch_add(&il->worker->node->requests, 1);
 	if (!node_accepts(il->worker->node, call->context.deadline, false)) {
+		atomic_fetch_sub(&il->worker->node->requests, 1);
 		call_destroy(call);
 		send_refusal(il, wire->attempt, EGRET__OUTCOME__OUTCOME_NOT_RUN,
 			     EGRET__REASON__REASON_DRAINING);
 		return;
 	}
 	counter_add(COUNTER_CALLS_IN, 1);
-	atomic_fetch_add(&il->worker->node->requests, 1);
 	ingress_call_t *ic = g_new0(ingress_call_t, 1);
 	ic->owner = il;
 	ic->worker = il->worker;
