request: start no further attempt once a stop cancels the requests in flight

Cause: between the closing of the gate and the cancelling of the requests, a worker could process the refusal as any other. No attempt starts from the phase cancel on.

Test: e2e stop_waiting_call.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -424,6 +424,16 @@
 	return accepts;
 }
 
+bool node_cancels_requests(node_t *node)
+{
+	if (!atomic_load(&node->draining))
+		return false;
+	pthread_mutex_lock(&node->stop_lock);
+	bool cancels = stop_phase(node->stop) >= STOP_CANCEL;
+	pthread_mutex_unlock(&node->stop_lock);
+	return cancels;
+}
+
 usec_t node_stop_elapsed(node_t *node)
 {
 	pthread_mutex_lock(&node->stop_lock);
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -399,6 +399,7 @@
 	log_failed_attempt(request, reply);
 	if (reply->outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN)
 		request->may_have_run = true;
-	if (!reroute(request, reply) && !schedule_retry(request, reply))
+	if (node_cancels_requests(request->worker->node) ||
+	    (!reroute(request, reply) && !schedule_retry(request, reply)))
 		http_request_refuse(request, reply->outcome, reply->reason);
 }
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -164,6 +164,10 @@
  * arrives now with this deadline. Acquires stop_lock. */
 bool node_accepts(node_t *node, usec_t deadline, bool is_outbound);
 
+/* Whether a stop is so far that requests in flight get their final response and no
+ * further attempt starts. Acquires stop_lock. */
+bool node_cancels_requests(node_t *node);
+
 /* Returns the time since the start of the stop, 0 before. Acquires stop_lock. */
 usec_t node_stop_elapsed(node_t *node);
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -36,7 +36,8 @@
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from stops import (  # noqa: E402,F401
-    case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls)
+    case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls,
+    case_stop_waiting_call)
 # pylint: disable=wrong-import-position
 from deployment import BUILD, HOST, Deployment, binary, http as request, key_record  # noqa: E402
 from raw_target import RawTarget, incomplete_heads  # noqa: E402
--- a/tests/e2e/stops.py
+++ b/tests/e2e/stops.py
@@ -15,7 +15,7 @@
 NOTICE_SEC = 1  # DRAIN_NOTICE in egretscaled/main.c
 
 
-def slow_deployment(service_ms, drain_timeout_sec):
+def slow_deployment(service_ms, drain_timeout_sec, slots=200):
     """Two nodes with a target each that works for `service_ms` and more."""
     class SlowDeployment(Deployment):
         def __enter__(self):
@@ -33,7 +33,7 @@
                 raise
             return self
     layout = {"zones": ["za"], "services": [
-        {"name": "back", "instances": 2, "slots": 200, "service_ms": service_ms}]}
+        {"name": "back", "instances": 2, "slots": slots, "service_ms": service_ms}]}
     return SlowDeployment(layout, history=True, flags=[f"--drain-timeout={drain_timeout_sec}"])
 
 
@@ -68,6 +68,31 @@
             assert result.headers["Retry-After"] and result.headers["Connection"] == "close"
 
 
+def case_stop_waiting_call():
+    """A call that waits at a stopping node's own gate at the end of the drain timeout is answered
+    as not run; it does not start at another instance just before the process ends."""
+    with slow_deployment(60000, 0, slots=1) as d:
+        node = d.nodes[0]
+        answers = []
+
+        def send():
+            status, headers, _ = request("POST", node.address["caller"], "/write/x", b"",
+                                         KEY_HEADERS, 20)
+            answers.append((status, headers["Egret-Outcome"], headers["Egret-Reason"]))
+        threads = [threading.Thread(target=send) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(1)
+        node.process.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        assert node.process.wait(timeout=5) == 0
+        with open(d.logs[node.name], encoding="utf-8") as file:
+            waited = sum('"verdict":"closed"' in line for line in file)
+        assert waited > 0, "no call waited at the node's own gate"
+        assert answers.count((503, "not-run", "draining")) == waited, (waited, answers)
+
+
 def case_stop_unfinished_calls():
     """A node that gives up on requests at the end of its drain timeout answers them: callers, and
     the nodes whose calls its target runs, do not wait for a lost connection to be noticed."""
