http: state that a server refused a connection only if a socket was opened

Callers could still get 503 from a node whose target was sound after one connection could not be opened for lack of descriptors.

Cause: the error number that libcurl reports belongs to the last transfer of the handle that had one, also after curl_easy_reset(). Handles are pooled, so on one that had seen a refused connection, a failure without a socket looked refused as well.

--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -6,7 +6,6 @@
 #include "egretscaled/request/http_request.h"
 #include "egretscaled/request/target_call_state.h"
 
-#include <errno.h>
 #include <string.h>
 
 static void free_target_call(target_call_t *tc)
@@ -211,15 +210,6 @@
 	pthread_mutex_unlock(&node->suspect_lock);
 }
 
-/* Whether the target refused the connection, rather than this node failed to open it. */
-static bool is_refused_connection(const target_call_t *tc, CURLcode code)
-{
-	long error = 0;
-
-	curl_easy_getinfo(tc->easy, CURLINFO_OS_ERRNO, &error);
-	return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
-}
-
 static void finish_failed(target_call_t *tc, CURLcode code)
 {
 	node_t *node = tc->worker->node;
@@ -230,7 +220,7 @@
 	end_inflight_request(tc, now, &summary);
 	if (sent && is_crash(code))
 		record_crash(tc, now);
-	if (is_refused_connection(tc, code) && node->settings->on_platform)
+	if (curl_loop_refused(tc->easy, code) && node->settings->on_platform)
 		node_handle_target_refusal(node);
 	release_gate_slot(tc, now, 1, LIMIT_IGNORED, !sent || is_crash(code));
 	if (!sent)
--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -35,6 +36,7 @@
 	curl_head_fn on_head; /* or NULL */
 	void *on_head_ctx;
 	response_head_t head;
+	bool socket_opened;
 	int request_writes; /* how often curl began to write the request; a second write
 			       is aborted */
 } transfer_t;
@@ -280,6 +282,16 @@
 	return len;
 }
 
+static int handle_socket_opened(void *clientp, curl_socket_t fd, curlsocktype purpose)
+{
+	(void)fd;
+	(void)purpose;
+	transfer_t *transfer = clientp;
+
+	transfer->socket_opened = true;
+	return CURL_SOCKOPT_OK;
+}
+
 curl_loop_t *curl_loop_create(TALLOC_CTX *parent, struct tevent_context *ev,
 			      long max_cached_connections)
 {
@@ -326,6 +338,8 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_opened);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, loop);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, handle_before_request);
@@ -361,6 +375,18 @@
 	release_handle(loop, easy);
 }
 
+bool curl_loop_refused(CURL *easy, CURLcode code)
+{
+	const transfer_t *transfer = transfer_of(easy);
+	long error = 0;
+
+	/* curl keeps the error number of an earlier transfer of the handle. */
+	if (code != CURLE_COULDNT_CONNECT || !transfer->socket_opened)
+		return false;
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+	return error == ECONNREFUSED;
+}
+
 bool curl_loop_request_sent(CURL *easy)
 {
 	const transfer_t *transfer = transfer_of(easy);
--- a/include/http/curl_loop.h
+++ b/include/http/curl_loop.h
@@ -68,6 +68,10 @@
 /* Resumes a transfer that a data callback paused. May be called from any callback. */
 void curl_loop_resume(curl_loop_t *loop, CURL *easy);
 
+/* Whether a transfer that ended with this code found no listener at the address, as
+ * opposed to a failure of this process to open a connection. */
+bool curl_loop_refused(CURL *easy, CURLcode code);
+
 /* Whether any part of the request may have reached the server. */
 bool curl_loop_request_sent(CURL *easy);
 
