node: raise the limit of descriptors to the hard limit at the start

In the product's own mode the usual soft limit is 1024, so that one worker would keep only 256 connections of callers open and end the others with their response, since callers' connections are bounded by the descriptors. Found by review. The bound of 20000 connections of callers stays.

By hand: a node started with a soft limit of 300 has 20000 of 20000 (/proc/PID/limits).

--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -16,7 +16,7 @@
 #define DRAIN_TIMEOUT_DEFAULT_SEC 30
 /* Limit used if it cannot be read, and the highest one used if it is unlimited. */
 #define DESCRIPTORS_DEFAULT 1024
-#define DESCRIPTORS_LIMIT_MAX 65536
+#define DESCRIPTORS_LIMIT_MAX 40000
 #define ENVIRONMENT_PREFIX "EGRETSCALE_"
 
 /* Values used if the settings file has none. */
@@ -274,12 +274,16 @@
 	exit(EXIT_USAGE);
 }
 
-static uint32_t descriptor_limit(void)
+/* Raises the limit of descriptors to what the process may have, and returns it. */
+static uint32_t raise_descriptor_limit(void)
 {
 	struct rlimit limit;
 
 	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
 		return DESCRIPTORS_DEFAULT;
+	struct rlimit raised = {limit.rlim_max, limit.rlim_max};
+	if (setrlimit(RLIMIT_NOFILE, &raised) == 0)
+		limit = raised;
 	return (uint32_t)MIN(limit.rlim_cur, DESCRIPTORS_LIMIT_MAX);
 }
 
@@ -298,7 +302,7 @@
 	parse.settings->zones = g_new0(char *, 1);
 	parse.settings->drain_timeout_sec = DRAIN_TIMEOUT_DEFAULT_SEC;
 	parse.settings->workers = 1;
-	parse.settings->descriptors_max = descriptor_limit();
+	parse.settings->descriptors_max = raise_descriptor_limit();
 	parse.settings->log_level = LOG_LEVEL_INFO;
 	argp_parse(&argp, argc, argv, 0, NULL, &parse);
 	read_environment(&parse);
