--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -1,6 +1,5 @@
 #include "egretscaled/node/node.h"
 
-#include "admission/pressure.h"
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
@@ -472,9 +471,7 @@
 {
 	pressure_search_t *search = ctx;
 	node_t *node = search->node;
-	double own = router_has_usable_instance(node->router, service)
-			     ? router_service_pressure(node->router, service, search->now)
-			     : PRESSURE_NO_CAPACITY;
+	double own = router_service_pressure(node->router, service, search->now);
 	double downstream =
 		backpressure_pressure(node->backpressure, call_route, search->now);
 
--- a/include/admission/pressure.h
+++ b/include/admission/pressure.h
@@ -19,9 +19,6 @@
  *	have the same importance, the highest band applies.
  */
 
-/* Pressure of a service that can run no call: above every band. */
-#define PRESSURE_NO_CAPACITY 2.0
-
 typedef struct importance_range {
 	uint32_t lowest; /* of all configured routes */
 	uint32_t highest;
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -117,10 +117,6 @@
  * out of service or whose node is silent do not count. */
 double router_service_pressure(router_t *router, const char *service, usec_t now);
 
-/* Returns whether the service has an instance whose zone is in service and whose node is
- * not silent; the shed levels are not checked. */
-bool router_has_usable_instance(const router_t *router, const char *service);
-
 const char *router_reason_name(router_reason_t reason);
 
 /* For status output: router_foreach() calls `fn` once for each instance. */
--- a/routing/router.c
+++ b/routing/router.c
@@ -167,11 +167,6 @@
 	return !status || status->in_service;
 }
 
-static bool is_usable(const router_t *router, const instance_t *instance)
-{
-	return zone_in_service(router, instance) && !instance->silent;
-}
-
 /* Returns the share of its capacity that a zone takes now, below 1 after its return to
  * service. */
 static double zone_ramp(const router_t *router, const instance_t *instance, usec_t now)
@@ -380,7 +375,7 @@
 		const instance_t *instance = list->pdata[i];
 		double weight = report_weight(instance, now);
 
-		if (!is_usable(router, instance))
+		if (!zone_in_service(router, instance) || instance->silent)
 			continue;
 		double reported = weight * (instance->report.inflight +
 					    (double)instance->report.queued);
@@ -390,17 +385,6 @@
 	return limit > 0 ? load / limit : 0;
 }
 
-bool router_has_usable_instance(const router_t *router, const char *service)
-{
-	const GPtrArray *list = g_hash_table_lookup(router->services, service);
-
-	for (guint i = 0; list && i < list->len; i++) {
-		if (is_usable(router, list->pdata[i]))
-			return true;
-	}
-	return false;
-}
-
 void router_foreach(router_t *router, usec_t now, router_instance_fn fn, void *ctx)
 {
 	GHashTableIter iter;
