admission: let the admitted share follow the pressure

Cause: the share of requests to admit was a function of the pressure seen now. The queue of a service fills or empties within some 20 ms, its pressure needs ten times as long to the entry, so the share is high while the queue is full and low while it is empty. The bands only suited the pressure while it was understated.

Change: each entry node has a share per route and importance that falls while the pressure is above a target, rises while it is below, and settles where the two are equal. Above 1.5 the share is also reduced at once, for a sudden overload. The target rises with the importance as the bands did; a twentieth is always admitted to see the end of the overload. The `shed` line shows the share.

Tests: test_overload, a simulation of entry nodes, two layers above a deep service, its gates and requests of four calls. The cases of test_admission for the bands are replaced: they fixed the share for a pressure, which now also depends on time.

--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -3,6 +3,7 @@
 
 #include "accounts/shares.h"
 #include "admission/gate.h"
+#include "admission/pressure.h"
 #include "claims/attempts.h"
 #include "config/config.h"
 #include "egretscaled/node/inflight.h"
@@ -87,6 +88,7 @@
 	pthread_mutex_t router_lock;
 	router_t *router;
 	backpressure_t *backpressure;
+	pressure_admission_t *pressure_admission;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
 	GHashTable *retry_budgets;     /* service -> retry_budget_t */
 
