request: deliver and store responses wherever their heads fit

Cause: the check was made when the reply arrived, before it was stored, with too large a reserve, and a head that leaves no room was called malformed.

Change: the check is in queue_response(), the one place that both kinds of responses pass; the reserve is 384 bytes; a head that leaves no room at all gets 413 instead of 400; connections have 20 KiB, so that the 16 KiB of the users' limits leave room for the head of a response.

--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -74,7 +74,6 @@
 static bool is_well_formed(const http_request_t *request)
 {
 	if (!path_is_safe(request->path) ||
-	    mhd_response_headers_max(request->connection) == 0 ||
 	    header_is_repeated(request, "Authorization") ||
 	    header_is_repeated(request, "Content-Length") ||
 	    header_is_repeated(request, "Idempotency-Key") ||
@@ -221,6 +220,8 @@
 	counter_add(COUNTER_REQUESTS, 1);
 	if (!request->headers_valid || !is_well_formed(request))
 		return refuse(request, EGRET__REASON__REASON_BAD_REQUEST);
+	if (mhd_response_headers_max(request->connection) == 0)
+		return refuse(request, EGRET__REASON__REASON_TOO_LARGE);
 	if (!atomic_load(&node->ready) ||
 	    worker_was_paused(request->worker, request->arrived_at))
 		return refuse(request, EGRET__REASON__REASON_NOT_READY);
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -363,13 +363,6 @@
 	log_end(&rec);
 }
 
-/* Whether the response can be sent: its headers have to fit next to the request's. */
-static bool is_deliverable(const http_request_t *request, const call_reply_t *reply)
-{
-	return headers_bytes(reply->headers) <=
-	       mhd_response_headers_max(request->connection);
-}
-
 /* Handles the reply of the call: delivers the response, tries another instance, or
  * refuses the request. */
 static void process_reply(http_request_t *request)
@@ -380,13 +373,6 @@
 	retry_count_return(&request->retries, request->retries_lent,
 			   reply->retries_returned);
 	request->retries_lent = 0;
-	if (reply->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED &&
-	    !is_deliverable(request, reply)) {
-		log_failed_attempt(request, reply);
-		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_UNKNOWN,
-				    EGRET__REASON__REASON_NONE);
-		return;
-	}
 	if (reply->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED) {
 		request->outcome = reply->outcome;
 		request->status = reply->status;
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -104,10 +104,40 @@
 	       atomic_load(&request->worker->node->draining);
 }
 
+static bool response_fits(const http_request_t *request)
+{
+	const GPtrArray *headers = request->response_body ? request->response_headers
+							  : request->call->reply.headers;
+
+	return headers_bytes(headers) <= mhd_response_headers_max(request->connection);
+}
+
+/* Replaces a response whose headers do not fit next to the request's. */
+static void discard_response(http_request_t *request)
+{
+	log_rec_t rec;
+
+	g_clear_pointer(&request->response_body, g_bytes_unref);
+	if (request->call)
+		call_destroy(request->call);
+	request->call = NULL;
+	request->outcome = EGRET__OUTCOME__OUTCOME_UNKNOWN;
+	request->reason = EGRET__REASON__REASON_NONE;
+	refusal_t refusal = http_request_refusal(request);
+	request->status = http_request_dialect(request)->refusal_status(&refusal);
+	log_begin(&rec, LOG_LEVEL_WARN, "oversized");
+	log_str(&rec, "request", request->context.request_id);
+	log_str(&rec, "instance", request->instance);
+	log_end(&rec);
+}
+
 static enum MHD_Result queue_response(http_request_t *request)
 {
 	struct MHD_Response *response;
 
+	if (request->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED &&
+	    !response_fits(request))
+		discard_response(request);
 	if (request->response_body) {
 		gsize len;
 		const uint8_t *data = g_bytes_get_data(request->response_body, &len);
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -14,9 +14,9 @@
 #define CONNECTIONS_DEFAULT_MAX 20000
 /* Holds the heads of a request and its response. Kept small because libmicrohttpd clears
  * it for each request. */
-#define CONNECTION_MEMORY_BYTES (16u << 10)
+#define CONNECTION_MEMORY_BYTES (20u << 10)
 /* Reserved for the headers that the node and libmicrohttpd add to a response. */
-#define RESPONSE_HEADERS_EXTRA_BYTES 1024u
+#define RESPONSE_HEADERS_EXTRA_BYTES 384u
 /* What libmicrohttpd allocates for a header, a cookie or an argument. */
 #define HEADER_ENTRY_BYTES 64u
 
--- a/include/http/response_head.h
+++ b/include/http/response_head.h
@@ -20,8 +20,7 @@
  *	A zeroed response_head_t is valid. response_head_clear() frees the headers.
  */
 
-/* Longest head of a response, with interim responses and trailers: it has to fit into the
- * caller's connection memory (CONNECTION_MEMORY_BYTES in mhd_loop.c). curl alone does not
+/* Longest head of a response, with interim responses and trailers. curl alone does not
  * bound the trailers. */
 #define RESPONSE_HEAD_MAX_BYTES (12u << 10)
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -555,6 +555,20 @@
     assert sum(status == 200 for status, _, _ in results.values()) >= 5, results
 
 
+def case_oversized_stored_response():
+    """A response whose headers do not fit next to those of a large request is stored all the same:
+    a repetition of the key with a small head gets it."""
+    answer = b"HTTP/1.1 200 OK\r\nX-Filler: %s\r\nContent-Length: 2\r\n\r\nok" % (b"r" * 8000)
+    with running_deployment(ONE_INSTANCE) as d:
+        target = use_raw_target(d, lambda r: (answer, True))
+        key = {**KEY_HEADERS, "Idempotency-Key": "k"}
+        large = {**key, "X-Filler": "h" * 14000}
+        assert send(d, "/write/x", 0, large, "POST", b"")[0] == 502
+        status, _, body = send(d, "/write/x", 0, key, "POST", b"")
+        assert (status, body, target.runs("/write/x")) == (200, b"ok", 1), (status, body)
+        assert send(d, "/write/x", 0, large, "POST", b"")[0] == 502
+
+
 def case_crash_request():
     """A request that crashes every target it runs on is refused by all nodes after two
     crashes, before it can crash all instances; other requests are still served."""
