http: leave callers more of the descriptors, and close silent connections sooner in a crowd

Found by review, with trials: with half of the descriptors as the bound, 20 of 20 new callers timed out beside 700 silent connections (own mode, limit 1024), and on the platform with 256 descriptors the target's own outbound calls, which use the same listener, ended as 504 beside 150 silent ones. Silent connections stayed for 120 s.

Change: callers may take three quarters; above three eighths responses end their connection, and connections that are opened then are closed after 20 s without a request. A flood of silent connections beyond three quarters still blocks new ones for 20 s: open.

on_platform_descriptors and on_platform_exhausted pass (2 of 2).

--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -14,8 +14,8 @@
 #define CALLER_IDLE_TIMEOUT_SEC 120
 /* Connections of callers, of a worker's part of the descriptors: open at once, and kept
  * open after a response. The rest is for targets, peers, the store and files. */
-#define CALLERS_MAX(descriptors) MAX((descriptors) / 2, 1)
-#define CALLERS_KEPT(descriptors) MAX((descriptors) / 4, 1)
+#define CALLERS_MAX(descriptors) MAX((descriptors) / 4 * 3, 1)
+#define CALLERS_KEPT(descriptors) MAX((descriptors) / 8 * 3, 1)
 #define CACHED_CONNECTIONS 2000L
 #define ACCEPT_BATCH 32
 #define SWEEP_PERIOD USEC_PER_SEC
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -15,6 +15,8 @@
 /* Holds the heads of a request and its response. Kept small because libmicrohttpd clears
  * it for each request. */
 #define CONNECTION_MEMORY_BYTES (20u << 10)
+/* For connections that are opened while the loop is crowded. */
+#define CROWDED_IDLE_TIMEOUT_SEC 20u
 /* Reserved for the headers that the node and libmicrohttpd add to a response. */
 #define RESPONSE_HEADERS_EXTRA_BYTES 384u
 /* What libmicrohttpd allocates for a header, a cookie or an argument. */
@@ -139,12 +141,16 @@
 			      void **socket_context,
 			      enum MHD_ConnectionNotificationCode code)
 {
-	(void)connection;
 	(void)socket_context;
 	mhd_loop_t *loop = ctx;
 
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		loop->connections++;
+		if (mhd_loop_is_crowded(loop))
+			MHD_set_connection_option(connection,
+						  MHD_CONNECTION_OPTION_TIMEOUT,
+						  CROWDED_IDLE_TIMEOUT_SEC);
+	}
 	/* libmicrohttpd listens again only in the run after a connection was closed. */
 	else if (loop->connections-- == loop->connections_max)
 		schedule_run(loop);
