membership: start the probes of unknown seeds at a random one

Found by review (trial with 6,400 seeds and three nodes): of 68 addresses that each node probes in the first 5 s, 51 were the same ones, since all nodes read the list in the same order and start at its head. So the nodes behind these were not found, and the first ones got a probe from every node.

Unit cases of found_without_address_list pass; no case has more addresses than ticks.

--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -400,8 +400,11 @@
 		directory_expire(gossip->directory, now, GOSSIP_SUSPECT_TIMEOUT,
 				 handle_member_dead, gossip);
 	}
-	if (gossip->seeds_added)
+	if (gossip->seeds_added) {
 		gossip->seek_until = now + SEEK_TIME;
+		/* Nodes that read the same list probe different parts of it. */
+		gossip->next_seed = g_rand_int(gossip->rand);
+	}
 	gossip->seeds_added = false;
 	if (now < gossip->seek_until)
 		probe_unknown_seed(gossip, now);
