node: keep the gate closed once a stop cancels its requests

Found by review, by reading: a report of the target in the last 0.3 s of a stop opened the gate again, so a waiting call could have been run at the very end. Comments of the stop's constants corrected.

--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -26,10 +26,11 @@
 #define CONTROL_TICK (100 * USEC_PER_MSEC)
 /* Time for the drain state to reach all peers before the node stops accepting callers. */
 #define DRAIN_NOTICE (1 * USEC_PER_SEC)
-#define PLATFORM_PEER_NOTICE (500 * USEC_PER_MSEC)
 /* The platform's clients stop sending requests after two failed readiness checks, which
  * run once per second. */
 #define PLATFORM_DRAIN_NOTICE (2300 * USEC_PER_MSEC)
+/* Peers learn of the stop this long before that notice ends. */
+#define PLATFORM_PEER_NOTICE (500 * USEC_PER_MSEC)
 /* Part of the time from SIGTERM to SIGKILL that is available to requests in flight. */
 #define DRAIN_PART(span) ((span) / 6 * 5)
 typedef struct control {
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -204,6 +204,8 @@
 	const target_report_t *last = &node->target.last_report;
 	uint32_t cold_slots = last->slots;
 
+	if (node_cancels_requests(node))
+		return;
 	if (last->cold_slots)
 		cold_slots = service ? service->cold_slots : last->cold_slots;
 	gate_open(node->gate, now, last->slots, cold_slots,
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -23,8 +23,8 @@
 LEAVE_TIMEOUT_SEC = 2  # setting drain: a target's leave takes effect within this time
 QUOTA_WINDOW_SEC, QUOTA_OVERAGE, QUOTA_SLACK = 5, 0.1, 20
 # Delay of the late requests after SIGTERM. The node has no request in flight then. Of the
-# constants in egretscaled/main.c, PLATFORM_DRAIN_NOTICE (2.3 s) has passed and LEAVE_NOTICE
-# (0.3 s) is almost over; the node exits after it.
+# constants, PLATFORM_DRAIN_NOTICE (2.3 s, egretscaled/main.c) has passed and LEAVE_NOTICE (0.3 s,
+# admission/stop.c) is almost over; the node exits after it.
 LATE_REQUEST_SEC = 2.57
 MAX_FDS = 256  # setting max_fds, also set as the resource limit of the nodes
 PORTS = ("peer", "outbound", "readiness", "control", "app")
