--- a/admission/stop.c
+++ b/admission/stop.c
@@ -13,7 +13,7 @@
 	usec_t started;
 	usec_t phase_started;
 	stop_times_t times;
-	bool hurried;
+	bool forced;
 };
 
 stop_t *stop_create(void)
@@ -29,7 +29,7 @@
 bool stop_begin(stop_t *stop, usec_t now, const stop_times_t *times)
 {
 	if (stop->phase != STOP_NONE) {
-		stop->hurried = true;
+		stop->forced = true;
 		return false;
 	}
 	stop->phase = STOP_NOTICE;
@@ -43,15 +43,15 @@
 {
 	usec_t elapsed = now - stop->started;
 	bool notified = now - stop->phase_started >= LEAVE_NOTICE;
-	bool timed_out = stop->hurried || elapsed >= stop->times.drain;
+	bool timed_out = stop->forced || elapsed >= stop->times.drain;
 
 	switch (stop->phase) {
 	case STOP_NOTICE:
-		return stop->hurried || elapsed >= stop->times.withdraw ? STOP_WITHDRAW
-									: STOP_NOTICE;
+		return stop->forced || elapsed >= stop->times.withdraw ? STOP_WITHDRAW
+								       : STOP_NOTICE;
 	case STOP_WITHDRAW:
-		return stop->hurried || elapsed >= stop->times.notice ? STOP_DRAIN
-								      : STOP_WITHDRAW;
+		return stop->forced || elapsed >= stop->times.notice ? STOP_DRAIN
+								     : STOP_WITHDRAW;
 	case STOP_DRAIN:
 		if (in_flight == 0)
 			return STOP_LEAVE;
@@ -59,10 +59,10 @@
 	case STOP_LEAVE:
 		if (in_flight > 0)
 			return timed_out ? STOP_CANCEL : STOP_LEAVE;
-		return stop->hurried || notified ? STOP_DONE : STOP_LEAVE;
+		return stop->forced || notified ? STOP_DONE : STOP_LEAVE;
 	case STOP_CANCEL:
-		return notified || (stop->hurried && in_flight == 0) ? STOP_DONE
-								     : STOP_CANCEL;
+		return notified || (stop->forced && in_flight == 0) ? STOP_DONE
+								    : STOP_CANCEL;
 	default:
 		return stop->phase;
 	}
@@ -100,7 +100,7 @@
 	case STOP_WITHDRAW:
 	case STOP_DRAIN:
 	case STOP_LEAVE:
-		if (stop->hurried)
+		if (stop->forced)
 			return false;
 		if (now < stop->started + stop->times.notice)
 			return true;
--- a/include/admission/stop.h
+++ b/include/admission/stop.h
@@ -51,7 +51,7 @@
 stop_t *stop_create(void);
 void stop_destroy(stop_t *stop);
 
-/* Begins the stop. A second call hurries it: the process ends without waiting for
+/* Begins the stop. A second call forces it: the process ends without waiting for
  * requests in flight or for notices to arrive. Returns whether the stop began. */
 bool stop_begin(stop_t *stop, usec_t now, const stop_times_t *times);
 
--- a/tests/e2e/late_callers.py
+++ b/tests/e2e/late_callers.py
@@ -85,7 +85,7 @@
 
 
 def check_responses(callers, ran, log):
-    """No request that ran went without a response or was told that it did not run, and the node
+    """No request that ran went without a response or was answered as not run, and the node
     cut no request that it had read."""
     unanswered = [r for r in callers.results if r.status is None and r.name in ran]
     assert not unanswered, f"ran without a response: {unanswered}"
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -491,8 +491,8 @@
 
 
 def case_repeated_refusal():
-    """A target writes its refusal again on the connection before its next response. No caller is
-    told not-run for a request that ran."""
+    """A target writes its refusal again on the connection before its next response. No caller
+    gets not-run for a request that ran."""
     refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     refused_on, ran, results = set(), set(), {}
