--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -33,6 +33,7 @@
 #define PLATFORM_PEER_NOTICE (500 * USEC_PER_MSEC)
 /* Part of the time from SIGTERM to SIGKILL that is available to requests in flight. */
 #define DRAIN_PART(span) ((span) / 6 * 5)
+
 typedef struct control {
 	node_t *node;
 	struct tevent_context *ev;
--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -6,6 +6,7 @@
 /* Size of curl's receive buffer. It is below 64 KiB because freeing a block of 64 KiB or
  * more makes malloc() merge all free chunks. */
 #define CURL_BUFFER_BYTES (16L << 10)
+
 static size_t read_request_body(char *buffer, size_t size, size_t count, void *ctx)
 {
 	target_call_t *tc = ctx;
