--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -39,7 +39,8 @@
     case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls,
     case_stop_waiting_call)
 # pylint: disable=wrong-import-position
-from deployment import BUILD, HOST, Deployment, binary, http as request, key_record  # noqa: E402
+from deployment import (  # noqa: E402
+    BUILD, HOST, Deployment, ServingDeployment, binary, http as request, key_record)
 from raw_target import RawTarget, incomplete_heads  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
@@ -79,18 +80,7 @@
 
 def running_deployment(layout=TWO_SERVICES, **options):
     """Returns a context manager of a deployment that accepts requests."""
-    class RunningDeployment(Deployment):
-        def __enter__(self):
-            super().__enter__()
-            try:
-                self.apply(records())
-                self.start_nodes()
-                self.wait(self.keepers_ready, "a keeper of each partition in each zone")
-            except BaseException:
-                self.__exit__()
-                raise
-            return self
-    return RunningDeployment(layout, **options)
+    return ServingDeployment(layout, records(), **options)
 
 
 def send(d, path, node=0, headers=KEY_HEADERS, method="GET", body=None, timeout=20):
--- a/tests/e2e/stops.py
+++ b/tests/e2e/stops.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from deployment import Deployment, http as request, key_record
+from deployment import ServingDeployment, http as request, key_record
 from late_callers import LateCallers, check_responses
 
 KEY_HEADERS = {"Authorization": "Bearer key-a"}
@@ -17,24 +17,15 @@
 
 def slow_deployment(service_ms, drain_timeout_sec, slots=200):
     """Two nodes with a target each that works for `service_ms` and more."""
-    class SlowDeployment(Deployment):
-        def __enter__(self):
-            super().__enter__()
-            try:
-                self.apply([
-                    {"kind": "client_account", "name": "a", "schema_version": 1, "rate": 1000,
-                     "burst": 500}, key_record("a-1", "a", "key-a"),
-                    {"kind": "route", "name": "write", "schema_version": 1, "prefix": "/write",
-                     "service": "back", "importance": 5, "timeout_ms": 20000}])
-                self.start_nodes()
-                self.wait(self.keepers_ready, "a keeper of each partition in each zone")
-            except BaseException:
-                self.__exit__()
-                raise
-            return self
+    records = [
+        {"kind": "client_account", "name": "a", "schema_version": 1, "rate": 1000, "burst": 500},
+        key_record("a-1", "a", "key-a"),
+        {"kind": "route", "name": "write", "schema_version": 1, "prefix": "/write",
+         "service": "back", "importance": 5, "timeout_ms": 20000}]
     layout = {"zones": ["za"], "services": [
         {"name": "back", "instances": 2, "slots": slots, "service_ms": service_ms}]}
-    return SlowDeployment(layout, history=True, flags=[f"--drain-timeout={drain_timeout_sec}"])
+    return ServingDeployment(layout, records, history=True,
+                             flags=[f"--drain-timeout={drain_timeout_sec}"])
 
 
 def started(d):
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -249,6 +249,25 @@
         return json.loads(output)
 
 
+class ServingDeployment(Deployment):
+    """A deployment that has its records, and keepers of all partitions, on entry."""
+
+    def __init__(self, layout, records, **options):
+        super().__init__(layout, **options)
+        self.records = records
+
+    def __enter__(self):
+        super().__enter__()
+        try:
+            self.apply(self.records)
+            self.start_nodes()
+            self.wait(self.keepers_ready, "a keeper of each partition in each zone")
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+
 def key_record(name, account, key):
     digest = hashlib.sha256(key.encode()).hexdigest()
     return {"kind": "key", "name": name, "schema_version": 1, "digest": digest,
