--- a/include/routing/route_calls.h
+++ b/include/routing/route_calls.h
@@ -15,12 +15,10 @@
  *	the request that they belong to. A call is observed for a route if all
  *	requests in flight on the target at that time are of this route. Under load
  *	there may be no such time. A call is therefore also inferred for a route if
- *	nearly all completed requests of the route had one in their time and the
- *	target makes more of these calls than the routes explain that the call was
- *	observed for: each of their requests is taken to make as many as one made
- *	while it was alone. Other calls only keep what is known: the call of each
- *	route in flight. A call expires ROUTE_CALLS_RETENTION_USEC after it was last
- *	seen.
+ *	nearly all completed requests of the route had one in their time and it was
+ *	not observed for another route. Other calls only keep what is known: the call
+ *	of each route in flight. A call expires ROUTE_CALLS_RETENTION_USEC after it
+ *	was last seen.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
--- a/routing/route_calls.c
+++ b/routing/route_calls.c
@@ -7,7 +7,6 @@
 #define SCORE_MAX 16
 #define MISS_COST 4
 #define TARGET_CALLS_MAX 64
-#define COUNTS_HALF_LIFE_USEC (5 * USEC_PER_SEC)
 
 typedef struct outbound_call {
 	char *service;
@@ -15,8 +14,6 @@
 	bool observed; /* while only requests of the route were in flight */
 	bool inferred;
 	uint32_t score;
-	uint32_t completions;	    /* recent ones with the call in their time */
-	uint32_t calls_per_request; /* the most that one request made while alone */
 } outbound_call_t;
 
 typedef struct caller_route {
@@ -28,18 +25,14 @@
 typedef struct target_call_route {
 	char *service;
 	usec_t last_seen;
-	uint32_t count;		 /* recent calls */
-	uint32_t count_observed; /* expected of the routes it was observed for */
-	uint64_t lone_request;
-	uint32_t lone_calls; /* by lone_request while no other was in flight */
+	const caller_route_t *observed_caller; /* the last one, or NULL */
+	usec_t observed_at;
 } target_call_route_t;
 
 struct route_calls {
 	GHashTable *callers;	  /* route -> caller_route_t */
 	GHashTable *target_calls; /* call route -> target_call_route_t */
 	uint32_t active_count;	  /* routes with requests in flight */
-	uint64_t begun_requests;
-	usec_t counts_aged_at;
 };
 
 static void outbound_call_destroy(void *data)
@@ -98,36 +91,14 @@
 	}
 	if (caller->inflight_requests++ == 0)
 		route_calls->active_count++;
-	route_calls->begun_requests++;
-}
-
-/* A request that did not complete has mostly made its calls too. */
-static void count_observed_calls(route_calls_t *route_calls, const caller_route_t *caller)
-{
-	GHashTableIter iter;
-	void *key;
-	void *value;
-
-	g_hash_table_iter_init(&iter, caller->calls);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const outbound_call_t *call = value;
-		target_call_route_t *target_call =
-			g_hash_table_lookup(route_calls->target_calls, key);
-
-		if (call->observed && target_call)
-			target_call->count_observed += MAX(call->calls_per_request, 1);
-	}
 }
 
 void route_calls_end(route_calls_t *route_calls, const char *route)
 {
 	caller_route_t *caller = g_hash_table_lookup(route_calls->callers, route);
 
-	if (!caller || caller->inflight_requests == 0)
-		return;
-	if (--caller->inflight_requests == 0)
+	if (caller && caller->inflight_requests > 0 && --caller->inflight_requests == 0)
 		route_calls->active_count--;
-	count_observed_calls(route_calls, caller);
 }
 
 static bool is_expired(usec_t last_seen, usec_t now)
@@ -153,8 +124,6 @@
 		call->observed = false;
 		call->inferred = false;
 		call->score = 0;
-		call->completions = 0;
-		call->calls_per_request = 0;
 	}
 	call->last_seen = now;
 	return call;
@@ -192,39 +161,13 @@
 				    call);
 	}
 	call->last_seen = now;
-	call->count++;
 	return call;
 }
 
-/* Halves the counts, so that they follow the recent load. */
-static void age_counts(route_calls_t *route_calls, usec_t now)
-{
-	GHashTableIter iter;
-	GHashTableIter calls;
-	void *value;
-
-	if (now - route_calls->counts_aged_at < COUNTS_HALF_LIFE_USEC)
-		return;
-	route_calls->counts_aged_at = now;
-	g_hash_table_iter_init(&iter, route_calls->target_calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		target_call_route_t *target_call = value;
-
-		target_call->count /= 2;
-		target_call->count_observed /= 2;
-	}
-	g_hash_table_iter_init(&iter, route_calls->callers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		g_hash_table_iter_init(&calls, ((caller_route_t *)value)->calls);
-		while (g_hash_table_iter_next(&calls, NULL, &value))
-			((outbound_call_t *)value)->completions /= 2;
-	}
-}
-
 /* The call may belong to any active route: keeps it for those that are known to make it.
  */
 static void refresh_known_calls(route_calls_t *route_calls, const char *call_route,
-				usec_t now)
+				target_call_route_t *target_call, usec_t now)
 {
 	GHashTableIter iter;
 	void *value;
@@ -234,50 +177,39 @@
 		const caller_route_t *caller = value;
 		outbound_call_t *call = g_hash_table_lookup(caller->calls, call_route);
 
-		if (call && caller->inflight_requests > 0 && is_known(call, now))
-			call->last_seen = now;
-	}
-}
-
-/* Returns the number of calls that the only request in flight has made, as far as it was
- * alone. */
-static uint32_t count_lone_call(const route_calls_t *route_calls,
-				target_call_route_t *target_call)
-{
-	if (target_call->lone_request != route_calls->begun_requests) {
-		target_call->lone_request = route_calls->begun_requests;
-		target_call->lone_calls = 0;
+		if (!call || caller->inflight_requests == 0 || !is_known(call, now))
+			continue;
+		call->last_seen = now;
+		if (call->observed && target_call &&
+		    target_call->observed_caller == caller)
+			target_call->observed_at = now;
 	}
-	return ++target_call->lone_calls;
 }
 
 void route_calls_record(route_calls_t *route_calls, const char *call_route,
 			const char *service, usec_t now)
 {
-	age_counts(route_calls, now);
 	caller_route_t *caller = only_active_caller(route_calls);
 	target_call_route_t *target_call =
 		record_target_call(route_calls, call_route, service, now);
 
 	if (!caller) {
-		refresh_known_calls(route_calls, call_route, now);
+		refresh_known_calls(route_calls, call_route, target_call, now);
 		return;
 	}
-	outbound_call_t *call = find_or_add_call(caller, call_route, service, now);
-	call->observed = true;
-	if (!target_call || caller->inflight_requests > 1)
-		return;
-	uint32_t lone_calls = count_lone_call(route_calls, target_call);
-	call->calls_per_request = MAX(call->calls_per_request, lone_calls);
+	find_or_add_call(caller, call_route, service, now)->observed = true;
+	if (target_call) {
+		target_call->observed_caller = caller;
+		target_call->observed_at = now;
+	}
 }
 
-/* Whether the calls are too few to come from each completed request of the route too,
- * beside those of the routes that the call was observed for. */
+/* Whether the call is known to belong to another route. */
 static bool is_explained(const target_call_route_t *target_call,
-			 const outbound_call_t *call)
+			 const caller_route_t *caller, usec_t now)
 {
-	return 2 * (uint64_t)target_call->count <
-	       2 * (uint64_t)target_call->count_observed + call->completions;
+	return target_call->observed_caller && target_call->observed_caller != caller &&
+	       !is_expired(target_call->observed_at, now);
 }
 
 static void update_score(caller_route_t *caller, const char *call_route,
@@ -285,18 +217,20 @@
 			 usec_t now)
 {
 	outbound_call_t *call = g_hash_table_lookup(caller->calls, call_route);
-	bool hit = target_call->last_seen >= started;
 
-	if (hit) {
-		call = find_or_add_call(caller, call_route, target_call->service, now);
-		call->completions++;
-	} else if (!call) {
+	if (is_explained(target_call, caller, now)) {
+		if (call)
+			call->inferred = false;
 		return;
 	}
-	if (hit && (call->observed || !is_explained(target_call, call)))
+	if (target_call->last_seen >= started) {
+		call = find_or_add_call(caller, call_route, target_call->service, now);
 		call->score = MIN(call->score + 1, SCORE_MAX);
-	else
+	} else if (call) {
 		call->score -= MIN(call->score, MISS_COST);
+	} else {
+		return;
+	}
 	if (call->score == SCORE_MAX)
 		call->inferred = true;
 	else if (call->score == 0)
@@ -313,7 +247,6 @@
 
 	if (!caller)
 		return;
-	age_counts(route_calls, now);
 	g_hash_table_iter_init(&iter, route_calls->target_calls);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const target_call_route_t *target_call = value;
