Revert "admission: let the admitted share follow the pressure"

Cause: the share falls to its minimum while all targets are cold and rises by the ratio of target and pressure per second only, which is slow near the target.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -90,7 +90,6 @@
 	node->attempts = attempts_create();
 	node->router = router_create(settings->zone, node_random_id());
 	node->backpressure = backpressure_create();
-	node->pressure_admission = pressure_admission_create();
 	node->outbound_calls = route_calls_create();
 	node->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -113,7 +112,6 @@
 	attempts_destroy(node->attempts);
 	router_destroy(node->router);
 	backpressure_destroy(node->backpressure);
-	pressure_admission_destroy(node->pressure_admission);
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
 	suspects_destroy(node->suspects);
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -261,32 +261,27 @@
 }
 
 /* Decides whether the request is to be shed because of the pressure of the route's
- * service or of the services downstream of it, whichever is higher; writes that pressure
- * and the share of requests that is admitted.
+ * service or of the services downstream of it, whichever is higher; writes that pressure.
  * Outbound calls are exempt, since the requests that they belong to were admitted
  * already. */
-static bool is_shed_by_pressure(const http_request_t *request, double *pressure,
-				double *share)
+static bool is_shed_by_pressure(const http_request_t *request, double *pressure)
 {
 	node_t *node = request->worker->node;
 	usec_t now = clock_boot_usec();
 
 	if (request->from_target)
 		return false;
-	config_t *config = node_config(node);
-	importance_range_t range = *config_importance_range(config);
-	config_unref(config);
 	pthread_mutex_lock(&node->router_lock);
 	double own = router_service_pressure(node->router, request->service, now);
 	double downstream =
 		backpressure_pressure(node->backpressure, request->route, now);
-	*pressure = MAX(own, downstream);
-	*share = pressure_admitted_share(node->pressure_admission, request->route,
-					 request->context.importance, &range, *pressure,
-					 now);
 	pthread_mutex_unlock(&node->router_lock);
-	double draw = (double)(uint32_t)node_random_id() / ((double)UINT32_MAX + 1);
-	return draw >= *share;
+	*pressure = MAX(own, downstream);
+	config_t *config = node_config(node);
+	importance_range_t range = *config_importance_range(config);
+	config_unref(config);
+	double draw = (double)(uint32_t)node_random_id() / (double)UINT32_MAX;
+	return !pressure_admits(*pressure, request->context.importance, &range, draw);
 }
 
 static bool is_shed(http_request_t *request)
@@ -294,14 +289,13 @@
 	node_t *node = request->worker->node;
 	priority_t priority = request_context_priority(&request->context);
 	double pressure = 0;
-	double share = 1;
 
 	pthread_mutex_lock(&node->router_lock);
 	priority_t level =
 		backpressure_level(node->backpressure, request->route, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
 	bool shed_by_pressure = node->settings->dialect->outbound_on_caller_listener &&
-				is_shed_by_pressure(request, &pressure, &share);
+				is_shed_by_pressure(request, &pressure);
 	if (priority < level && !shed_by_pressure)
 		return false;
 	counter_add(COUNTER_REFUSED_SHED, 1);
@@ -314,7 +308,6 @@
 	log_int(&rec, "rank", request->context.rank);
 	log_int(&rec, "level", level);
 	log_int(&rec, "pressure_milli", (int64_t)(pressure * 1000));
-	log_int(&rec, "admitted_milli", (int64_t)(share * 1000));
 	log_end(&rec);
 	return true;
 }
--- a/include/admission/pressure.h
+++ b/include/admission/pressure.h
@@ -1,8 +1,6 @@
 #ifndef EGRET_ADMISSION_PRESSURE_H
 #define EGRET_ADMISSION_PRESSURE_H
 
-#include "common/clock.h"
-
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -11,42 +9,28 @@
  *	pressure - admission on the entry node by the load of the most loaded service
  *
  * DESCRIPTION
- *	A state machine without I/O. The pressure of a service is the number of calls
- *	in flight or queued there, divided by the number that it can run at once: at 1
- *	it is at capacity, above 1 calls are queued.
- *
- *	The entry node admits a share of the requests of each route and importance.
- *	The share falls while the pressure is above a target and rises while it is below,
- *	by the factor of target to pressure in PRESSURE_TIME_CONSTANT_USEC, so that it
- *	settles where the pressure is at the target. The target rises with the
- *	importance, from 1 for the least important routes to 1.3 for the most
- *	important ones, so less important requests are shed first. If all routes have
- *	the same importance, the highest target applies. Above a pressure of 1.5 less than
- *	the share is admitted, down to PRESSURE_SHARE_MIN at 2, where the queue is as long
- *	as the limit. PRESSURE_SHARE_MIN is always admitted, since only admitted requests
- *	show when the pressure falls.
- *
- * THREADS
- *	None of its own; the owner holds one lock around every call.
+ *	The pressure of a service is the number of calls in flight or queued there,
+ *	divided by the number that it can run at once: at 1 it is at capacity, above
+ *	1 calls are queued. The share of requests that a route admits falls
+ *	linearly from 1 to 0 over a band of pressure. The band moves up with the
+ *	importance: from 0.9-1.25 for the least important routes to 1.35-1.7 for the
+ *	most important ones, so that these two do not overlap. So less important
+ *	requests are shed first, and none at a pressure below 0.9. If all routes
+ *	have the same importance, the highest band applies.
  */
 
-#define PRESSURE_TIME_CONSTANT_USEC USEC_PER_SEC
-#define PRESSURE_SHARE_MIN 0.05
-
 typedef struct importance_range {
 	uint32_t lowest; /* of all configured routes */
 	uint32_t highest;
 } importance_range_t;
 
-typedef struct pressure_admission pressure_admission_t;
-
-pressure_admission_t *pressure_admission_create(void);
-void pressure_admission_destroy(pressure_admission_t *admission);
+/* Returns the share of requests to admit, 0 to 1. */
+double pressure_admitted_share(double pressure, uint32_t importance,
+			       const importance_range_t *range);
 
-/* Returns the share of requests to admit, with the pressure seen now. Beyond 4096 routes
- * all requests are admitted. */
-double pressure_admitted_share(pressure_admission_t *admission, const char *route,
-			       uint32_t importance, const importance_range_t *range,
-			       double pressure, usec_t now);
+/* Returns whether one request is admitted; `draw` is a uniform random number in
+ * [0, 1). */
+bool pressure_admits(double pressure, uint32_t importance,
+		     const importance_range_t *range, double draw);
 
 #endif
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -3,7 +3,6 @@
 
 #include "accounts/shares.h"
 #include "admission/gate.h"
-#include "admission/pressure.h"
 #include "admission/stop.h"
 #include "claims/attempts.h"
 #include "config/config.h"
@@ -89,7 +88,6 @@
 	pthread_mutex_t router_lock;
 	router_t *router;
 	backpressure_t *backpressure;
-	pressure_admission_t *pressure_admission;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
 	GHashTable *retry_budgets;     /* service -> retry_budget_t */
 
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -445,54 +445,31 @@
 	const char *name;
 	double pressure;
 	uint32_t importance;
-	usec_t duration; /* of the pressure, after a long time without any */
 	double share_min;
 	double share_max;
 } pressure_case_t;
 
-static double admitted_share(pressure_admission_t *admission, const pressure_case_t *c,
-			     double pressure, usec_t *now, usec_t duration)
-{
-	static const importance_range_t range = {.lowest = 5, .highest = 9};
-	double share = 1;
-
-	for (usec_t end = *now + duration; *now < end; *now += 10 * MSEC)
-		share = pressure_admitted_share(admission, "r", c->importance, &range,
-						pressure, *now);
-	return share;
-}
-
 static void test_pressure(void **state)
 {
 	const pressure_case_t *c = *state;
-	pressure_admission_t *admission = pressure_admission_create();
-	usec_t now = START;
+	static const importance_range_t range = {.lowest = 5, .highest = 9};
+	double share = pressure_admitted_share(c->pressure, c->importance, &range);
 
-	assert_true(admitted_share(admission, c, 0, &now, 10 * USEC_PER_SEC) == 1);
-	double share = admitted_share(admission, c, c->pressure, &now, c->duration);
 	assert_true(share >= c->share_min && share <= c->share_max);
-	assert_true(admitted_share(admission, c, 0, &now, 2 * USEC_PER_SEC) == 1);
-	pressure_admission_destroy(admission);
+	assert_int_equal(pressure_admits(c->pressure, c->importance, &range, 0.0),
+			 share > 0);
+	assert_false(pressure_admits(c->pressure, c->importance, &range, 1.0));
 }
 
-#define SHARE_MIN PRESSURE_SHARE_MIN
-
 static const pressure_case_t pressure_cases[] = {
-	{"pressure: nothing is refused below capacity", 0.99, 5, 60 * USEC_PER_SEC, 1, 1},
-	{"pressure: the least important requests are shed first", 1.25, 5,
-	 30 * USEC_PER_SEC, SHARE_MIN, SHARE_MIN},
-	{"pressure: the most important requests are not shed yet", 1.25, 9,
-	 30 * USEC_PER_SEC, 1, 1},
-	{"pressure: the share of medium importance lies between", 1.25, 7,
-	 3 * USEC_PER_SEC, 0.5, 0.99},
-	{"pressure: nearly everything is shed at a high pressure", 1.8, 9,
-	 30 * USEC_PER_SEC, SHARE_MIN, SHARE_MIN},
-	{"pressure: a quarter is shed after a second with a queue half full", 1.5, 7,
-	 USEC_PER_SEC, 0.7, 0.8},
-	{"pressure: nearly everything is shed at once when the queue is full", 2.0, 9,
-	 10 * MSEC, SHARE_MIN, SHARE_MIN},
-	{"pressure: an importance outside the range is clamped", 1.25, 1,
-	 30 * USEC_PER_SEC, SHARE_MIN, SHARE_MIN},
+	{"pressure: nothing is refused below capacity", 0.89, 5, 1, 1},
+	{"pressure: the least important requests are shed first", 1.2, 5, 0.01, 0.3},
+	{"pressure: the most important requests are not shed yet", 1.2, 9, 1, 1},
+	{"pressure: the share of medium importance lies between", 1.2, 7, 0.5, 1},
+	{"pressure: the least important are all shed before any of the most important",
+	 1.3, 5, 0, 0},
+	{"pressure: everything is shed at a high pressure", 1.8, 9, 0, 0},
+	{"pressure: an importance outside the range is clamped", 1.2, 1, 0.01, 0.3},
 };
 
 /* While starts are rate limited, only the calls that start soon are queued. The others
