--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -77,6 +77,8 @@
 typedef struct watch {
 	config_poll_t *poll;
 	uint32_t generation;
+	usec_t started;
+	uint64_t after; /* the revision that it waits to be exceeded; 0 for a full read */
 } watch_t;
 
 static void apply_rows(config_poll_t *poll, uint64_t revision, const store_row_t *rows,
@@ -92,20 +94,33 @@
 	g_free(config_rows);
 }
 
-/* Counts the watches that failed in a row, for the backoff. Logs the first failure and
- * the first success after failures. */
-static void record_watch_result(config_poll_t *poll, const GError *error)
+static void log_store(const watch_t *watch, const char *change, const GError *error)
 {
 	log_rec_t rec;
 
-	if (error && poll->failures++ == 0)
-		log_failure("watch the platform for records", error);
-	if (error || poll->failures == 0)
-		return;
-	log_begin(&rec, LOG_LEVEL_INFO, "store");
-	log_str(&rec, "change", "regained");
-	log_int(&rec, "failures", poll->failures);
+	log_begin(&rec, error ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "store");
+	log_str(&rec, "change", change);
+	log_int(&rec, "failures", watch->poll->failures);
+	log_int(&rec, "after", (int64_t)watch->after);
+	log_int(&rec, "waited_ms", (clock_boot_usec() - watch->started) / USEC_PER_MSEC);
+	if (error)
+		log_str(&rec, "error", error->message);
 	log_end(&rec);
+}
+
+/* Counts the reads that failed in a row, for the backoff. Logs each failure and the first
+ * success after failures. */
+static void record_watch_result(const watch_t *watch, const GError *error)
+{
+	config_poll_t *poll = watch->poll;
+
+	if (error) {
+		poll->failures++;
+		log_store(watch, "failed", error);
+		return;
+	}
+	if (poll->failures > 0)
+		log_store(watch, "regained", NULL);
 	poll->failures = 0;
 }
 
@@ -116,12 +131,13 @@
 	config_poll_t *poll = watch->poll;
 	bool newest = watch->generation == poll->generation;
 
-	talloc_free(watch);
 	if (!error)
 		apply_rows(poll, revision, rows, count);
+	if (newest)
+		record_watch_result(watch, error);
+	talloc_free(watch);
 	if (!newest)
 		return;
-	record_watch_result(poll, error);
 	if (!error) {
 		poll->cursor = MAX(poll->cursor, revision);
 		atomic_store(&poll->node->has_config, true);
@@ -233,9 +249,9 @@
 	exchange_seeds(poll);
 	/* Without the addresses the records are read without waiting for a change, which
 	 * would delay the next read of the addresses. */
-	uint64_t after = atomic_load(&poll->node->has_node_list) ? poll->cursor : 0;
-
-	store_watch(poll->store, RECORD_PREFIX, after, handle_changes, watch);
+	watch->after = atomic_load(&poll->node->has_node_list) ? poll->cursor : 0;
+	watch->started = clock_boot_usec();
+	store_watch(poll->store, RECORD_PREFIX, watch->after, handle_changes, watch);
 }
 
 static void schedule(config_poll_t *poll, usec_t wait)
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -16,8 +16,13 @@
  *	All functions are safe from any thread.
  */
 
-/* X(id, metric name, metric help text). The metric is egret_<name>_total. */
+/* X(id, metric name, metric help text). The metric is egret_<name>_total. Collectors may
+ * truncate the text, so the counters that explain a lost dependency come first. */
 #define COUNTER_LIST(X)                                                                  \
+	X(CONFIG_CHANGES, "config_changes", "record changes taken into force")           \
+	X(CONFIG_PULLS, "config_pulls", "configuration pulls from peers")                \
+	X(STORE_OPS, "store_operations", "calls to the platform's store")                \
+	X(STORE_FAILURES, "store_failures", "calls to the store that failed")            \
 	X(LOG_DROPPED, "log_lines_dropped", "log lines dropped at the queue's bound")    \
 	X(REQUESTS, "caller_requests", "requests taken from callers")                    \
 	X(ANSWERED, "caller_answered", "answers of targets given to callers")            \
@@ -49,10 +54,6 @@
 	X(LOANS, "loans", "loans granted as keeper")                                     \
 	X(LEASES_WON, "leases_won", "keeper leases acquired")                            \
 	X(LEASES_LOST, "leases_lost", "keeper leases lost or expired")                   \
-	X(CONFIG_CHANGES, "config_changes", "record changes taken into force")           \
-	X(CONFIG_PULLS, "config_pulls", "configuration pulls from peers")                \
-	X(STORE_OPS, "store_operations", "operations sent to the platform")              \
-	X(STORE_FAILURES, "store_failures", "platform operations that failed")           \
 	X(GOSSIP_SENT, "gossip_sent_datagrams", "gossip datagrams sent")                 \
 	X(GOSSIP_SENT_BYTES, "gossip_sent_bytes", "gossip bytes sent")                   \
 	X(GOSSIP_RECEIVED, "gossip_received_datagrams", "gossip datagrams accepted")     \
--- a/store/store.c
+++ b/store/store.c
@@ -65,8 +65,6 @@
 
 static void commit_finish(commit_t *commit, uint64_t revision, const GError *error)
 {
-	if (error)
-		counter_add(COUNTER_STORE_FAILURES, 1);
 	commit->done(commit->ctx, revision, error);
 	for (size_t i = 0; i < commit->count; i++) {
 		g_free((char *)commit->writes[i].key);
