tests: a change after an outage of the store must be in force within its bound

On the code as landed it fails:

silent_retry: in force 2.9 s late (both nodes) silent_connections: in force 2.1 s late (both nodes) refused: in force 0.3 s late (both nodes)

The first is the moment of the incident.

--- /dev/null
+++ b/tests/e2e/on_platform_config.py
@@ -0,0 +1,57 @@
+"""End-to-end cases on when a change of the operator's configuration takes effect on the
+platform's nodes while their store fails."""
+
+import json
+import time
+
+from deployment import http as request
+from on_platform import CONFIG_APPLY_SEC, INITIAL_NODES, PlatformDeployment, wait_for
+
+CONTACT_SEC = 3  # setting contact: the bound of a change holds again this long after an outage
+# Outages: fault, start after a change that ends all watches, duration.
+OUTAGES = {
+    # The watches end, and are sent again, while the store is silent.
+    "silent_retry": ("silent", 0.6, 5.2),
+    # The connections of the watches get no more bytes; new connections work.
+    "silent_connections": ("silent", 0.3, 0.1),
+    "silent_end_of_watch": ("silent", 3.9, 0.3),
+    "refused": ("busy", 0.2, 12.0),
+}
+
+
+def set_fault(d, **faults):
+    assert request("PUT", d.platform_address, "/fault", json.dumps(faults).encode())[0] == 200
+
+
+def accepted(d, key):
+    """Whether each node accepts the key; its request is refused with 503, as no target reports."""
+    return [d.send("/f/x", node=i, headers={"Authorization": f"Bearer {key}"})[0] in (200, 503)
+            for i in range(INITIAL_NODES)]
+
+
+def check_outage(d, name):
+    fault, start, duration = OUTAGES[name]
+    d.configure(accounts=(f"{name}-before",))
+    wait_for("the change before the outage",
+             lambda: all(accepted(d, f"key-{name}-before")), CONFIG_APPLY_SEC)
+    time.sleep(start)
+    set_fault(d, **{fault: True})
+    time.sleep(duration)
+    set_fault(d)
+    end = time.monotonic()
+    d.configure(accounts=(name,))
+    acknowledged = time.monotonic()
+    bound = max(acknowledged + CONFIG_APPLY_SEC, end + CONTACT_SEC)
+    time.sleep(max(0, bound - time.monotonic()))
+    in_force = accepted(d, f"key-{name}")
+    wait_for(f"the change after {name} at last", lambda: all(accepted(d, f"key-{name}")), 20)
+    late = time.monotonic() - bound
+    return [] if all(in_force) else [f"{name}: in force {late:.1f} s late, {in_force}"]
+
+
+def case_on_platform_config_after_outage():
+    """A change that the store acknowledges after it was silent or refused calls is in force at
+    every node within its bound, whatever the node's reads waited for during the outage."""
+    with PlatformDeployment() as d:
+        failures = [failure for name in OUTAGES for failure in check_outage(d, name)]
+        assert not failures, failures
