config_poll: check the store whenever the configuration may be out of date

Cause: a watch waits 4 s for a change and fails after 5 s, and the retry of a failed watch was a watch again. One that is sent to a store which does not respond looks like one that waits. A change ends all watches at once, so all of them failed, and were sent again, in the same half second, and no node had news to pass on. With several failures in a row, a node also waited up to 12 s before it tried again.

Class: what a node learns by waiting, and must act on within a bound, had no bound on the wait. The fix is the time as of which the configuration is known to be complete. Before it is three quarters of config_apply ago, the node reads without waiting for a change; such a check fails after half of config_apply. After a failure there is no watch before a check succeeded. Peers report the age of their evidence with their revision (a field of each datagram, also of demand reports), and evidence that is new by three eighths of config_apply is pushed to four members, so that one node's check serves the others. Watches wait 3 to 4 s at random, so that they do not stay in step after a change.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -3,6 +3,7 @@
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "config/freshness.h"
 #include "egretscaled/node/accounts.h"
 
 #include "platform/store.h"
@@ -267,6 +268,24 @@
 	pthread_mutex_unlock(&node->gossip_lock);
 }
 
+bool node_confirm_config(node_t *node, usec_t as_of)
+{
+	usec_t step = freshness_step(node_bounds(node)->config_apply_time);
+
+	if (as_of <= atomic_load(&node->config_as_of))
+		return false;
+	atomic_store(&node->config_as_of, as_of);
+	if (as_of - node->config_as_of_sent < step)
+		return false;
+	node->config_as_of_sent = as_of;
+	return true;
+}
+
+usec_t node_config_as_of(const node_t *node)
+{
+	return atomic_load(&node->config_as_of);
+}
+
 void node_check_ready(node_t *node)
 {
 	config_t *config = node_config(node);
--- a/egretscaled/peers/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -66,6 +66,16 @@
 	pull_request(node, address);
 }
 
+static usec_t own_config_as_of(void *ctx)
+{
+	return node_config_as_of(ctx);
+}
+
+static bool handle_config_confirmed(void *ctx, usec_t as_of)
+{
+	return node_confirm_config(ctx, as_of);
+}
+
 static void log_member(const member_t *member)
 {
 	static const char *const states[] = {"alive", "suspect", "dead", "left"};
@@ -111,6 +121,8 @@
 	static const gossip_ops_t ops = {
 		.send = send_datagram,
 		.config_revision = own_config_revision,
+		.config_as_of = own_config_as_of,
+		.on_config_confirmed = handle_config_confirmed,
 		.on_newer_config = handle_newer_config,
 		.on_member = handle_member,
 		.on_suspicion = handle_suspicion,
@@ -137,13 +149,14 @@
 	}
 	counter_add(COUNTER_GOSSIP_RECEIVED, 1);
 	counter_add(COUNTER_GOSSIP_RECEIVED_BYTES, len);
-	if (message->kind > EGRET__GOSSIP_KIND__GOSSIP_NEWS) {
+	bool is_gossip = message->kind <= EGRET__GOSSIP_KIND__GOSSIP_NEWS;
+	if (!is_gossip)
 		node->ops->on_message(node, message);
-		egret__gossip__free_unpacked(message, NULL);
-		return;
-	}
 	pthread_mutex_lock(&node->gossip_lock);
-	gossip_receive(node->gossip, clock_boot_usec(), message);
+	if (is_gossip)
+		gossip_receive(node->gossip, clock_boot_usec(), message);
+	else
+		gossip_receive_config(node->gossip, clock_boot_usec(), message);
 	pthread_mutex_unlock(&node->gossip_lock);
 	egret__gossip__free_unpacked(message, NULL);
 }
--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -92,6 +92,7 @@
 	shares_collect_demands(node->shares, now, add_demand, &list);
 	message.kind = EGRET__GOSSIP_KIND__GOSSIP_DEMAND;
 	message.sender = node->address;
+	gossip_add_config(node->gossip, now, &message);
 	do {
 		guint count = MIN(list.accounts->len - from, DATAGRAM_DEMANDS_MAX);
 		message.n_demand_accounts = message.n_demand_centi = count;
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -22,6 +22,8 @@
 	X(CONFIG_CHANGES, "config_changes", "record changes taken into force")           \
 	X(CONFIG_PULLS, "config_pulls", "configuration pulls from peers")                \
 	X(STORE_OPS, "store_operations", "calls to the platform's store")                \
+	X(STORE_WATCHES, "store_watches", "reads of the records that wait for a change") \
+	X(STORE_CHECKS, "store_checks", "reads of the records that do not wait")         \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")            \
 	X(LOG_DROPPED, "log_lines_dropped", "log lines dropped at the queue's bound")    \
 	X(REQUESTS, "caller_requests", "requests taken from callers")                    \
--- a/include/egretscaled/control/config_poll.h
+++ b/include/egretscaled/control/config_poll.h
@@ -14,8 +14,11 @@
  * DESCRIPTION
  *	The nodes of a small zone watch the records without a break. In a larger
  *	zone each node waits a random time between two watches, so that the zone
- *	starts about ZONE_POLLS_PER_SECOND watches in all. A node that is not ready
- *	polls more often. Failures back off with jitter. Also writes this node's
+ *	starts about ZONE_POLLS_PER_SECOND watches in all. Beside the watch, a node
+ *	reads the records without waiting for a change (a check) whenever it has had no
+ *	evidence for some time that its configuration is current (config/freshness).
+ *	After a failed read it makes only checks until one succeeds, with backoff as
+ *	long as peers supply the evidence. Also writes this node's
  *	address as the row node/ADDRESS and reads these rows of the other nodes as
  *	seeds.
  *
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -70,6 +70,10 @@
 	pthread_mutex_t config_lock;
 	config_log_t *config_log;
 	config_t *config;
+	/* The configuration is known to hold every change acknowledged until then; 0 if
+	 * that is not known. Not guarded by config_lock. */
+	_Atomic usec_t config_as_of;
+	usec_t config_as_of_sent; /* of the evidence last sent to peers; control thread */
 
 	pthread_mutex_t account_lock;
 	struct accounts *accounts;
@@ -133,6 +137,13 @@
 void node_apply_config(node_t *node, const node_config_row_t *rows, size_t count,
 		       uint64_t revision, const char *source);
 
+/* The configuration is known to hold every change acknowledged until `as_of`. Returns
+ * whether peers should be sent this evidence now. Control thread. */
+bool node_confirm_config(node_t *node, usec_t as_of);
+
+/* Returns the newest `as_of`, or 0. Any thread. */
+usec_t node_config_as_of(const node_t *node);
+
 /* Sets `ready` once configuration, node addresses and directory are known. Control
  * thread. */
 void node_check_ready(node_t *node);
--- a/include/membership/gossip.h
+++ b/include/membership/gossip.h
@@ -15,7 +15,8 @@
  *	period ends, the member is suspected. A suspected member that does not
  *	announce a higher incarnation within GOSSIP_SUSPECT_TIMEOUT is declared dead.
  *
- *	Every datagram carries the sender's configuration revision and, if the receiver
+ *	Every datagram carries the sender's configuration revision, the age of the
+ *	evidence that it is current (config/freshness) and, if the receiver
  *	has a directory entry, queued crash suspicions and as many queued directory
  *	entries as fit: into
  *	GOSSIP_DATAGRAM_BYTES for a push, or a lower limit for probes and
@@ -45,6 +46,12 @@
 typedef struct gossip_ops {
 	void (*send)(void *ctx, const char *address, const Egret__Gossip *message);
 	uint64_t (*config_revision)(void *ctx);
+	/* The time as of which this node's configuration is known to be complete; 0 if it
+	 * is not known. */
+	usec_t (*config_as_of)(void *ctx);
+	/* A peer's evidence: this node's configuration was complete at `as_of`. Returns
+	 * whether peers should be sent it now. */
+	bool (*on_config_confirmed)(void *ctx, usec_t as_of);
 	/* The node at `address` has a newer configuration than this node. */
 	void (*on_newer_config)(void *ctx, const char *address, uint64_t revision);
 	/* The directory entry of a member changed, or this node refuted a newer entry for
@@ -72,6 +79,13 @@
 void gossip_tick(gossip_t *gossip, usec_t now);
 void gossip_receive(gossip_t *gossip, usec_t now, const Egret__Gossip *message);
 
+/* Adds this node's configuration revision and the age of its evidence to a message. */
+void gossip_add_config(gossip_t *gossip, usec_t now, Egret__Gossip *message);
+
+/* Evaluates the sender's configuration revision and the age of its evidence, in a message
+ * of any kind. */
+void gossip_receive_config(gossip_t *gossip, usec_t now, const Egret__Gossip *message);
+
 /* Merges one received directory entry and pushes it to others if it is new. */
 void gossip_merge(gossip_t *gossip, usec_t now, const member_t *member);
 
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -20,9 +20,6 @@
  */
 
 #define STORE_TIMEOUT_MS 1000L
-/* How long the platform may hold a watch open without a change. A watch without a
- * response fails after this time plus STORE_TIMEOUT_MS. */
-#define STORE_LONG_POLL_MS 4000L
 
 typedef enum record_source {
 	RECORD_SOURCE_ROWS,	       /* rows under record/ */
--- a/include/store/store.h
+++ b/include/store/store.h
@@ -1,6 +1,8 @@
 #ifndef EGRET_STORE_STORE_H
 #define EGRET_STORE_STORE_H
 
+#include "common/clock.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -61,13 +63,19 @@
 typedef void (*store_object_fn)(void *ctx, const uint8_t *data, size_t len,
 				const GError *error);
 
+/* How long store_watch() waits: for a change, and beyond that for the response. */
+typedef struct store_wait {
+	usec_t change; /* at most 30 s */
+	usec_t response;
+} store_wait_t;
+
 /* Implements the functions below; impl is the argument of store_create(). */
 typedef struct store_ops {
 	void (*get)(void *impl, const char *key, store_rows_fn done, void *ctx);
 	void (*changes)(void *impl, const char *prefix, uint64_t after_revision,
 			store_rows_fn done, void *ctx);
 	void (*watch)(void *impl, const char *prefix, uint64_t after_revision,
-		      store_rows_fn done, void *ctx);
+		      const store_wait_t *wait, store_rows_fn done, void *ctx);
 	void (*commit)(void *impl, const char *attempt, const store_write_t *writes,
 		       size_t count, store_commit_fn done, void *ctx);
 	void (*object_put)(void *impl, const char *name, const uint8_t *data, size_t len,
@@ -91,12 +99,12 @@
 		   store_rows_fn done, void *ctx);
 
 /*
- * As store_changes(), but waits up to a few seconds for the first change. If
- * after_revision is 0, or the platform no longer has the history since then, it reads the
- * rows without waiting.
+ * As store_changes(), but waits for the first change, and fails with TIMEOUT if there is
+ * no response after the sum of both waits. If after_revision is 0, or the platform no
+ * longer has the history since then, it reads the rows without waiting for a change.
  */
 void store_watch(store_t *store, const char *prefix, uint64_t after_revision,
-		 store_rows_fn done, void *ctx);
+		 const store_wait_t *wait, store_rows_fn done, void *ctx);
 
 /* Writes all rows or none; CONFLICT if a row does not have its expected revision. */
 void store_commit(store_t *store, const store_write_t *writes, size_t count,
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -250,9 +250,21 @@
 	default:
 		break;
 	}
-	if (message->config_revision > gossip->ops->config_revision(gossip->ctx))
+	gossip_receive_config(gossip, now, message);
+}
+
+void gossip_receive_config(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
+{
+	if (message->config_revision > gossip->ops->config_revision(gossip->ctx)) {
 		gossip->ops->on_newer_config(gossip->ctx, message->sender,
 					     message->config_revision);
+		return;
+	}
+	if (message->config_revision == 0 || message->config_age_ms == 0)
+		return;
+	usec_t as_of = now - (usec_t)message->config_age_ms * USEC_PER_MSEC;
+	if (gossip->ops->on_config_confirmed(gossip->ctx, as_of))
+		gossip_push(gossip, now);
 }
 
 static void refill_probe_order(gossip_t *gossip)
--- a/membership/gossip_message.c
+++ b/membership/gossip_message.c
@@ -125,6 +125,17 @@
 	}
 }
 
+void gossip_add_config(gossip_t *gossip, usec_t now, Egret__Gossip *message)
+{
+	/* The revision is read last: it holds what was complete at as_of. */
+	usec_t as_of = gossip->ops->config_as_of(gossip->ctx);
+
+	message->config_revision = gossip->ops->config_revision(gossip->ctx);
+	if (as_of > 0)
+		message->config_age_ms = (uint32_t)MIN(
+			MAX(now - as_of, 0) / USEC_PER_MSEC + 1, G_MAXUINT32);
+}
+
 void gossip_send(gossip_t *gossip, usec_t now, const char *address,
 		 Egret__GossipKind kind, uint64_t sequence, const char *subject)
 {
@@ -137,7 +148,7 @@
 	datagram.message.sequence = sequence;
 	datagram.message.subject = subject ? (char *)subject : (char *)"";
 	datagram.message.sender = (char *)self->address;
-	datagram.message.config_revision = gossip->ops->config_revision(gossip->ctx);
+	gossip_add_config(gossip, now, &datagram.message);
 	datagram.message.members = datagram.member_list;
 	datagram.message.suspicions = datagram.suspicion_list;
 	/* An unknown receiver needs this node's entry. A suspected or dead receiver needs
--- a/store/store.c
+++ b/store/store.c
@@ -57,10 +57,10 @@
 }
 
 void store_watch(store_t *store, const char *prefix, uint64_t after_revision,
-		 store_rows_fn done, void *ctx)
+		 const store_wait_t *wait, store_rows_fn done, void *ctx)
 {
 	counter_add(COUNTER_STORE_OPS, 1);
-	store->ops->watch(store->impl, prefix, after_revision, done, ctx);
+	store->ops->watch(store->impl, prefix, after_revision, wait, done, ctx);
 }
 
 static void commit_finish(commit_t *commit, uint64_t revision, const GError *error)
--- a/tests/fuzz/fuzz_gossip.c
+++ b/tests/fuzz/fuzz_gossip.c
@@ -21,6 +21,21 @@
 	return 1;
 }
 
+static usec_t own_config_as_of(void *ctx)
+{
+	(void)ctx;
+	return 1;
+}
+
+static bool check_confirmed(void *ctx, usec_t as_of)
+{
+	(void)ctx;
+	/* No message confirms the configuration for a time that has not come. */
+	if (as_of >= 30 * GOSSIP_TICK_PERIOD)
+		__builtin_trap();
+	return true;
+}
+
 static void ignore_newer_revision(void *ctx, const char *address, uint64_t value)
 {
 	(void)ctx;
@@ -46,9 +61,15 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	static const gossip_ops_t ops = {check_sent_size, own_config_revision,
-					 ignore_newer_revision, ignore_member,
-					 ignore_suspicion};
+	static const gossip_ops_t ops = {
+		.send = check_sent_size,
+		.config_revision = own_config_revision,
+		.config_as_of = own_config_as_of,
+		.on_config_confirmed = check_confirmed,
+		.on_newer_config = ignore_newer_revision,
+		.on_member = ignore_member,
+		.on_suspicion = ignore_suspicion,
+	};
 	member_t self = {.address = "127.0.0.1:1", .zone = "z", .generation = 1};
 	Egret__Gossip *message = egret__gossip__unpack(NULL, size, data);
 
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -82,6 +82,12 @@
 	return ((peer_t *)ctx)->revision;
 }
 
+static usec_t config_as_of(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
 /* Simulates a pull: adopts the sender's revision immediately. */
 static void handle_newer_revision(void *ctx, const char *address, uint64_t revision)
 {
@@ -109,8 +115,14 @@
 					    age_ms * USEC_PER_MSEC, peer->net->now);
 }
 
-static const gossip_ops_t ops = {send_packet, config_revision, handle_newer_revision,
-				 ignore_member, handle_suspicion};
+static const gossip_ops_t ops = {
+	.send = send_packet,
+	.config_revision = config_revision,
+	.config_as_of = config_as_of,
+	.on_newer_config = handle_newer_revision,
+	.on_member = ignore_member,
+	.on_suspicion = handle_suspicion,
+};
 
 static void start_peer_with_seeds(net_t *net, int i, uint64_t generation,
 				  const char *const *seeds)
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -3049,7 +3049,7 @@
   (ProtobufCMessageInit) egret__suspicion__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[10] =
+static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[11] =
 {
   {
     "kind",
@@ -3171,8 +3171,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Gossip, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__gossip__field_indices_by_name[] = {
+  10,   /* field[10] = config_age_ms */
   4,   /* field[4] = config_revision */
   8,   /* field[8] = demand_accounts */
   9,   /* field[9] = demand_centi */
@@ -3188,7 +3201,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor egret__gossip__descriptor =
 {
@@ -3198,7 +3211,7 @@
   "Egret__Gossip",
   "egret",
   sizeof(Egret__Gossip),
-  10,
+  11,
   egret__gossip__field_descriptors,
   egret__gossip__field_indices_by_name,
   2,  egret__gossip__number_ranges,
