config: move the decisions on reads of the store into config/read_plan

No change of behaviour. What config_poll.c decided (which read is due, when a watch is allowed, which reads are abandoned) is a state machine without I/O now, so that a test can put a fault at any moment of it.

--- a/include/egretscaled/control/config_poll.h
+++ b/include/egretscaled/control/config_poll.h
@@ -12,13 +12,8 @@
  *	config_poll - reads record changes from the platform
  *
  * DESCRIPTION
- *	The nodes of a small zone watch the records without a break. In a larger
- *	zone each node waits a random time between two watches, so that the zone
- *	starts about ZONE_POLLS_PER_SECOND watches in all. Beside the watch, a node
- *	reads the records without waiting for a change (a check) whenever it has had no
- *	evidence for some time that its configuration is current (config/freshness).
- *	After a failed read it makes only checks until one succeeds, with backoff as
- *	long as peers supply the evidence. Also writes this node's
+ *	Reads the records when config/read_plan decides, puts them in force, and sends
+ *	evidence that the configuration is current to peers. Also writes this node's
  *	address as the row node/ADDRESS and reads these rows of the other nodes as
  *	seeds.
  *
@@ -26,8 +21,6 @@
  *	Control thread.
  */
 
-#define ZONE_POLLS_PER_SECOND 2
-
 typedef struct config_poll config_poll_t;
 
 config_poll_t *config_poll_create(TALLOC_CTX *parent, struct tevent_context *ev,
