platform/store: a list is complete up to the revision of its first page

What callers could see: a change that is not in force, for good, after a node read the records in more than one page (over 500 rows). Cause: the revision of the last page was reported as the one up to which the rows are complete. A row of the first page that changes before the second is read then counts as known. A feed after the revision of the first page returns such a row again.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -1,5 +1,6 @@
-/* Tests how the client of the platform's store takes responses that break off, with a
- * server on a loopback socket. */
+/* Tests how the client of the platform's store takes responses that break off, pages of a
+ * list that changes meanwhile, and connections that are kept, with a server on a loopback
+ * socket. */
 #include "case.h"
 
 #include "common/error.h"
@@ -72,22 +73,30 @@
 	return NULL;
 }
 
-/* Returns the URL of the server. */
-static char *start_server(server_t *server, const char *response)
+/* Returns the URL of the socket. */
+static char *listen_on_loopback(server_t *server)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	socklen_t len = sizeof(address);
 
-	server->response = response;
 	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	assert_int_equal(bind(server->fd, (struct sockaddr *)&address, len), 0);
 	assert_int_equal(listen(server->fd, 8), 0);
 	getsockname(server->fd, (struct sockaddr *)&address, &len);
-	server->thread = g_thread_new("server", serve, server);
 	return g_strdup_printf("http://127.0.0.1:%u", ntohs(address.sin_port));
 }
 
+/* Returns the URL of the server. */
+static char *start_server(server_t *server, const char *response)
+{
+	char *url = listen_on_loopback(server);
+
+	server->response = response;
+	server->thread = g_thread_new("server", serve, server);
+	return url;
+}
+
 static void stop_server(server_t *server)
 {
 	shutdown(server->fd, SHUT_RDWR);
@@ -206,7 +215,120 @@
 	{"rows: part of the body", CALL_ROWS, OK "\r\n{\"rows\":[],", EGRET_ERROR_JSON},
 };
 
+/* A server that keeps its connections and responds to the requests in turn. */
+typedef struct script {
+	int fd;
+	const char *const *bodies; /* of the responses, NULL-terminated */
+	int connections;
+	GThread *thread;
+} script_t;
+
+static void *serve_script(void *data)
+{
+	script_t *script = data;
+	const char *const *body = script->bodies;
+	int fd;
+
+	while (*body && (fd = accept(script->fd, NULL, NULL)) >= 0) {
+		struct timeval limit = {.tv_usec = 200000};
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		script->connections++;
+		while (*body) {
+			char first;
+			if (recv(fd, &first, 1, MSG_PEEK) <= 0)
+				break;
+			read_request(fd);
+			char *text = g_strdup_printf(OK "Content-Length: %zu\r\n\r\n%s",
+						     strlen(*body), *body);
+			send(fd, text, strlen(text), MSG_NOSIGNAL);
+			g_free(text);
+			body++;
+		}
+		close(fd);
+	}
+	return NULL;
+}
+
+typedef struct script_case {
+	const char *name;
+	const char *bodies[4]; /* to the reads, which follow each other */
+	int reads;
+	uint64_t after;	   /* revision that the reads start from */
+	uint64_t revision; /* expected of the last read */
+	int connections;   /* expected, at least */
+} script_case_t;
+
+typedef struct read_result {
+	bool done;
+	uint64_t revision;
+} read_result_t;
+
+static void handle_read(void *ctx, uint64_t revision, const store_row_t *rows,
+			size_t count, const GError *error)
+{
+	read_result_t *result = ctx;
+
+	(void)rows;
+	(void)count;
+	assert_null(error);
+	*result = (read_result_t){true, revision};
+}
+
+static void test_reads(void **state)
+{
+	static const store_wait_t wait = {.response = USEC_PER_SEC};
+	const script_case_t *c = *state;
+	server_t server;
+	script_t script = {.bodies = c->bodies};
+	read_result_t result = {0};
+	char *url = listen_on_loopback(&server);
+	struct tevent_context *ev = tevent_context_init(NULL);
+	curl_loop_t *loop = curl_loop_create(ev, ev, 2);
+	store_t *store = platform_store_create(loop, url, RECORD_SOURCE_ROWS, NULL);
+
+	script.fd = server.fd;
+	script.thread = g_thread_new("script", serve_script, &script);
+	for (int i = 0; i < c->reads; i++) {
+		result.done = false;
+		store_watch(store, "record/", c->after, &wait, handle_read, &result);
+		while (!result.done && tevent_loop_once(ev) == 0)
+			;
+	}
+	assert_int_equal(result.revision, c->revision);
+	store_destroy(store);
+	curl_loop_destroy(loop);
+	talloc_free(ev);
+	g_thread_join(script.thread);
+	close(server.fd);
+	assert_true(script.connections >= c->connections);
+	g_free(url);
+}
+
+#define ROW(key, ver)                                                                    \
+	"{\"table\":\"record\",\"key\":\"" key "\",\"ver\":" ver ",\"value\":\"e30=\"}"
+
+static const script_case_t script_cases[] = {
+	{"a list is complete up to the revision of its first page, as rows of that page "
+	 "may "
+	 "change before the next",
+	 {"{\"rows\":[" ROW("a", "3") "],\"has_more\":true,\"ver\":5}",
+	  "{\"rows\":[" ROW("b", "8") "],\"has_more\":false,\"ver\":9}"},
+	 1,
+	 0,
+	 5,
+	 1},
+	{"a read that does not wait for a change uses a new connection, as kept ones may "
+	 "be "
+	 "lost without a sign",
+	 {"{\"rows\":[],\"ver\":5}", "{\"rows\":[],\"ver\":6}"},
+	 2,
+	 4,
+	 6,
+	 2},
+};
+
 int main(void)
 {
-	return RUN_CASES("store", store_cases, test_store);
+	return RUN_CASES("store", store_cases, test_store) +
+	       RUN_CASES("reads", script_cases, test_reads);
 }
