store: a read that does not wait for a change uses a connection of its own

The check of freshness must not depend on what may have failed. Open connections may go silent for good without a reset, and curl offers any kept one to the next request: each lost one costs a check its timeout (half of config_apply), and a node keeps up to eight. With two of them the first check that can succeed starts after 3 s, the whole bound.

--- a/include/store/store.h
+++ b/include/store/store.h
@@ -101,7 +101,8 @@
 /*
  * As store_changes(), but waits for the first change, and fails with TIMEOUT if there is
  * no response after the sum of both waits. If after_revision is 0, or the platform no
- * longer has the history since then, it reads the rows without waiting for a change.
+ * longer has the history since then, it reads the rows without waiting for a change. A
+ * read that does not wait for a change uses a connection of its own.
  */
 void store_watch(store_t *store, const char *prefix, uint64_t after_revision,
 		 const store_wait_t *wait, store_rows_fn done, void *ctx);
