platform/rows: a row whose value cannot be read can be replaced

A row that another writer has spoiled was skipped, so store_get() reported NOT_FOUND, and a commit that expects no row conflicts for good: the node never wrote its own address again, and a lease or a claim under such a key could never be taken. A read of one row now returns it without a value, as a tombstone, with its revision. Lists still skip such rows, so that a spoiled record does not retire the one in force.

--- a/include/platform/rows.h
+++ b/include/platform/rows.h
@@ -20,6 +20,10 @@
 row_list_t *row_list_create(void);
 void row_list_destroy(row_list_t *list);
 
+/* Adds rows whose value cannot be read without a value, like tombstones, instead of
+ * skipping them. They can then be replaced, as their revision is known. */
+void row_list_keep_unreadable(row_list_t *list);
+
 /*
  * Appends the rows of `table` with a revision above `after`. With `wrapped`, each value
  * is a JSON object {"attempt", "value"} and the key is stored as TABLE/KEY. Otherwise
--- a/include/store/store.h
+++ b/include/store/store.h
@@ -88,7 +88,8 @@
 store_t *store_create(const store_ops_t *ops, void *impl);
 void store_destroy(store_t *store);
 
-/* Reads one row; NOT_FOUND if it does not exist. */
+/* Reads one row; NOT_FOUND if it does not exist. A row whose value cannot be read has
+ * none, as a tombstone. */
 void store_get(store_t *store, const char *key, store_rows_fn done, void *ctx);
 
 /*
