config_poll: write the node's address again after a failed write

A node whose address row could not be written, while the store served reads, took the list for complete and tried again after 300 s. Nodes that started meanwhile did not find it through the store, and if the writes of all nodes failed, none found another.

--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -169,7 +169,8 @@
 		return;
 	}
 	poll->seed_failures = 0;
-	poll->next_seeds = clock_boot_usec() + SEED_INTERVAL;
+	poll->next_seeds = clock_boot_usec() +
+			   (poll->row_written ? SEED_INTERVAL : SEED_RETRY_INTERVAL);
 	for (size_t i = 0; i < count; i++) {
 		if (rows[i].value)
 			shares_io_handle_address(node, rows[i].key + strlen(NODE_PREFIX));
--- a/tests/e2e/on_platform_config.py
+++ b/tests/e2e/on_platform_config.py
@@ -1,12 +1,14 @@
-"""End-to-end cases on when a change of the operator's configuration takes effect on the
-platform's nodes while their store fails."""
+"""End-to-end cases on when a change of the operator's configuration, or a node's address,
+takes effect on the platform although their store fails or holds odd rows."""
 
+import base64
 import json
 import time
 
 from deployment import http as request
 from on_platform import CONFIG_APPLY_SEC, INITIAL_NODES, PlatformDeployment, wait_for
 
+ADDRESS_WRITE_SEC = 4  # a node's address is written within this time after the store accepts it
 CONTACT_SEC = 3  # setting contact: the bound of a change holds again this long after an outage
 # Outages: fault, start after a change that ends all watches, duration.
 OUTAGES = {
@@ -55,3 +57,35 @@
     with PlatformDeployment() as d:
         failures = [failure for name in OUTAGES for failure in check_outage(d, name)]
         assert not failures, failures
+
+
+def read_rows(d, table):
+    rows = json.loads(request("GET", d.platform_address,
+                              f"/rows-get?table={table}&part=&limit=500")[2])["rows"]
+    return {row["key"]: row for row in rows}
+
+
+def write_raw_row(d, table, key, text):
+    """Writes a row whose value is `text` as it is; another writer may leave any."""
+    row = {"table": table, "part": "", "key": key}
+    ver = read_rows(d, table).get(key, {}).get("ver", 0)
+    value = base64.b64encode(text.encode("utf-8", "surrogateescape")).decode()
+    body = {"expected_rev": [{**row, "ver": ver}], "writes": [{**row, "value": value}],
+            "remove": []}
+    assert request("POST", d.platform_address, "/rows-tx", json.dumps(body).encode())[0] == 200
+
+
+def case_on_platform_address_after_outage():
+    """A node whose address could not be written, or whose row another writer has spoiled, writes
+    it within seconds once the store accepts it: nodes that start later need it."""
+    with PlatformDeployment() as d:
+        key = d.listen_address(INITIAL_NODES, "peer")
+        write_raw_row(d, "node", key, "[" * 100)
+        spoiled = read_rows(d, "node")[key]["value"]
+        set_fault(d, read_only=True)
+        d.daemons.append(d.start_node(INITIAL_NODES))
+        wait_for("the third node to be ready", lambda: d.ready(INITIAL_NODES), 10)
+        time.sleep(2)
+        set_fault(d)
+        wait_for("its address to be written",
+                 lambda: read_rows(d, "node")[key]["value"] != spoiled, ADDRESS_WRITE_SEC)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -27,7 +27,8 @@
     case_on_platform_hurried_stop, case_on_platform_ports, case_on_platform_stop)
 from on_platform_responses import (  # noqa: E402,F401
     case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
-from on_platform_config import case_on_platform_config_after_outage  # noqa: E402,F401
+from on_platform_config import (  # noqa: E402,F401
+    case_on_platform_address_after_outage, case_on_platform_config_after_outage)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_downstream_loss,
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -28,6 +28,7 @@
 typedef struct faults {
 	bool down;		  /* closes each connection without a response */
 	bool busy;		  /* responds with 503 */
+	bool read_only;		  /* responds to writes with 503 */
 	bool silent;		  /* never responds, also not to waiting feeds */
 	json_int_t calls_per_s;	  /* 429 above this rate; 0 for no limit */
 	int slow_ms;		  /* delay of each response */
@@ -377,9 +378,9 @@
 	return result;
 }
 
-/* PUT /fault {"down": bool, "busy": bool, "silent": bool, "calls_per_s": n, "slow_ms": n,
- * "lose": share, "forget": bool} replaces all faults; "forget" compacts the history,
- * permanently. */
+/* PUT /fault {"down": bool, "busy": bool, "silent": bool, "read_only": bool,
+ * "calls_per_s": n, "slow_ms": n, "lose": share, "forget": bool} replaces all faults;
+ * "forget" compacts the history, permanently. */
 static enum MHD_Result put_fault(struct MHD_Connection *connection,
 				 const request_t *request)
 {
@@ -388,6 +389,7 @@
 
 	platform.faults.down = json_is_true(json_object_get(json, "down"));
 	platform.faults.busy = json_is_true(json_object_get(json, "busy"));
+	platform.faults.read_only = json_is_true(json_object_get(json, "read_only"));
 	platform.faults.silent = json_is_true(json_object_get(json, "silent"));
 	platform.faults.calls_per_s =
 		json_integer_value(json_object_get(json, "calls_per_s"));
@@ -432,7 +434,8 @@
 		MHD_suspend_connection(connection);
 		return MHD_YES;
 	}
-	if (platform.faults.busy)
+	bool is_write = strcmp(method, "GET") != 0;
+	if (platform.faults.busy || (platform.faults.read_only && is_write))
 		return respond(connection, 503, json_object());
 	if (exceeds_rate(request)) {
 		platform.rate_limited++;
