config_poll: skip rows whose key is no address of a node

A row under node/ with a key such as 127.0.0.9:99999 became a seed and a peer that account rates wait for. No process ended, but a node that is alone waited 2 s for the directory of a peer that cannot exist, and each node at its start counted such peers in its even share for up to 3 s.

--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -157,6 +157,18 @@
 	schedule(poll);
 }
 
+/* Returns the address of another node, or NULL: another writer may leave any key. */
+static const char *peer_address(const node_t *node, const store_row_t *row)
+{
+	const char *address = row->key + strlen(NODE_PREFIX);
+	struct sockaddr_in parsed;
+
+	if (!row->value || strcmp(address, node->address) == 0 ||
+	    !address_parse(address, &parsed, NULL))
+		return NULL;
+	return address;
+}
+
 static void handle_seeds(void *ctx, uint64_t revision, const store_row_t *rows,
 			 size_t count, const GError *error)
 {
@@ -172,14 +184,15 @@
 	poll->next_seeds = clock_boot_usec() +
 			   (poll->row_written ? SEED_INTERVAL : SEED_RETRY_INTERVAL);
 	for (size_t i = 0; i < count; i++) {
-		if (rows[i].value)
-			shares_io_handle_address(node, rows[i].key + strlen(NODE_PREFIX));
+		const char *address = peer_address(node, &rows[i]);
+		if (address)
+			shares_io_handle_address(node, address);
 	}
 	atomic_store(&node->has_node_list, true);
 	pthread_mutex_lock(&node->gossip_lock);
 	for (size_t i = 0; i < count; i++) {
-		const char *address = rows[i].key + strlen(NODE_PREFIX);
-		if (rows[i].value && strcmp(address, node->address) != 0)
+		const char *address = peer_address(node, &rows[i]);
+		if (address)
 			gossip_add_seed(node->gossip, address);
 	}
 	pthread_mutex_unlock(&node->gossip_lock);
