target: a report that looks newer does not keep the target out for good

One fault of that kind existed: a report with a valid shape and a sequence or start time too large was taken as newer than all later ones. The target's own reports then counted as stale, it expired after 5 s, and its vm served nothing until its process was replaced.

After a leave the order still holds (test_target 'a report with an older sequence changes nothing').

--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -15,8 +15,9 @@
  *	is stale if it comes from the same address as the last one and either was
  *	sent by a process that started earlier, or by the same process with a
  *	sequence that is not higher. A report is never stale if it comes from
- *	another address, if the last report had no id, or if it is of the same
- *	process and has no sequence.
+ *	another address, if the last report had no id, if it is of the same
+ *	process and has no sequence, or if the target expired without a leave: a last
+ *	report that looks newer than the target's own may be of another writer.
  *
  *	A target that reports that it is leaving drains: it still gets the requests
  *	that are on their way to it. target_accepts_requests() turns false before the
@@ -43,6 +44,7 @@
 typedef struct target {
 	bool present;
 	bool draining;
+	bool expired; /* since the last report */
 	target_report_t last_report; /* newest that was applied */
 	usec_t last_report_at;
 	usec_t accepts_until; /* while draining */
--- a/membership/target.c
+++ b/membership/target.c
@@ -18,6 +18,8 @@
 
 	if (!*last->id || strcmp(last->address, report->address) != 0)
 		return false;
+	if (target->expired && !target->draining)
+		return false;
 	if (report->started_ms != last->started_ms)
 		return report->started_ms < last->started_ms;
 	return same_process(last, report) && report->sequence &&
@@ -51,6 +53,7 @@
 
 	target->last_report = *report;
 	target->last_report_at = now;
+	target->expired = false;
 	if (report->leaving)
 		return same ? start_leave(target, now, leave_timeout) : TARGET_UNCHANGED;
 	target->cold_until =
@@ -84,5 +87,6 @@
 	if (!target->present || now - target->last_report_at <= timeout)
 		return false;
 	target->present = false;
+	target->expired = true;
 	return true;
 }
