--- a/tests/e2e/on_platform_config.py
+++ b/tests/e2e/on_platform_config.py
@@ -21,10 +21,6 @@
 }
 
 
-def set_fault(d, **faults):
-    assert request("PUT", d.platform_address, "/fault", json.dumps(faults).encode())[0] == 200
-
-
 def accepted(d, key):
     """Whether each node accepts the key; its request is refused with 503, as no target reports."""
     return [d.send("/f/x", node=i, headers={"Authorization": f"Bearer {key}"})[0] in (200, 503)
@@ -37,15 +33,15 @@
     wait_for("the change before the outage",
              lambda: all(accepted(d, f"key-{name}-before")), CONFIG_APPLY_SEC)
     time.sleep(start)
-    set_fault(d, **{fault: True})
+    d.platform_fault(**{fault: True})
     time.sleep(duration)
-    set_fault(d)
+    d.platform_fault()
     end = time.monotonic()
     d.configure(accounts=(name,))
     acknowledged = time.monotonic()
     bound = max(acknowledged + CONFIG_APPLY_SEC, end + CONTACT_SEC)
     time.sleep(max(0, bound - time.monotonic()))
-    in_force = accepted(d, f"key-{name}")
+    in_force = accepted(d, f"key-{name}") + [not ok for ok in accepted(d, f"key-{name}-before")]
     wait_for(f"the change after {name} at last", lambda: all(accepted(d, f"key-{name}")), 20)
     late = time.monotonic() - bound
     return [] if all(in_force) else [f"{name}: in force {late:.1f} s late, {in_force}"]
@@ -53,12 +49,34 @@
 
 def case_on_platform_config_after_outage():
     """A change that the store acknowledges after it was silent or refused calls is in force at
-    every node within its bound, whatever the node's reads waited for during the outage."""
+    every node within its bound, whatever the node's reads waited for during the outage: a new
+    key is accepted and a withdrawn one is refused."""
     with PlatformDeployment() as d:
         failures = [failure for name in OUTAGES for failure in check_outage(d, name)]
         assert not failures, failures
 
 
+def case_on_platform_evacuation_after_outage():
+    """A zone that is taken out of service right after the watches were lost gets no request later
+    than the bound, and gets them again within the bound after its return."""
+    with PlatformDeployment() as d:
+        d.configure(accounts=("any",))  # ends all watches
+        for value, status in (({}, 503), (None, 200)):
+            time.sleep(0.3)
+            d.platform_fault(silent=True)
+            time.sleep(0.1)
+            d.platform_fault()
+            d.write_row("evacuate/za", value)
+            d.report_all()
+            time.sleep(CONTACT_SEC)
+            d.report_all()
+            before = [len(target.received) for target in d.targets]
+            statuses = [d.send("/f/x", node=i)[0] for i in range(INITIAL_NODES)]
+            assert statuses == [status] * INITIAL_NODES, (value, statuses)
+            ran = [len(target.received) for target in d.targets] != before
+            assert ran == (status == 200), (value, statuses)
+
+
 def read_rows(d, table):
     rows = json.loads(request("GET", d.platform_address,
                               f"/rows-get?table={table}&part=&limit=500")[2])["rows"]
@@ -82,10 +100,10 @@
         key = d.listen_address(INITIAL_NODES, "peer")
         write_raw_row(d, "node", key, "[" * 100)
         spoiled = read_rows(d, "node")[key]["value"]
-        set_fault(d, read_only=True)
+        d.platform_fault(read_only=True)
         d.daemons.append(d.start_node(INITIAL_NODES))
         wait_for("the third node to be ready", lambda: d.ready(INITIAL_NODES), 10)
         time.sleep(2)
-        set_fault(d)
+        d.platform_fault()
         wait_for("its address to be written",
                  lambda: read_rows(d, "node")[key]["value"] != spoiled, ADDRESS_WRITE_SEC)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -28,7 +28,8 @@
 from on_platform_responses import (  # noqa: E402,F401
     case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
 from on_platform_config import (  # noqa: E402,F401
-    case_on_platform_address_after_outage, case_on_platform_config_after_outage)
+    case_on_platform_address_after_outage, case_on_platform_config_after_outage,
+    case_on_platform_evacuation_after_outage)
 from odd_entries import (  # noqa: E402,F401
     case_odd_addresses, case_odd_records, case_on_platform_odd_entries,
     case_on_platform_odd_sequence)
@@ -791,6 +792,21 @@
         assert d.nodes[0].process.wait(timeout=15) == 0
 
 
+def case_egretctl_silent_store():
+    """egretctl fails with the exit status of an unreachable platform, and keyed requests are
+    refused, within the time-outs of their calls, while the store accepts connections only."""
+    with running_deployment(ONE_SERVICE) as d:
+        d.platform_fault(silent=True)
+        for command in (("list",), ("retire", "key", "a-1")):
+            start = time.monotonic()
+            result = d.ctl(*command, check=False)
+            assert result.returncode == 5 and time.monotonic() - start < 4, (command, result)
+        start = time.monotonic()
+        status, _, _ = send(d, "/write/x", 0, {**KEY_HEADERS, "Idempotency-Key": "k-1"},
+                            method="POST")
+        assert status == 503 and time.monotonic() - start < 5, status
+
+
 def case_egretctl_cut_head():
     """egretctl fails if a node's response ends inside its head."""
     admin = RawTarget(f"{HOST}:0", lambda r: (b"HTTP/1.1 200 OK\r\n", False))
