--- a/egretscaled/control/admin.c
+++ b/egretscaled/control/admin.c
@@ -52,6 +52,13 @@
 	return revision;
 }
 
+static double read_config_age(node_t *node)
+{
+	usec_t age = clock_boot_usec() - node_config_as_of(node);
+
+	return (double)age / USEC_PER_SEC;
+}
+
 static uint32_t read_live_members(node_t *node)
 {
 	pthread_mutex_lock(&node->gossip_lock);
@@ -67,13 +74,17 @@
 	target_t target;
 
 	read_load(node, &load, &target);
+	/* First, as collectors may truncate the text. */
+	append_gauge(out, "config_revision", "revision in force",
+		     (double)read_revision(node));
+	append_gauge(out, "config_age_seconds",
+		     "time since the configuration was known to be current",
+		     read_config_age(node));
 	counters_render(out);
 	append_gauge(out, "gate_limit", "calls the gate lets run at once", load.limit);
 	append_gauge(out, "gate_inflight", "calls that run on the target", load.inflight);
 	append_gauge(out, "gate_queued", "calls that wait at the gate", load.queued);
 	append_gauge(out, "gate_level", "shed level of the gate", load.level);
-	append_gauge(out, "config_revision", "revision in force",
-		     (double)read_revision(node));
 	append_gauge(out, "members_live", "nodes alive or suspected",
 		     read_live_members(node));
 	append_gauge(out, "resident_bytes", "resident memory", (double)resident_bytes());
