config: a bound of 0 does not make a node read without pause

The settings accept 0 for config_apply. The waits between checks are parts of it, so a node would have read the store as often as it responds. Bounds below 1 s count as 1 s.

test_read_plan test_shortest_bound: passes (a bound of 0 gave waits of 0 before).

--- a/config/freshness.c
+++ b/config/freshness.c
@@ -10,10 +10,12 @@
 	double retry_wait; /* from the start of a check to the next, likewise */
 };
 
+/* Bounds below this are not met: the checks would load the store. */
+#define BOUND_MIN USEC_PER_SEC
 /* The rest of the bound is for the response, and for a peer that pulls it. */
-#define LIMIT_PART(bound) ((bound) / 4 * 3)
-#define TIMEOUT_PART(bound) ((bound) / 2)
-#define STEP_PART(bound) ((bound)*3 / 8)
+#define LIMIT_PART 0.75
+#define TIMEOUT_PART 0.5
+#define STEP_PART 0.375
 /* The random waits, as parts of the limit. */
 #define WAIT_MIN (2.0 / 3)
 #define RETRY_WAIT_MIN (1.0 / 3)
@@ -36,19 +38,24 @@
 	g_free(freshness);
 }
 
+static usec_t part_of(usec_t bound, double part)
+{
+	return (usec_t)(part * (double)MAX(bound, BOUND_MIN));
+}
+
 usec_t freshness_limit(usec_t bound)
 {
-	return LIMIT_PART(bound);
+	return part_of(bound, LIMIT_PART);
 }
 
 usec_t freshness_timeout(usec_t bound)
 {
-	return TIMEOUT_PART(bound);
+	return part_of(bound, TIMEOUT_PART);
 }
 
 usec_t freshness_step(usec_t bound)
 {
-	return STEP_PART(bound);
+	return part_of(bound, STEP_PART);
 }
 
 void freshness_check_started(freshness_t *freshness, usec_t now)
--- a/tests/unit/test_read_plan.c
+++ b/tests/unit/test_read_plan.c
@@ -459,8 +459,23 @@
 	{"300 nodes, store refuses", 300, 3, OUTAGE_REFUSED, 0, 2},
 };
 
+/* A bound of 0 in the settings does not make a node read without pause. */
+static void test_shortest_bound(void **state)
+{
+	freshness_t *freshness = freshness_create(1);
+
+	(void)state;
+	freshness_check_started(freshness, START);
+	assert_true(freshness_check_due(freshness, START, 0) >= START + MSEC(250));
+	assert_true(freshness_timeout(0) >= MSEC(500));
+	freshness_destroy(freshness);
+}
+
 int main(void)
 {
+	const struct CMUnitTest tests[] = {cmocka_unit_test(test_shortest_bound)};
+
 	return RUN_CASES("bound", bound_cases, test_change_after_outage) +
-	       RUN_CASES("calls", cost_cases, test_calls);
+	       RUN_CASES("calls", cost_cases, test_calls) +
+	       cmocka_run_group_tests(tests, NULL, NULL);
 }
