--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -479,32 +479,3 @@
 		node->ops->on_gate_verdict(ticket->ctx, verdict);
 	pthread_mutex_unlock(&node->gate_lock);
 }
-
-typedef struct pressure_search {
-	node_t *node;
-	usec_t now;
-	double highest;
-} pressure_search_t;
-
-static void update_highest_pressure(void *ctx, const char *call_route,
-				    const char *service)
-{
-	pressure_search_t *search = ctx;
-	node_t *node = search->node;
-	double own = router_service_pressure(node->router, service, search->now);
-	double downstream =
-		backpressure_pressure(node->backpressure, call_route, search->now);
-
-	search->highest = MAX(search->highest, MAX(own, downstream));
-}
-
-double node_downstream_pressure(node_t *node, const char *route)
-{
-	pressure_search_t search = {.node = node, .now = clock_boot_usec()};
-
-	pthread_mutex_lock(&node->router_lock);
-	route_calls_foreach(node->outbound_calls, route, search.now,
-			    update_highest_pressure, &search);
-	pthread_mutex_unlock(&node->router_lock);
-	return search.highest;
-}
