--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -44,7 +44,7 @@
 typedef struct target {
 	bool present;
 	bool draining;
-	bool expired; /* since the last report */
+	bool expired;		     /* since the last report */
 	target_report_t last_report; /* newest that was applied */
 	usec_t last_report_at;
 	usec_t accepts_until; /* while draining */
--- a/tests/unit/test_read_plan.c
+++ b/tests/unit/test_read_plan.c
@@ -250,15 +250,15 @@
 		g_array_append_val(sim->held, held);
 }
 
-static read_inputs_t inputs_of(const sim_node_t *node)
+static read_inputs_t inputs_of(const sim_t *sim, const sim_node_t *node)
 {
-	return (read_inputs_t){node->sim->now, node->as_of, BOUND, true};
+	return (read_inputs_t){sim->now, node->as_of, BOUND, true};
 }
 
 static void end_read(sim_t *sim, const event_t *event)
 {
 	sim_node_t *node = &sim->nodes[event->node];
-	read_inputs_t inputs = inputs_of(node);
+	read_inputs_t inputs = inputs_of(sim, node);
 
 	if (!event->ok) {
 		read_plan_failed(node->plan, &event->order, &inputs);
@@ -341,7 +341,7 @@
 		release_watches(sim, false);
 		for (int i = 0; i < sim->count; i++) {
 			sim_node_t *node = &sim->nodes[i];
-			read_inputs_t inputs = inputs_of(node);
+			read_inputs_t inputs = inputs_of(sim, node);
 			read_order_t order;
 
 			while (read_plan_next(node->plan, &inputs, &order))
