--- a/tests/e2e/on_platform_config.py
+++ b/tests/e2e/on_platform_config.py
@@ -77,6 +77,23 @@
             assert ran == (status == 200), (value, statuses)
 
 
+def case_on_platform_evacuation_after_compaction():
+    """A zone stays out of service when the store has dropped the history that a node's watch
+    starts from, so that the node reads the whole table."""
+    with PlatformDeployment() as d:
+        d.write_row("evacuate/za", {})
+        wait_for("the zone to go out of service", lambda: d.send("/f/x")[0] == 503, CONTACT_SEC)
+        for n in range(3):
+            write_raw_row(d, "other", f"row-{n}", "{}")
+        d.platform_fault(forget=True)
+        deadline = time.monotonic() + 6  # longer than a watch
+        while time.monotonic() < deadline:
+            d.report_all()
+            statuses = [d.send("/f/x", node=i)[0] for i in range(INITIAL_NODES)]
+            assert statuses == [503] * INITIAL_NODES, statuses
+            time.sleep(0.2)
+
+
 def read_rows(d, table):
     rows = json.loads(request("GET", d.platform_address,
                               f"/rows-get?table={table}&part=&limit=500")[2])["rows"]
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -29,7 +29,7 @@
     case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
 from on_platform_config import (  # noqa: E402,F401
     case_on_platform_address_after_outage, case_on_platform_config_after_outage,
-    case_on_platform_evacuation_after_outage)
+    case_on_platform_evacuation_after_compaction, case_on_platform_evacuation_after_outage)
 from odd_entries import (  # noqa: E402,F401
     case_odd_addresses, case_odd_records, case_on_platform_odd_entries,
     case_on_platform_odd_sequence)
