--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -551,6 +551,7 @@
             rig.close()
         os._exit(2)
 
+    signal.signal(signal.SIGTERM, lambda *_: expire())
     timer = threading.Timer(limit_sec, expire)
     timer.daemon = True
     timer.start()
