claims: count each proved crash of a target, by the evidence against a request

Cause: a lost connection counted as a crash by the result of curl. On a kept connection curl tries the request once more; the result is then that of the second try and did not count. Besides, crashes were forgotten after 30 s, so that two more targets crashed each half minute, and a lost connection of a sound target counted on new connections.

Change: a loss, however the transfer ends, is noted, and counts once the target refuses a connection or another process reports; it is discarded when the same process does. Requests that only shared the target count less than the one that was alone or started last. Each refusal after the first needs one crash and lasts four times as long; such a request is not repeated by a node. curl reported a refused connection after 200 ms, as it waits to try a second address; that wait is gone.

--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -6,12 +6,28 @@
 /* Calls lost within this time after a crash began belong to that crash. */
 #define CRASH_MERGE_SPAN USEC_PER_SEC
 #define ENTRIES_MAX 16384
+/* Requests with this score are refused. */
+#define SCORE_REFUSED 6
+#define REFUSE_TIME_FACTOR 4
+/* A fingerprint is kept for this many times its last refusal. */
+#define MEMORY_FACTOR 4
+/* Crashes whose ids are kept, to count each of them once: as many as a refusal can need.
+ */
+#define CRASH_IDS SCORE_REFUSED
+
+static const uint32_t scores[SUSPECT_EVIDENCE_COUNT] = {
+	[SUSPECT_ALONE] = SCORE_REFUSED / SUSPECT_CRASH_THRESHOLD,
+	[SUSPECT_RECENT] = 2,
+	[SUSPECT_EARLIER] = 1,
+};
 
 typedef struct suspect {
 	TAILQ_ENTRY(suspect) link; /* in `completed` or `crashed` */
 	uint64_t fingerprint;
-	uint64_t crash_ids[SUSPECT_CRASH_THRESHOLD];
-	uint32_t crash_count;
+	uint64_t crash_ids[CRASH_IDS]; /* the last ones */
+	uint32_t crash_count;	       /* crashes counted, also those no longer kept */
+	uint32_t score;
+	usec_t refuse_time; /* length of the last refusal; 0 before the first */
 	usec_t last_crash;
 	usec_t last_success;
 } suspect_t;
@@ -52,6 +68,19 @@
 	return suspect->last_success && now - suspect->last_success < SUSPECT_EXEMPT_TIME;
 }
 
+static bool is_remembered(const suspect_t *suspect, usec_t now)
+{
+	return now - suspect->last_crash <
+	       MAX(SUSPECT_MEMORY_TIME, MEMORY_FACTOR * suspect->refuse_time);
+}
+
+static void clear_crashes(suspect_t *suspect)
+{
+	suspect->crash_count = 0;
+	suspect->score = 0;
+	suspect->refuse_time = 0;
+}
+
 static struct suspect_list *list_of(suspects_t *suspects, const suspect_t *suspect)
 {
 	return suspect->crash_count ? &suspects->crashed : &suspects->completed;
@@ -103,43 +132,71 @@
 	return suspects->last_crash_id;
 }
 
-/* Adds a crash; returns false if it was counted before, or if enough others were. */
-static bool add_crash(suspect_t *suspect, uint64_t crash_id, usec_t when, usec_t now)
+static bool was_counted(const suspect_t *suspect, uint64_t crash_id)
 {
-	if (now - suspect->last_crash > SUSPECT_REFUSE_TIME)
-		suspect->crash_count = 0;
-	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+	for (uint32_t i = 0; i < MIN(suspect->crash_count, CRASH_IDS); i++) {
 		if (suspect->crash_ids[i] == crash_id)
-			return false;
+			return true;
 	}
-	suspect->last_crash = MAX(suspect->last_crash, when);
-	if (suspect->crash_count >= SUSPECT_CRASH_THRESHOLD)
+	return false;
+}
+
+/* A request that was refused before had its one try. */
+static void update_refusal(suspect_t *suspect)
+{
+	if (suspect->score < SCORE_REFUSED)
+		return;
+	suspect->refuse_time = suspect->refuse_time
+				       ? MIN(REFUSE_TIME_FACTOR * suspect->refuse_time,
+					     SUSPECT_REFUSE_TIME_MAX)
+				       : SUSPECT_REFUSE_TIME;
+}
+
+static bool is_refused(const suspect_t *suspect, usec_t now)
+{
+	return suspect->refuse_time && now - suspect->last_crash < suspect->refuse_time;
+}
+
+/* Adds a crash; returns false if it was counted before. A crash during a refusal is of a
+ * request that was on its way when the refusal began, and does not extend it. */
+static bool add_crash(suspect_t *suspect, uint64_t crash_id, suspect_evidence_t evidence,
+		      usec_t when, usec_t now)
+{
+	if (!is_remembered(suspect, now))
+		clear_crashes(suspect);
+	if (was_counted(suspect, crash_id))
 		return false;
-	suspect->crash_ids[suspect->crash_count++] = crash_id;
+	suspect->crash_ids[suspect->crash_count++ % CRASH_IDS] = crash_id;
+	bool extends = !is_refused(suspect, when);
+	suspect->score += scores[evidence];
+	suspect->last_crash = MAX(suspect->last_crash, when);
+	if (extends)
+		update_refusal(suspect);
 	return true;
 }
 
 static bool handle_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash_id,
-			 usec_t when, usec_t now)
+			 suspect_evidence_t evidence, usec_t when, usec_t now)
 {
 	suspect_t *suspect = take_suspect(suspects, fingerprint);
-	bool counted =
-		!is_exempt(suspect, now) && add_crash(suspect, crash_id, when, now);
+	bool counted = !is_exempt(suspect, now) &&
+		       add_crash(suspect, crash_id, evidence, when, now);
 
 	put_back(suspects, suspect);
 	return counted;
 }
 
 bool suspects_handle_crash(suspects_t *suspects, uint64_t fingerprint, uint64_t crash_id,
-			   usec_t now)
+			   suspect_evidence_t evidence, usec_t now)
 {
-	return handle_crash(suspects, fingerprint, crash_id, now, now);
+	return handle_crash(suspects, fingerprint, crash_id, evidence, now, now);
 }
 
 bool suspects_handle_remote_crash(suspects_t *suspects, uint64_t fingerprint,
-				  uint64_t crash_id, usec_t age, usec_t now)
+				  uint64_t crash_id, suspect_evidence_t evidence,
+				  usec_t age, usec_t now)
 {
-	return handle_crash(suspects, fingerprint, crash_id, now - age, now);
+	return handle_crash(suspects, fingerprint, crash_id, evidence, now - age, now);
 }
 
 void suspects_handle_success(suspects_t *suspects, uint64_t fingerprint, usec_t now)
@@ -147,16 +204,31 @@
 	suspect_t *suspect = take_suspect(suspects, fingerprint);
 
 	suspect->last_success = now;
-	suspect->crash_count = 0;
+	clear_crashes(suspect);
 	put_back(suspects, suspect);
 }
 
-bool suspects_is_refused(suspects_t *suspects, uint64_t fingerprint, usec_t now)
+bool suspects_is_exempt(const suspects_t *suspects, uint64_t fingerprint, usec_t now)
+{
+	const suspect_t *suspect = g_hash_table_lookup(suspects->entries, &fingerprint);
+
+	return suspect && is_exempt(suspect, now);
+}
+
+bool suspects_is_refused(const suspects_t *suspects, uint64_t fingerprint, usec_t now)
+{
+	const suspect_t *suspect = g_hash_table_lookup(suspects->entries, &fingerprint);
+
+	return suspect && is_refused(suspect, now);
+}
+
+bool suspects_is_on_probation(const suspects_t *suspects, uint64_t fingerprint,
+			      usec_t now)
 {
 	const suspect_t *suspect = g_hash_table_lookup(suspects->entries, &fingerprint);
 
-	return suspect && suspect->crash_count >= SUSPECT_CRASH_THRESHOLD &&
-	       now - suspect->last_crash < SUSPECT_REFUSE_TIME;
+	return suspect && suspect->score + scores[SUSPECT_ALONE] >= SCORE_REFUSED &&
+	       is_remembered(suspect, now);
 }
 
 uint32_t suspects_count(const suspects_t *suspects)
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -1,6 +1,6 @@
 #include "egretscaled/node/node.h"
 
-#include "claims/suspects.h"
+#include "claims/crash_watch.h"
 #include "common/counters.h"
 #include "common/log.h"
 #include "config/freshness.h"
@@ -97,6 +97,7 @@
 	node->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->suspects = suspects_create();
+	node->crash_watch = crash_watch_create();
 	node->stop = stop_create();
 	return node;
 }
@@ -118,6 +119,7 @@
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
 	suspects_destroy(node->suspects);
+	crash_watch_destroy(node->crash_watch);
 	stop_destroy(node->stop);
 	peer_auth_destroy(node->auth);
 	g_free(node->workers);
@@ -374,6 +376,7 @@
 	usec_t now = clock_boot_usec();
 
 	pthread_mutex_lock(&node->gate_lock);
+	bool same_process = target_is_same_process(&node->target, report);
 	target_change_t change = target_apply_report(&node->target, report, now,
 						     node_bounds(node)->leave_time);
 	if (change == TARGET_STARTED || change == TARGET_CHANGED)
@@ -383,6 +386,8 @@
 	target_t target = node->target;
 	pthread_mutex_unlock(&node->gate_lock);
 	config_unref(config);
+	if (change != TARGET_REPORT_STALE && *report->id)
+		node->ops->on_target_report(node, same_process);
 	if (change == TARGET_UNCHANGED)
 		return;
 	log_target(&target, change_names[change]);
--- a/egretscaled/peers/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -112,14 +112,16 @@
 }
 
 static bool handle_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
-			     uint32_t age_ms)
+			     uint32_t evidence, uint32_t age_ms)
 {
 	node_t *node = ctx;
 
+	if (evidence >= SUSPECT_EVIDENCE_COUNT)
+		return false;
 	pthread_mutex_lock(&node->suspect_lock);
-	bool counted = suspects_handle_remote_crash(node->suspects, fingerprint, crash,
-						    (usec_t)age_ms * USEC_PER_MSEC,
-						    clock_boot_usec());
+	bool counted = suspects_handle_remote_crash(
+		node->suspects, fingerprint, crash, (suspect_evidence_t)evidence,
+		(usec_t)age_ms * USEC_PER_MSEC, clock_boot_usec());
 	pthread_mutex_unlock(&node->suspect_lock);
 	return counted;
 }
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -1,5 +1,6 @@
 #include "egretscaled/request/http_attempt.h"
 
+#include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
 #include "egretscaled/peers/peer_client.h"
@@ -153,6 +154,18 @@
 	http_exchange_wake(request->exchange);
 }
 
+/* Other attempts with the fingerprint may have crashed their targets meanwhile. */
+static bool is_refused_as_suspect(const http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	pthread_mutex_lock(&node->suspect_lock);
+	bool refused = suspects_is_refused(node->suspects, request->context.fingerprint,
+					   clock_boot_usec());
+	pthread_mutex_unlock(&node->suspect_lock);
+	return refused;
+}
+
 static void handle_retry_timer(struct tevent_context *ev, struct tevent_timer *te,
 			       struct timeval when, void *private_data)
 {
@@ -162,7 +175,11 @@
 	http_request_t *request = private_data;
 
 	request->retry_timer = NULL;
-	start_attempt(request);
+	if (is_refused_as_suspect(request))
+		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+				    EGRET__REASON__REASON_SUSPECT);
+	else
+		start_attempt(request);
 }
 
 static router_outcome_t router_outcome_of(const call_reply_t *reply)
@@ -253,13 +270,25 @@
 	return request->body_ended && !request->streaming;
 }
 
+static bool is_on_probation(const http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	pthread_mutex_lock(&node->suspect_lock);
+	bool on_probation = suspects_is_on_probation(
+		node->suspects, request->context.fingerprint, clock_boot_usec());
+	pthread_mutex_unlock(&node->suspect_lock);
+	return on_probation;
+}
+
 static bool is_retryable(const http_request_t *request, const call_reply_t *reply)
 {
 	node_t *node = request->worker->node;
 
 	if (reply->outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN)
 		return request->context.idempotent &&
-		       reply->reason != EGRET__REASON__REASON_DEADLINE;
+		       reply->reason != EGRET__REASON__REASON_DEADLINE &&
+		       !is_on_probation(request);
 	switch (reply->reason) {
 	case EGRET__REASON__REASON_SHED:
 	case EGRET__REASON__REASON_TARGET_REFUSED:
--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "egretscaled/request/http_request.h"
 #include "egretscaled/request/target_call_state.h"
+#include "egretscaled/request/target_loss.h"
 
 #include <string.h>
 
@@ -174,29 +175,13 @@
 	return EGRET__REASON__REASON_TARGET_LOST;
 }
 
-static bool is_crash(CURLcode code)
+/* Whether the target is to be used carefully from now on, as after a start. */
+static bool is_target_failure(CURLcode code)
 {
 	return code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR ||
 	       code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE;
 }
 
-static void record_crash(target_call_t *tc, usec_t now)
-{
-	node_t *node = tc->worker->node;
-	uint64_t fingerprint = tc->call->context.fingerprint;
-
-	pthread_mutex_lock(&node->suspect_lock);
-	uint64_t crash = suspects_crash_id(node->suspects, node_random_id(), now);
-	bool report = suspects_handle_crash(node->suspects, fingerprint, crash, now);
-	pthread_mutex_unlock(&node->suspect_lock);
-	if (!report)
-		return;
-	counter_add(COUNTER_SUSPECT_CRASHES, 1);
-	pthread_mutex_lock(&node->gossip_lock);
-	gossip_broadcast_suspicion(node->gossip, now, fingerprint, crash);
-	pthread_mutex_unlock(&node->gossip_lock);
-}
-
 /* The target has run the request and answered it. */
 static void record_completion(target_call_t *tc, usec_t now)
 {
@@ -218,11 +203,11 @@
 	inflight_summary_t summary;
 
 	end_inflight_request(tc, now, &summary);
-	if (sent && is_crash(code))
-		record_crash(tc, now);
+	target_loss_handle(tc->worker->target_loss, &tc->call->context, tc->started_at,
+			   tc->easy, code);
 	if (curl_loop_refused(tc->easy, code) && node->settings->on_platform)
 		node_handle_target_refusal(node);
-	release_gate_slot(tc, now, 1, LIMIT_IGNORED, !sent || is_crash(code));
+	release_gate_slot(tc, now, 1, LIMIT_IGNORED, !sent || is_target_failure(code));
 	if (!sent)
 		refuse(tc, EGRET__OUTCOME__OUTCOME_NOT_RUN,
 		       EGRET__REASON__REASON_TARGET_UNREACHABLE);
@@ -235,14 +220,15 @@
 	call_t *call = tc->call;
 	usec_t now = clock_boot_usec();
 	bool refused = tc->reply.outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN;
-	bool crashed = code != CURLE_OK && is_crash(code);
+	bool crashed = code != CURLE_OK && is_target_failure(code);
 	limit_outcome_t outcome = refused ? LIMIT_OVERLOADED : LIMIT_SUCCESS;
 	inflight_summary_t summary;
 
 	end_inflight_request(tc, now, &summary);
-	if (crashed)
-		record_crash(tc, now);
-	else if (code == CURLE_OK && !refused)
+	if (code != CURLE_OK)
+		target_loss_handle(tc->worker->target_loss, &call->context,
+				   tc->started_at, tc->easy, code);
+	else if (!refused)
 		record_completion(tc, now);
 	release_gate_slot(tc, now, own_latency(tc, now, summary.outbound_time),
 			  code == CURLE_OK ? outcome : LIMIT_IGNORED, crashed);
--- a/egretscaled/wiring.c
+++ b/egretscaled/wiring.c
@@ -1,5 +1,6 @@
 #include "egretscaled/wiring.h"
 
+#include "egretscaled/node/crash.h"
 #include "egretscaled/node/load_log.h"
 #include "egretscaled/peers/gossip_io.h"
 #include "egretscaled/peers/ingress.h"
@@ -10,6 +11,7 @@
 #include "egretscaled/request/claims_io.h"
 #include "egretscaled/request/http_front.h"
 #include "egretscaled/request/target_call.h"
+#include "egretscaled/request/target_loss.h"
 
 static void handle_message(node_t *node, const Egret__Gossip *message)
 {
@@ -30,6 +32,7 @@
 	static node_ops_t ops = {
 		.on_gate_verdict = target_call_handle_verdict,
 		.on_member = shares_io_handle_member,
+		.on_target_report = node_crash_handle_report,
 		.on_message = handle_message,
 	};
 
@@ -47,6 +50,7 @@
 	worker->token_waiters = token_wait_table_create();
 	worker->token_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	worker->claims = claim_batch_create(worker);
+	worker->target_loss = target_loss_create(worker);
 	if (worker->index == 0)
 		worker->load_log = load_log_create(clock_boot_usec());
 }
@@ -59,6 +63,7 @@
 	g_hash_table_destroy(worker->token_waiters);
 	g_hash_table_destroy(worker->token_requests);
 	claim_batch_destroy(worker->claims);
+	target_loss_destroy(worker->target_loss);
 	load_log_destroy(worker->load_log);
 }
 
--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -338,6 +338,9 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	/* curl reports a refused connection only after this time, although there is no
+	 * second address that it could try. */
+	curl_easy_setopt(easy, CURLOPT_HAPPY_EYEBALLS_TIMEOUT_MS, 1L);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_opened);
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
@@ -394,6 +397,31 @@
 	return transfer && transfer->request_writes > 0;
 }
 
+bool curl_loop_reconnected(CURL *easy)
+{
+	return transfer_of(easy)->request_writes > 1;
+}
+
+bool curl_loop_connection_lost(CURL *easy, CURLcode code)
+{
+	if (!curl_loop_request_sent(easy))
+		return false;
+	switch (code) {
+	case CURLE_GOT_NOTHING:
+	case CURLE_RECV_ERROR:
+	case CURLE_SEND_ERROR:
+	case CURLE_PARTIAL_FILE:
+	/* These three are of the attempt to send the request once more. */
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_SEND_FAIL_REWIND:
+		return true;
+	case CURLE_ABORTED_BY_CALLBACK:
+		return curl_loop_reconnected(easy);
+	default:
+		return false;
+	}
+}
+
 void curl_loop_resume(curl_loop_t *loop, CURL *easy)
 {
 	g_hash_table_add(loop->to_resume, easy);
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -47,6 +47,9 @@
 	void (*on_gate_verdict)(void *ticket_ctx, gate_verdict_t verdict);
 	/* A directory entry changed. Under gossip_lock. */
 	void (*on_member)(node_t *node, const member_t *member);
+	/* The target, whose reports have an id, has reported its state, as the process
+	 * that was known or as another one. Any thread. */
+	void (*on_target_report)(node_t *node, bool same_process);
 	/* A gossip datagram that does not concern the directory. Control thread. */
 	void (*on_message)(node_t *node, const Egret__Gossip *message);
 } node_ops_t;
@@ -97,6 +100,7 @@
 
 	pthread_mutex_t suspect_lock;
 	struct suspects *suspects;
+	struct crash_watch *crash_watch;
 
 	pthread_mutex_t stop_lock;
 	stop_t *stop;
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -34,7 +34,7 @@
 	const http_server_ops_t *target_http;
 	const http_server_ops_t *report_http;
 	/* Create and destroy peers, ingress_links, borrowers, token_waiters,
-	 * token_requests, claims and load_log of worker_t. */
+	 * token_requests, claims, target_loss and load_log of worker_t. */
 	void (*create)(worker_t *worker);
 	void (*destroy)(worker_t *worker);
 	/* Logs the requests that are still in flight; they end with their servers. */
@@ -71,6 +71,7 @@
 	GHashTable *token_requests;   /* id of the token request -> waiter_t */
 	GHashTable *requests;	      /* request number -> http_request_t */
 	struct claim_batch *claims;   /* claims for the next commit */
+	struct target_loss *target_loss;
 	struct tevent_timer *tick;
 	usec_t next_sweep; /* boot clock */
 	usec_t last_tick;  /* boot clock */
--- a/include/http/curl_loop.h
+++ b/include/http/curl_loop.h
@@ -75,4 +75,13 @@
 /* Whether any part of the request may have reached the server. */
 bool curl_loop_request_sent(CURL *easy);
 
+/* Whether a transfer that ended with this code ended because the server closed or reset
+ * the connection on which the request was sent, in front of the response or within it. If
+ * that was a kept connection, the code may be of curl's attempt to send the request once
+ * more. */
+bool curl_loop_connection_lost(CURL *easy, CURLcode code);
+
+/* Whether curl connected once more after it had sent the request; see DESCRIPTION. */
+bool curl_loop_reconnected(CURL *easy);
+
 #endif
--- a/include/membership/gossip.h
+++ b/include/membership/gossip.h
@@ -58,10 +58,11 @@
 	 * itself. */
 	void (*on_member)(void *ctx, const member_t *member);
 	/* A request with this fingerprint was in flight when the target of another node
-	 * crashed, `age_ms` ago. `crash` is the id of that crash. Returns false if that
-	 * was known; the suspicion is then not sent on. */
+	 * crashed, `age_ms` ago. `crash` is the id of that crash, `evidence` a
+	 * suspect_evidence_t (claims/suspects.h) or unknown. Returns false if that was
+	 * known; the suspicion is then not sent on. */
 	bool (*on_suspicion)(void *ctx, uint64_t fingerprint, uint64_t crash,
-			     uint32_t age_ms);
+			     uint32_t evidence, uint32_t age_ms);
 } gossip_ops_t;
 
 /* `seeds` is a NULL-terminated list of peer addresses, or NULL. Seeds are contacted while
@@ -99,7 +100,7 @@
 /* Queues a crash suspicion and pushes it to others: a request with this fingerprint was
  * in flight when this node's target crashed. `crash` is the id of that crash. */
 void gossip_broadcast_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
-				uint64_t crash);
+				uint64_t crash, uint32_t evidence);
 
 /* A random live member other than this node, or NULL. */
 const member_t *gossip_random_member(gossip_t *gossip);
--- a/include/membership/gossip_state.h
+++ b/include/membership/gossip_state.h
@@ -30,6 +30,7 @@
 	TAILQ_ENTRY(suspicion_update) link;
 	uint64_t fingerprint;
 	uint64_t crash;
+	uint32_t evidence; /* suspect_evidence_t */
 	usec_t created;
 	uint32_t transmissions; /* still to be made */
 } suspicion_update_t;
--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -67,6 +67,9 @@
 target_change_t target_apply_report(target_t *target, const target_report_t *report,
 				    usec_t now, usec_t leave_timeout);
 
+/* Whether the report is of the process whose report was applied last. */
+bool target_is_same_process(const target_t *target, const target_report_t *report);
+
 /* Whether new requests may be sent to the target. */
 bool target_accepts_requests(const target_t *target, usec_t now);
 
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -459,10 +459,14 @@
   uint64_t fingerprint;
   uint64_t crash;
   uint32_t age_ms;
+  /*
+   * suspect_evidence_t
+   */
+  uint32_t evidence;
 };
 #define EGRET__SUSPICION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__suspicion__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -135,12 +135,13 @@
 }
 
 static void queue_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
-			    uint64_t crash, usec_t created)
+			    uint64_t crash, uint32_t evidence, usec_t created)
 {
 	suspicion_update_t *update = g_new0(suspicion_update_t, 1);
 
 	update->fingerprint = fingerprint;
 	update->crash = crash;
+	update->evidence = evidence;
 	update->created = created;
 	update->transmissions = gossip_transmissions(gossip);
 	TAILQ_INSERT_TAIL(&gossip->suspicions, update, link);
@@ -148,9 +149,9 @@
 }
 
 void gossip_broadcast_suspicion(gossip_t *gossip, usec_t now, uint64_t fingerprint,
-				uint64_t crash)
+				uint64_t crash, uint32_t evidence)
 {
-	queue_suspicion(gossip, now, fingerprint, crash, now);
+	queue_suspicion(gossip, now, fingerprint, crash, evidence, now);
 }
 
 /* Another node sent the same entry, so the update is sent fewer times. */
@@ -190,8 +191,9 @@
 	if (age >= SUSPICION_LIFETIME)
 		return;
 	if (gossip->ops->on_suspicion(gossip->ctx, wire->fingerprint, wire->crash,
-				      wire->age_ms))
-		queue_suspicion(gossip, now, wire->fingerprint, wire->crash, now - age);
+				      wire->evidence, wire->age_ms))
+		queue_suspicion(gossip, now, wire->fingerprint, wire->crash,
+				wire->evidence, now - age);
 }
 
 static void relay_probe(gossip_t *gossip, usec_t now, const Egret__Gossip *message)
--- a/membership/gossip_message.c
+++ b/membership/gossip_message.c
@@ -95,6 +95,7 @@
 		egret__suspicion__init(&datagram->suspicions[i]);
 		datagram->suspicions[i].fingerprint = update->fingerprint;
 		datagram->suspicions[i].crash = update->crash;
+		datagram->suspicions[i].evidence = update->evidence;
 		datagram->suspicions[i].age_ms =
 			(uint32_t)((now - update->created) / USEC_PER_MSEC);
 		datagram->suspicion_list[i] = &datagram->suspicions[i];
--- a/membership/target.c
+++ b/membership/target.c
@@ -69,6 +69,11 @@
 	return unchanged ? TARGET_UNCHANGED : TARGET_CHANGED;
 }
 
+bool target_is_same_process(const target_t *target, const target_report_t *report)
+{
+	return same_process(&target->last_report, report);
+}
+
 bool target_accepts_requests(const target_t *target, usec_t now)
 {
 	return target->present && (!target->draining || now < target->accepts_until);
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -228,7 +228,7 @@
         for target in self.targets:
             target.close()
 
-    def send(self, path, method="GET", headers=None, node=0, source=None):
+    def send(self, path, method="GET", headers=None, node=0, source=None, body=None):
         """Sends a request as a client, or as the node's target if `source` is the target's
         address; returns status, headers and body."""
         host, port = self.listen_address(node, "outbound").split(":")
@@ -238,7 +238,8 @@
         if not source:
             sent_headers["Authorization"] = "Bearer key-a"
         sent_headers.update(headers or {})
-        connection.request(method, path, headers={k: v for k, v in sent_headers.items() if v})
+        connection.request(method, path, body,
+                           headers={k: v for k, v in sent_headers.items() if v})
         response = connection.getresponse()
         body = response.read()
         connection.close()
--- /dev/null
+++ b/tests/e2e/on_platform_crashes.py
@@ -0,0 +1,175 @@
+"""End-to-end cases of a request that crashes each target that begins to run it."""
+
+import collections
+import http.client
+import threading
+import time
+
+from on_platform import INITIAL_NODES, PlatformDeployment, wait_for
+from raw_target import RawTarget
+from restarting_target import RestartingTarget
+
+CONTACT_SEC = 3.0  # bound `contact` of the users' rule
+LATE_RETRIES_MAX = 3  # later than CONTACT_SEC after the third crash
+PERIOD_SEC = 1.0  # between two sends of the request that crashes targets
+SENDS = 10
+
+
+WORK_SEC = 0.15
+
+
+def serve_or_crash(_, message):
+    """Crashes the target when it begins to run a request whose path ends in "crash"."""
+    if message["path"].endswith("crash"):
+        return None
+    time.sleep(WORK_SEC)
+    return (f"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {message['headers']['request-attempt-id']}\r\n"
+            "Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok").encode(), True
+
+
+CHECKED_MAX = 20  # paths of bystanders that are sent again
+
+
+class Bystanders:
+    """Clients of other requests, which run on the same targets. Each sends requests with paths of
+    its own, and notes those that got no response of a target."""
+
+    def __init__(self, deployment, count):
+        self.deployment, self.failed, self.served = deployment, set(), 0
+        self.ends, self.lock = False, threading.Lock()
+        self.threads = [threading.Thread(target=self.send, args=(n,)) for n in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def send(self, number):
+        count = 0
+        while not self.ends:
+            count += 1
+            path = f"/o/{number}-{count // 3}"  # each request is sent three times
+            status = self.deployment.send(
+                path, headers={"Request-Attempt-Id": f"b-{number}-{count}"}, node=number % 2)[0]
+            with self.lock:
+                self.served += status == 200
+                if status != 200:
+                    self.failed.add(path)
+
+    def refused(self):
+        """Returns those of the failed requests that are refused when they are sent again."""
+        paths = sorted(self.failed)[-CHECKED_MAX:]
+        return [path for path in paths if self.deployment.send(path)[0] != 200]
+
+    def join(self):
+        self.ends = True
+        for thread in self.threads:
+            thread.join()
+
+
+def use_fragile_targets(deployment):
+    """Lets the two nodes of the service back use a target each that may crash."""
+    deployment.start_third_node()
+    targets = []
+    for i in (1, INITIAL_NODES):
+        deployment.targets[i].close()
+        targets.append(RestartingTarget(deployment.listen_address(i, "app"),
+                                        deployment.listen_address(i, "control"), "back",
+                                        serve_or_crash))
+    del deployment.targets[1:]
+    wait_for("requests to be served", lambda: all(
+        deployment.send(f"/o/warm{n}", node=n % 3)[0] == 200 for n in range(12)), 10)
+    return targets
+
+
+Row = collections.namedtuple("Row", "name method path body keeps bystanders")
+ROWS = [
+    Row("on kept connections, with a body", "POST", "/f/deep/crash", b"body", True, 0),
+    Row("on kept connections, without a body", "POST", "/f/deep/crash", None, True, 0),
+    Row("on new connections", "POST", "/f/deep/crash", b"body", False, 0),
+    Row("beside others", "POST", "/f/deep/crash", b"body", False, 6),
+    Row("beside others, repeated by the node", "GET", "/o/crash", None, False, 6),
+]
+
+
+def open_connections(deployment):
+    """Lets the nodes keep connections to all targets."""
+    wait_for("the targets to be used", lambda: all(
+        deployment.send(f"/f/deep/warm{n}", "POST", node=n % 3)[0] == 200 for n in range(9)), 5)
+
+
+def check_crashes(deployment, row):
+    """Sends a request that crashes targets again and again; returns what is wrong."""
+    targets = use_fragile_targets(deployment)
+    others = Bystanders(deployment, row.bystanders)
+    statuses = []
+    try:
+        for n in range(SENDS):
+            if row.keeps:
+                open_connections(deployment)
+            start = time.monotonic()
+            statuses.append(deployment.send(row.path, row.method, node=n % 3, body=row.body)[0])
+            time.sleep(max(0.0, start + PERIOD_SEC - time.monotonic()))
+        others.join()
+        wait_for("the targets to be back", lambda: deployment.send("/o/after")[0] == 200, 3)
+        refused = others.refused()
+    finally:
+        others.join()
+        for target in targets:
+            target.close()
+    crashes = sorted(at for target in targets for at in target.crashed_at)
+    late = [at for at in crashes if at > crashes[min(2, len(crashes) - 1)] + CONTACT_SEC]
+    found = {f"{len(crashes)} crashes, {len(late)} of them late":
+                 len(crashes) < 2 or len(late) > LATE_RETRIES_MAX,
+             f"the last statuses are {statuses}": statuses[-1] != 503,
+             f"of the other requests, {refused} are refused": refused != [],
+             f"{others.served} other requests were served":
+                 row.bystanders > 0 and others.served < SENDS}
+    return [f"{row.name}: {what}" for what, wrong in found.items() if wrong]
+
+
+def case_on_platform_crashing_request():
+    """A request that crashes each target is refused after three of them, whether its connections
+    are new or kept and whether other requests are in flight; those are still served."""
+    failures = []
+    for row in ROWS:
+        with PlatformDeployment() as d:
+            failures += check_crashes(d, row)
+    assert not failures, "\n".join(failures)
+
+
+CUT_RESPONSES = [
+    b"", b"HTTP/1.1 200 OK\r\nContent-Le",
+    b"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: id-1\r\nResponse-Seal: seal\r\n"
+    b"Content-Length: 20\r\n\r\nok"]
+RESPONSE = b"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: id-1\r\nResponse-Seal: seal\r\n" \
+    b"Content-Length: 2\r\n\r\nok"
+
+
+def case_on_platform_closed_connections():
+    """A sound target that closes a connection in place of a response, or inside one, has not
+    crashed: the request is not refused as the cause of a crash."""
+    with PlatformDeployment() as d:
+        back = d.targets[1]
+        back.response = (200, {"Connection": "close"})
+        assert d.send("/f/deep/x", "POST")[0] == 200
+        back.close()
+        cut = []
+
+        def respond(message):
+            if message["path"] != "/f/deep/cut":
+                return RESPONSE, True
+            cut.append(message["connection"])
+            return CUT_RESPONSES[len(cut) % len(CUT_RESPONSES)], False
+
+        target = RawTarget(back.address, respond)
+        try:
+            for n in range(4 * len(CUT_RESPONSES)):
+                d.report_all()
+                # Each second request is sent on a kept connection.
+                if n % 2:
+                    assert d.send(f"/f/deep/kept{n}", "POST")[0] == 200
+                try:
+                    d.send("/f/deep/cut", "POST")
+                except (OSError, http.client.HTTPException):
+                    pass  # the response was cut off
+                assert len(cut) == n + 1, f"request {n} was not sent to the target"
+        finally:
+            target.close()
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -33,6 +33,8 @@
 from odd_entries import (  # noqa: E402,F401
     case_odd_addresses, case_odd_records, case_on_platform_odd_entries,
     case_on_platform_odd_sequence)
+from on_platform_crashes import (  # noqa: E402,F401
+    case_on_platform_closed_connections, case_on_platform_crashing_request)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_downstream_loss,
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -102,12 +102,29 @@
 
 typedef struct suspect_case {
 	const char *name;
-	/* c in flight at a new crash, d another call at the same crash, l crash reported
-	 * by another node, s success, w wait past the refusal */
+	/* At a crash: c alone in flight, d another call at the same crash, r one of
+	 * several that started last, e running before those, l alone at another node's
+	 * target. s success, w wait until the first refusal is over, W until the second
+	 * one is, m until all is forgotten */
 	const char *steps;
 	bool refused;
+	bool on_probation;
 } suspect_case_t;
 
+static suspect_evidence_t evidence_of(char step)
+{
+	if (step == 'r')
+		return SUSPECT_RECENT;
+	return step == 'e' ? SUSPECT_EARLIER : SUSPECT_ALONE;
+}
+
+static usec_t wait_of(char step)
+{
+	if (step == 'w')
+		return SUSPECT_REFUSE_TIME;
+	return step == 'W' ? 4 * SUSPECT_REFUSE_TIME : SUSPECT_MEMORY_TIME;
+}
+
 static void test_suspect(void **state)
 {
 	const suspect_case_t *c = *state;
@@ -117,36 +134,56 @@
 
 	for (const char *step = c->steps; *step; step++) {
 		now += 2 * USEC_PER_SEC;
-		if (*step == 'c') {
+		if (strchr("cre", *step)) {
 			uint64_t crash = suspects_crash_id(suspects, ++last_id, now);
-			suspects_handle_crash(suspects, 1, crash, now);
+			suspects_handle_crash(suspects, 1, crash, evidence_of(*step),
+					      now);
 		} else if (*step == 'd') {
 			now -= 2 * USEC_PER_SEC;
 			suspects_handle_crash(suspects, 1,
 					      suspects_crash_id(suspects, ++last_id, now),
-					      now);
+					      SUSPECT_ALONE, now);
 		} else if (*step == 'l') {
-			suspects_handle_remote_crash(suspects, 1, ++last_id, 0, now);
+			suspects_handle_remote_crash(suspects, 1, ++last_id,
+						     SUSPECT_ALONE, 0, now);
 		} else if (*step == 's') {
 			suspects_handle_success(suspects, 1, now);
 		} else {
-			now += SUSPECT_REFUSE_TIME;
+			now += wait_of(*step);
 		}
 	}
 	assert_int_equal(suspects_is_refused(suspects, 1, now), c->refused);
+	assert_int_equal(suspects_is_on_probation(suspects, 1, now), c->on_probation);
 	assert_false(suspects_is_refused(suspects, 2, now));
 	suspects_destroy(suspects);
 }
 
 static const suspect_case_t suspect_cases[] = {
-	{"one crash is not enough", "c", false},
-	{"two crashes are enough", "cc", true},
-	{"two calls at one crash count once", "cd", false},
-	{"one crash here and one at another node are enough", "cl", true},
-	{"two crashes at other nodes are enough", "ll", true},
-	{"the refusal ends", "ccw", false},
-	{"a request that completed recently is exempt", "scc", false},
-	{"a success clears the crashes", "csc", false},
+	{"one crash is not enough", "c", false, true},
+	{"two crashes are enough", "cc", true, true},
+	{"two calls at one crash count once", "cd", false, true},
+	{"one crash here and one at another node are enough", "cl", true, true},
+	{"two crashes at other nodes are enough", "ll", true, true},
+	{"the refusal ends", "ccw", false, true},
+	{"a request that completed recently is exempt", "scc", false, false},
+	{"a success clears the crashes", "csc", false, false},
+	/* Requests that only shared a target with the one that crashed it. */
+	{"a crash of a target that it shared", "r", false, false},
+	{"two crashes of a target that it shared are not enough", "rr", false, true},
+	{"three crashes of a target that it shared are enough", "rrr", true, true},
+	{"five crashes that began while it was running are not enough", "eeeee", false,
+	 true},
+	{"six crashes that began while it was running are enough", "eeeeee", true, true},
+	{"shared targets, and a success between", "rrsr", false, false},
+	/* A request that crashes each target must not get two more every half minute. */
+	{"one crash after the refusal is enough, also of a shared target", "ccwe", true,
+	 true},
+	{"the second refusal is longer", "ccwcww", true, true},
+	{"the second refusal ends", "ccwcW", false, true},
+	{"a success after the refusal clears the crashes", "ccwsc", false, false},
+	{"crashes are forgotten", "cmc", false, true},
+	{"crashes are forgotten without another one", "cm", false, false},
+	{"crashes half a minute apart are not forgotten", "cwc", true, true},
 };
 
 typedef struct full_table_case {
@@ -169,7 +206,8 @@
 
 	complete_requests(suspects, 1000, c->completed, now);
 	for (uint64_t crash = 1; crash <= SUSPECT_CRASH_THRESHOLD; crash++)
-		suspects_handle_crash(suspects, 1, crash, now + USEC_PER_SEC);
+		suspects_handle_crash(suspects, 1, crash, SUSPECT_ALONE,
+				      now + USEC_PER_SEC);
 	assert_true(suspects_is_refused(suspects, 1, now + USEC_PER_SEC));
 	complete_requests(suspects, 1000000, c->completed, now + 2 * USEC_PER_SEC);
 	assert_true(suspects_is_refused(suspects, 1, now + 2 * USEC_PER_SEC));
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -106,12 +106,18 @@
 	(void)member;
 }
 
+/* Of a suspicion with less evidence than the others. */
+#define EARLIER_FINGERPRINT 78
+
 static bool handle_suspicion(void *ctx, uint64_t fingerprint, uint64_t crash,
-			     uint32_t age_ms)
+			     uint32_t evidence, uint32_t age_ms)
 {
 	peer_t *peer = ctx;
 
+	assert_int_equal(evidence, fingerprint == EARLIER_FINGERPRINT ? SUSPECT_EARLIER
+								      : SUSPECT_ALONE);
 	return suspects_handle_remote_crash(peer->suspects, fingerprint, crash,
+					    (suspect_evidence_t)evidence,
 					    age_ms * USEC_PER_MSEC, peer->net->now);
 }
 
@@ -433,8 +439,10 @@
 	run(net, 10 * USEC_PER_SEC);
 	net->suspicions_sent = 0;
 	for (uint64_t crash = 1; crash <= SUSPECT_CRASH_THRESHOLD; crash++) {
-		suspects_handle_crash(net->peers[0].suspects, 77, crash, net->now);
-		gossip_broadcast_suspicion(net->peers[0].gossip, net->now, 77, crash);
+		suspects_handle_crash(net->peers[0].suspects, 77, crash, SUSPECT_ALONE,
+				      net->now);
+		gossip_broadcast_suspicion(net->peers[0].gossip, net->now, 77, crash,
+					   SUSPECT_ALONE);
 	}
 	run(net, 3 * USEC_PER_SEC);
 	for (int i = 0; i < c->peers; i++)
@@ -444,6 +452,9 @@
 	assert_true(net->suspicions_sent <=
 		    (uint64_t)c->peers * SUSPECT_CRASH_THRESHOLD *
 			    gossip_transmissions(net->peers[0].gossip));
+	gossip_broadcast_suspicion(net->peers[0].gossip, net->now, EARLIER_FINGERPRINT, 9,
+				   SUSPECT_EARLIER);
+	run(net, 3 * USEC_PER_SEC);
 	destroy_net(net);
 }
 
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -2985,7 +2985,7 @@
   (ProtobufCMessageInit) egret__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__suspicion__field_descriptors[3] =
+static const ProtobufCFieldDescriptor egret__suspicion__field_descriptors[4] =
 {
   {
     "fingerprint",
@@ -3023,16 +3023,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Suspicion, evidence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__suspicion__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = crash */
+  3,   /* field[3] = evidence */
   0,   /* field[0] = fingerprint */
 };
 static const ProtobufCIntRange egret__suspicion__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor egret__suspicion__descriptor =
 {
@@ -3042,7 +3055,7 @@
   "Egret__Suspicion",
   "egret",
   sizeof(Egret__Suspicion),
-  3,
+  4,
   egret__suspicion__field_descriptors,
   egret__suspicion__field_indices_by_name,
   1,  egret__suspicion__number_ranges,
