target: a leave stays final for its process after an expiry or a restart

Cause: only the present state of the target said that a process has left. An expiry, a refused connection, another process or a restart of the node cleared it, and the next report of the process, late as it was, counted as a start. In the same way a late DELETE, which holds only an id, took a new process under that id out of use for good.

Change: the processes that left are kept by id and start time, and their reports are stale. A node names the last one in its directory entry; peers keep that and return it when the node starts again, and until that first pull it does not announce its target. A DELETE under an id that another process had until less than 10 s ago is not acknowledged.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -328,7 +328,13 @@
 	bool withdrawn = atomic_load(&node->withdrawn);
 	fields.ready = atomic_load(&node->ready) && !withdrawn;
 	fields.target = EGRET__TARGET_STATE__TARGET_NONE;
-	if (target.present) {
+	const left_process_t *left = target_last_left(&target);
+	if (left) {
+		g_strlcpy(fields.left_id, left->id, sizeof(fields.left_id));
+		fields.left_started_ms = left->started_ms;
+	}
+	/* Until then the target may be one that left before this node started. */
+	if (target.present && atomic_load(&node->has_directory)) {
 		bool draining = target.draining || withdrawn;
 		g_strlcpy(fields.service, target.last_report.service,
 			  sizeof(fields.service));
@@ -412,13 +418,26 @@
 	node_run_gate(node);
 }
 
-void node_make_leave_report(node_t *node, target_report_t *out)
+target_leave_t node_resolve_leave(node_t *node, target_report_t *report)
 {
 	pthread_mutex_lock(&node->gate_lock);
-	*out = node->target.last_report;
+	target_leave_t leave =
+		target_resolve_leave(&node->target, report, clock_boot_usec());
 	pthread_mutex_unlock(&node->gate_lock);
-	out->leaving = true;
-	out->sequence++;
+	return leave;
+}
+
+void node_add_left_process(node_t *node, const char *id, uint64_t started_ms)
+{
+	pthread_mutex_lock(&node->gate_lock);
+	bool leaves = target_add_left(&node->target, id, started_ms, clock_boot_usec(),
+				      node_bounds(node)->leave_time);
+	target_t target = node->target;
+	pthread_mutex_unlock(&node->gate_lock);
+	if (!leaves)
+		return;
+	log_target(&target, "leave, acknowledged before the restart");
+	node_update_member(node);
 }
 
 void node_check_target(node_t *node)
--- a/egretscaled/peers/pull.c
+++ b/egretscaled/peers/pull.c
@@ -46,6 +46,7 @@
 	pthread_mutex_unlock(&node->config_lock);
 	pull.bucket_digests = digests;
 	pull.n_bucket_digests = DIRECTORY_BUCKETS;
+	pull.address = node->address;
 	frame.kind_case = EGRET__FRAME__KIND_PULL;
 	frame.pull = &pull;
 	counter_add(COUNTER_CONFIG_PULLS, 1);
@@ -94,6 +95,9 @@
 	if (frame->kind_case != EGRET__FRAME__KIND_PULL_REPLY)
 		return;
 	merge_members(puller, frame->pull_reply);
+	if (*frame->pull_reply->left_id)
+		node_add_left_process(puller->node, frame->pull_reply->left_id,
+				      frame->pull_reply->left_started_ms);
 	merge_rows(puller, frame->pull_reply);
 	if (!frame->pull_reply->complete) {
 		send_pull(puller);
@@ -175,8 +179,9 @@
 
 	if (atomic_load(&node->ready))
 		return;
-	if (sync_directory_known(puller->sync, now, is_only_node(node)))
-		atomic_store(&node->has_directory, true);
+	if (sync_directory_known(puller->sync, now, is_only_node(node)) &&
+	    !atomic_exchange(&node->has_directory, true))
+		node_update_member(node);
 	node_check_ready(node);
 }
 
@@ -296,6 +301,21 @@
 	member_t copy;
 } encoded_member_t;
 
+/* Copies what is known of the target of the node that pulls. */
+static void fill_left_process(node_t *node, const Egret__Pull *pull,
+			      char id[MEMBER_TEXT_BYTES], Egret__PullReply *reply)
+{
+	pthread_mutex_lock(&node->gossip_lock);
+	const member_t *member =
+		directory_lookup(gossip_directory(node->gossip), pull->address);
+	if (member) {
+		g_strlcpy(id, member->left_id, MEMBER_TEXT_BYTES);
+		reply->left_id = id;
+		reply->left_started_ms = member->left_started_ms;
+	}
+	pthread_mutex_unlock(&node->gossip_lock);
+}
+
 static void add_members(node_t *node, const Egret__Pull *pull, GPtrArray *members)
 {
 	uint64_t digests[DIRECTORY_BUCKETS];
@@ -342,8 +362,10 @@
 	GPtrArray *wire_rows = g_ptr_array_new_with_free_func(g_free);
 	Egret__Frame frame = EGRET__FRAME__INIT;
 	Egret__PullReply reply = EGRET__PULL_REPLY__INIT;
+	char left_id[MEMBER_TEXT_BYTES];
 
 	add_members(node, pull, members);
+	fill_left_process(node, pull, left_id, &reply);
 	pthread_mutex_lock(&node->config_lock);
 	reply.config_revision = config_log_changes(node->config_log, pull->config_after,
 						   REPLY_ROWS_MAX_BYTES, rows);
--- a/egretscaled/request/target_reports.c
+++ b/egretscaled/request/target_reports.c
@@ -16,20 +16,6 @@
 	g_bytes_unref(body);
 }
 
-/* A leave report may hold only the target's id; the other fields are then those of its
- * last report. Returns false if it names another target; the report then has no
- * effect. */
-static bool fill_in_leave(node_t *node, target_report_t *report)
-{
-	target_report_t last;
-
-	node_make_leave_report(node, &last);
-	if (*report->id && strcmp(report->id, last.id) != 0)
-		return false;
-	*report = last;
-	return true;
-}
-
 /* On the platform the settings name this node's target; reports of others are refused. */
 static bool is_own_target(const node_t *node, const target_report_t *report)
 {
@@ -61,9 +47,39 @@
 	return false;
 }
 
+static void apply_report(http_request_t *request, const target_report_t *report)
+{
+	node_handle_target_report(request->worker->node, report);
+	respond_ok(request);
+}
+
+/* A leave report that holds at most the target's id. */
+static void handle_leave(http_request_t *request, target_report_t *report)
+{
+	char id[MEMBER_TEXT_BYTES];
+	log_rec_t rec;
+
+	g_strlcpy(id, report->id, sizeof(id));
+	target_leave_t leave = node_resolve_leave(request->worker->node, report);
+	if (leave == TARGET_LEAVE_OWN) {
+		apply_report(request, report);
+		return;
+	}
+	log_begin(&rec, LOG_LEVEL_INFO, "target");
+	log_str(&rec, "change",
+		leave == TARGET_LEAVE_OTHER ? "leave of another process"
+					    : "leave refused: id used by two processes");
+	log_str(&rec, "id", id);
+	log_end(&rec);
+	if (leave == TARGET_LEAVE_OTHER)
+		respond_ok(request);
+	else
+		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN,
+				    EGRET__REASON__REASON_NOT_READY);
+}
+
 void target_reports_handle(http_request_t *request)
 {
-	node_t *node = request->worker->node;
 	target_report_t report;
 	GError *error = NULL;
 
@@ -76,10 +92,8 @@
 		g_clear_error(&error);
 		return;
 	}
-	if ((report.leaving && !*report.address && !fill_in_leave(node, &report))) {
-		respond_ok(request);
-		return;
-	}
-	node_handle_target_report(node, &report);
-	respond_ok(request);
+	if (report.leaving && !*report.address)
+		handle_leave(request, &report);
+	else
+		apply_report(request, &report);
 }
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -164,6 +164,10 @@
  * of node_update_member(). */
 void node_handle_target_report(node_t *node, const target_report_t *report);
 
+/* Adds a process of the target that left before this node started, as peers remember it.
+ * Acquires the locks of node_update_member(). */
+void node_add_left_process(node_t *node, const char *id, uint64_t started_ms);
+
 /* Marks the target as absent if its last report has expired, and closes the gate once the
  * target accepts no requests. Acquires the locks of node_update_member(). */
 void node_check_target(node_t *node);
@@ -172,8 +176,9 @@
  * node_update_member(). */
 void node_handle_target_refusal(node_t *node);
 
-/* Builds a leave report from the target's last report, for a leave with an empty body. */
-void node_make_leave_report(node_t *node, target_report_t *out);
+/* Finds the process of a leave report that holds only an id; see target_resolve_leave().
+ * Acquires gate_lock. */
+target_leave_t node_resolve_leave(node_t *node, target_report_t *report);
 
 /* Whether the node, which may be stopping, accepts a request or a call of a peer that
  * arrives now with this deadline. Acquires stop_lock. */
--- a/include/membership/directory.h
+++ b/include/membership/directory.h
@@ -48,6 +48,10 @@
 	uint64_t keeper_epochs[KEEPER_PARTITIONS]; /* epoch of the lease on each
 						      partition; 0 if not held */
 	bool ready;
+	/* The process of the node's target that left last; empty if none did. Kept when
+	 * the node starts anew, so that it can ask its peers for it. */
+	char left_id[MEMBER_TEXT_BYTES];
+	uint64_t left_started_ms;
 	usec_t changed_at; /* when the entry last changed in this directory */
 } member_t;
 
--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -23,6 +23,16 @@
  *	that are on their way to it. target_accepts_requests() turns false before the
  *	time allowed for the leave is over.
  *
+ *	A leave is final for its process, if that has an id: whatever ends the
+ *	presence of the target meanwhile (no reports, a refused connection, another
+ *	process), a report that was sent before the leave and arrives late does not
+ *	bring it back. The last TARGET_LEFT_MAX processes that left are kept for that.
+ *
+ *	A leave report may state only an id. If that is not the id of the last report,
+ *	reports under it are stale for LATE_REPORT_TIME. If it is, but another process
+ *	had the id until less than LATE_REPORT_TIME ago, it may be a late report of
+ *	that process, and is not taken.
+ *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
  */
@@ -41,6 +51,18 @@
 	usec_t cold_time_left; /* time that the target stays cold from now on */
 } target_report_t;
 
+#define TARGET_LEFT_MAX 8
+/* A report arrives at most this late. */
+#define LATE_REPORT_TIME (10 * USEC_PER_SEC)
+
+/* A process that left. */
+typedef struct left_process {
+	char id[MEMBER_TEXT_BYTES];
+	uint64_t started_ms;
+	/* The start is not known: all processes with the id count as left until then. */
+	usec_t any_start_until;
+} left_process_t;
+
 typedef struct target {
 	bool present;
 	bool draining;
@@ -49,6 +71,9 @@
 	usec_t last_report_at;
 	usec_t accepts_until; /* while draining */
 	usec_t cold_until;    /* 0 if not cold */
+	usec_t id_reused_at;  /* a process took over the id of another; 0 if none did */
+	left_process_t left[TARGET_LEFT_MAX];
+	uint32_t left_count; /* in all; the last ones are kept */
 } target_t;
 
 typedef enum target_change {
@@ -67,6 +92,25 @@
 target_change_t target_apply_report(target_t *target, const target_report_t *report,
 				    usec_t now, usec_t leave_timeout);
 
+typedef enum target_leave {
+	TARGET_LEAVE_OWN,	/* of the process whose report was applied last */
+	TARGET_LEAVE_OTHER,	/* of another process, which is noted as left */
+	TARGET_LEAVE_UNCERTAIN, /* of that process or of an earlier one with its id */
+} target_leave_t;
+
+/* Finds the process of a leave report that states only an id, or nothing, and for
+ * TARGET_LEAVE_OWN fills in the other fields. */
+target_leave_t target_resolve_leave(target_t *target, target_report_t *report,
+				    usec_t now);
+
+/* The process that left last and whose start is known, or NULL. */
+const left_process_t *target_last_left(const target_t *target);
+
+/* Adds a process that left before this node started. Returns whether that is the present
+ * one, which thereby leaves. */
+bool target_add_left(target_t *target, const char *id, uint64_t started_ms, usec_t now,
+		     usec_t leave_timeout);
+
 /* Whether the report is of the process whose report was applied last. */
 bool target_is_same_process(const target_t *target, const target_report_t *report);
 
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -341,10 +341,14 @@
   uint64_t config_after;
   size_t n_bucket_digests;
   uint64_t *bucket_digests;
+  /*
+   * of the sender
+   */
+  char *address;
 };
 #define EGRET__PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__pull__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Egret__PullReply
@@ -356,10 +360,15 @@
   size_t n_members;
   Egret__Member **members;
   protobuf_c_boolean complete;
+  /*
+   * The process that left the receiver's target last, as far as is known.
+   */
+  char *left_id;
+  uint64_t left_started_ms;
 };
 #define EGRET__PULL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__pull_reply__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -447,10 +456,15 @@
   size_t n_keeps;
   Egret__KeeperClaim **keeps;
   protobuf_c_boolean ready;
+  /*
+   * The process of its target that left last; empty if none did.
+   */
+  char *left_id;
+  uint64_t left_started_ms;
 };
 #define EGRET__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, EGRET__MEMBER_STATE__MEMBER_ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, EGRET__TARGET_STATE__TARGET_NONE, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, EGRET__MEMBER_STATE__MEMBER_ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, EGRET__TARGET_STATE__TARGET_NONE, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Egret__Suspicion
--- a/membership/directory.c
+++ b/membership/directory.c
@@ -37,6 +37,10 @@
 
 	copy.link = member->link;
 	copy.changed_at = now;
+	if (!*copy.left_id) {
+		g_strlcpy(copy.left_id, member->left_id, sizeof(copy.left_id));
+		copy.left_started_ms = member->left_started_ms;
+	}
 	*member = copy;
 	directory->live += (uint32_t)is_live(member) - (uint32_t)was_live;
 }
@@ -230,6 +234,8 @@
 	out->slots = member->slots;
 	out->cold_slots = member->cold_slots;
 	out->ready = member->ready;
+	out->left_id = (char *)member->left_id;
+	out->left_started_ms = member->left_started_ms;
 	out->keeps = claim_list;
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
 		if (member->keeper_epochs[i] == 0)
@@ -254,7 +260,8 @@
 	if (!copy_text(out->address, sizeof(out->address), wire->address) ||
 	    !address_parse(out->address, &address, NULL) ||
 	    !copy_text(out->zone, sizeof(out->zone), wire->zone) ||
-	    !copy_text(out->service, sizeof(out->service), wire->service))
+	    !copy_text(out->service, sizeof(out->service), wire->service) ||
+	    !copy_text(out->left_id, sizeof(out->left_id), wire->left_id))
 		return false;
 	if (wire->state > EGRET__MEMBER_STATE__MEMBER_LEFT ||
 	    wire->target > EGRET__TARGET_STATE__TARGET_DRAINING)
@@ -267,6 +274,7 @@
 	out->slots = wire->slots;
 	out->cold_slots = wire->cold_slots;
 	out->ready = wire->ready;
+	out->left_started_ms = wire->left_started_ms;
 	for (size_t i = 0; i < wire->n_keeps; i++) {
 		if (wire->keeps[i]->partition >= KEEPER_PARTITIONS)
 			return false;
--- a/membership/target.c
+++ b/membership/target.c
@@ -12,10 +12,36 @@
 	       strcmp(a->address, b->address) == 0 && strcmp(a->service, b->service) == 0;
 }
 
-static bool is_stale(const target_t *target, const target_report_t *report)
+static bool has_left(const target_t *target, const target_report_t *report, usec_t now)
+{
+	for (uint32_t i = 0; i < MIN(target->left_count, TARGET_LEFT_MAX); i++) {
+		const left_process_t *left = &target->left[i];
+		if (strcmp(left->id, report->id) == 0 &&
+		    (left->any_start_until ? now < left->any_start_until
+					   : left->started_ms == report->started_ms))
+			return true;
+	}
+	return false;
+}
+
+static void remember_leave(target_t *target, const target_report_t *report,
+			   usec_t any_start_until)
+{
+	if (!*report->id)
+		return;
+	left_process_t *left = &target->left[target->left_count++ % TARGET_LEFT_MAX];
+	g_strlcpy(left->id, report->id, sizeof(left->id));
+	left->started_ms = report->started_ms;
+	left->any_start_until = any_start_until;
+}
+
+static bool is_stale(const target_t *target, const target_report_t *report, usec_t now)
 {
 	const target_report_t *last = &target->last_report;
 
+	if (has_left(target, report, now) &&
+	    !(target->present && same_process(last, report)))
+		return true;
 	if (!*last->id || strcmp(last->address, report->address) != 0)
 		return false;
 	if (target->expired && !target->draining)
@@ -43,14 +69,44 @@
 	return TARGET_LEAVING;
 }
 
+static void note_id_reuse(target_t *target, const target_report_t *report, usec_t now)
+{
+	const target_report_t *last = &target->last_report;
+
+	if (same_process(last, report))
+		return;
+	target->id_reused_at = *report->id && strcmp(last->id, report->id) == 0 ? now : 0;
+}
+
+target_leave_t target_resolve_leave(target_t *target, target_report_t *report, usec_t now)
+{
+	const target_report_t *last = &target->last_report;
+
+	if (*report->id && strcmp(report->id, last->id) != 0) {
+		remember_leave(target, report, now + LATE_REPORT_TIME);
+		return TARGET_LEAVE_OTHER;
+	}
+	if (target->id_reused_at && now - target->id_reused_at < LATE_REPORT_TIME)
+		return TARGET_LEAVE_UNCERTAIN;
+	*report = *last;
+	report->leaving = true;
+	report->sequence++;
+	return TARGET_LEAVE_OWN;
+}
+
 target_change_t target_apply_report(target_t *target, const target_report_t *report,
 				    usec_t now, usec_t leave_timeout)
 {
-	if (is_stale(target, report))
+	if (is_stale(target, report, now))
 		return TARGET_REPORT_STALE;
 	bool same = target->present && same_process(&target->last_report, report);
 	bool unchanged = same && same_state(target, report, now);
 
+	note_id_reuse(target, report, now);
+	/* Without a start time, a later process cannot be told from the one that left. */
+	if (report->leaving && !has_left(target, report, now))
+		remember_leave(target, report,
+			       report->started_ms ? 0 : now + LATE_REPORT_TIME);
 	target->last_report = *report;
 	target->last_report_at = now;
 	target->expired = false;
@@ -69,6 +125,31 @@
 	return unchanged ? TARGET_UNCHANGED : TARGET_CHANGED;
 }
 
+const left_process_t *target_last_left(const target_t *target)
+{
+	for (uint32_t i = 1; i <= MIN(target->left_count, TARGET_LEFT_MAX); i++) {
+		const left_process_t *left =
+			&target->left[(target->left_count - i) % TARGET_LEFT_MAX];
+		if (!left->any_start_until)
+			return left;
+	}
+	return NULL;
+}
+
+bool target_add_left(target_t *target, const char *id, uint64_t started_ms, usec_t now,
+		     usec_t leave_timeout)
+{
+	const target_report_t *last = &target->last_report;
+	target_report_t left = {.started_ms = started_ms};
+
+	g_strlcpy(left.id, id, sizeof(left.id));
+	if (has_left(target, &left, now))
+		return false;
+	remember_leave(target, &left, 0);
+	return strcmp(last->id, id) == 0 && last->started_ms == started_ms &&
+	       start_leave(target, now, leave_timeout) == TARGET_LEAVING;
+}
+
 bool target_is_same_process(const target_t *target, const target_report_t *report)
 {
 	return same_process(&target->last_report, report);
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -36,6 +36,8 @@
 from on_platform_crashes import (  # noqa: E402,F401
     case_on_platform_closed_connections, case_on_platform_crashing_request)
 from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
+from on_platform_leaves import (  # noqa: E402,F401
+    case_on_platform_late_reports, case_on_platform_new_lifetime)
 from on_platform_nodes import (  # noqa: E402,F401
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_downstream_loss,
     case_on_platform_frozen, case_on_platform_join, case_on_platform_leave,
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -13,6 +13,10 @@
 #define LEAVE_TIMEOUT (2 * USEC_PER_SEC)
 #define STEPS_MAX 6
 
+/* In place of the id of a report: what happens to the target. */
+#define EXPIRES "(no reports)"
+#define REFUSES "(refuses a connection)"
+
 typedef struct step {
 	usec_t at;
 	const char *id;
@@ -41,6 +45,19 @@
 	return report;
 }
 
+/* Returns whether the step is not a report. */
+static bool let_happen(target_t *target, const step_t *step)
+{
+	if (strcmp(step->id, EXPIRES) == 0)
+		assert_true(target_expire(target, step->at, USEC_PER_SEC));
+	else if (strcmp(step->id, REFUSES) == 0)
+		assert_true(target_handle_refusal(target));
+	else
+		return false;
+	assert_false(target_accepts_requests(target, step->at));
+	return true;
+}
+
 static void test_target(void **state)
 {
 	const target_case_t *c = *state;
@@ -48,6 +65,8 @@
 
 	for (const step_t *step = c->steps; step < c->steps + STEPS_MAX && step->id;
 	     step++) {
+		if (let_happen(&target, step))
+			continue;
 		target_report_t report = report_of(step);
 		assert_int_equal(
 			target_apply_report(&target, &report, step->at, LEAVE_TIMEOUT),
@@ -83,11 +102,108 @@
 	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
 	  {2, "a", 5, 2, true, TARGET_LEAVING, true},
 	  {9, "b", 9, 1, false, TARGET_STARTED, true}}},
+	/* A report that was sent before a leave and arrives after it must not bring the
+	 * target back, whatever ended its presence meanwhile. */
+	{"a late report after a leave and an expiry",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVING, true},
+	  {6 * USEC_PER_SEC, EXPIRES, 0, 0, false, TARGET_UNCHANGED, false},
+	  {6 * USEC_PER_SEC, "a", 5, 4, false, TARGET_REPORT_STALE, false}}},
+	{"a late report after a leave and a refused connection",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVING, true},
+	  {3 * USEC_PER_SEC, REFUSES, 0, 0, false, TARGET_UNCHANGED, false},
+	  {3 * USEC_PER_SEC, "a", 5, 4, false, TARGET_REPORT_STALE, false}}},
+	{"a late report after a leave, another process and its expiry",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVING, true},
+	  {3, "b", 9, 1, false, TARGET_STARTED, true},
+	  {9 * USEC_PER_SEC, EXPIRES, 0, 0, false, TARGET_UNCHANGED, false},
+	  {9 * USEC_PER_SEC, "a", 5, 4, false, TARGET_REPORT_STALE, false},
+	  {9 * USEC_PER_SEC, "b", 9, 2, false, TARGET_STARTED, true}}},
+	{"a late report of a leave counts for its own process only",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 9, 1, false, TARGET_STARTED, true},
+	  {3, "a", 5, 7, true, TARGET_REPORT_STALE, true},
+	  {4, "a", 9, 2, false, TARGET_UNCHANGED, true}}},
+	{"the next process under the same id after a leave and an expiry",
+	 {{1, "a", 5, 1, false, TARGET_STARTED, true},
+	  {2, "a", 5, 2, true, TARGET_LEAVING, true},
+	  {6 * USEC_PER_SEC, EXPIRES, 0, 0, false, TARGET_UNCHANGED, false},
+	  {6 * USEC_PER_SEC, "a", 9, 1, false, TARGET_STARTED, true},
+	  {6 * USEC_PER_SEC, "a", 5, 9, false, TARGET_REPORT_STALE, true}}},
 	{"a leave report of a target that is not present",
 	 {{1, "a", 5, 1, true, TARGET_UNCHANGED, false},
 	  {2, "b", 9, 1, false, TARGET_STARTED, true}}},
 };
 
+typedef struct leave_case {
+	const char *name;
+	const char *ids[3];  /* of the processes that reported, by time; NULL ends */
+	usec_t since_last;   /* from the last report to the leave */
+	const char *leaving; /* id that the leave report states */
+	target_leave_t leave;
+	/* A late report of the first process, 1 s after the leave, is stale. */
+	bool late_is_stale;
+} leave_case_t;
+
+static void test_leave_without_start(void **state)
+{
+	const leave_case_t *c = *state;
+	target_t target = {0};
+	target_report_t report;
+	usec_t now = 1;
+
+	for (int i = 0; i < 3 && c->ids[i]; i++, now += USEC_PER_SEC) {
+		step_t step = {
+			.id = c->ids[i], .started_ms = 5 + (uint64_t)i, .sequence = 1};
+		report = report_of(&step);
+		target_apply_report(&target, &report, now, LEAVE_TIMEOUT);
+	}
+	now += c->since_last - USEC_PER_SEC;
+	report = (target_report_t){.leaving = true};
+	g_strlcpy(report.id, c->leaving, sizeof(report.id));
+	assert_int_equal(target_resolve_leave(&target, &report, now), c->leave);
+	if (c->leave == TARGET_LEAVE_OWN)
+		assert_int_equal(
+			target_apply_report(&target, &report, now, LEAVE_TIMEOUT),
+			TARGET_LEAVING);
+	target_expire(&target, now + USEC_PER_SEC, 0);
+	step_t late = {.id = c->leaving, .started_ms = 5, .sequence = 9};
+	report = report_of(&late);
+	target_change_t change =
+		target_apply_report(&target, &report, now + USEC_PER_SEC, LEAVE_TIMEOUT);
+	assert_int_equal(change == TARGET_REPORT_STALE, c->late_is_stale);
+}
+
+static const leave_case_t leave_cases[] = {
+	{"a leave of the only process", {"a"}, USEC_PER_SEC, "a", TARGET_LEAVE_OWN, true},
+	{"a leave of a process that is not known, as after a restart of the node",
+	 {NULL},
+	 USEC_PER_SEC,
+	 "a",
+	 TARGET_LEAVE_OTHER,
+	 true},
+	{"a late leave of an earlier process",
+	 {"a", "b"},
+	 USEC_PER_SEC,
+	 "a",
+	 TARGET_LEAVE_OTHER,
+	 true},
+	{"a leave soon after the id was taken over",
+	 {"a", "a"},
+	 USEC_PER_SEC,
+	 "a",
+	 TARGET_LEAVE_UNCERTAIN,
+	 false},
+	{"a leave long after the id was taken over",
+	 {"a", "a"},
+	 LATE_REPORT_TIME,
+	 "a",
+	 TARGET_LEAVE_OWN,
+	 true},
+};
+
 typedef struct limiter_case {
 	const char *name;
 	uint32_t per_second;
@@ -199,6 +315,7 @@
 	};
 
 	return RUN_CASES("target", target_cases, test_target) +
+	       RUN_CASES("leave_without_start", leave_cases, test_leave_without_start) +
 	       RUN_CASES("rate_limiter", limiter_cases, test_rate_limiter) +
 	       cmocka_run_group_tests(single, NULL, NULL);
 }
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -2380,7 +2380,7 @@
   (ProtobufCMessageInit) egret__row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__pull__field_descriptors[2] =
+static const ProtobufCFieldDescriptor egret__pull__field_descriptors[3] =
 {
   {
     "config_after",
@@ -2406,15 +2406,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Pull, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__pull__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   1,   /* field[1] = bucket_digests */
   0,   /* field[0] = config_after */
 };
 static const ProtobufCIntRange egret__pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor egret__pull__descriptor =
 {
@@ -2424,14 +2437,14 @@
   "Egret__Pull",
   "egret",
   sizeof(Egret__Pull),
-  2,
+  3,
   egret__pull__field_descriptors,
   egret__pull__field_indices_by_name,
   1,  egret__pull__number_ranges,
   (ProtobufCMessageInit) egret__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__pull_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor egret__pull_reply__field_descriptors[6] =
 {
   {
     "config_revision",
@@ -2481,17 +2494,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__PullReply, left_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_started_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Egret__PullReply, left_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__pull_reply__field_indices_by_name[] = {
   3,   /* field[3] = complete */
   0,   /* field[0] = config_revision */
+  4,   /* field[4] = left_id */
+  5,   /* field[5] = left_started_ms */
   2,   /* field[2] = members */
   1,   /* field[1] = rows */
 };
 static const ProtobufCIntRange egret__pull_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor egret__pull_reply__descriptor =
 {
@@ -2501,7 +2540,7 @@
   "Egret__PullReply",
   "egret",
   sizeof(Egret__PullReply),
-  4,
+  6,
   egret__pull_reply__field_descriptors,
   egret__pull_reply__field_indices_by_name,
   1,  egret__pull_reply__number_ranges,
@@ -2804,7 +2843,7 @@
   (ProtobufCMessageInit) egret__keeper_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__member__field_descriptors[12] =
+static const ProtobufCFieldDescriptor egret__member__field_descriptors[14] =
 {
   {
     "address",
@@ -2950,6 +2989,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left_id",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Member, left_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_started_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Member, left_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__member__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -2957,6 +3020,8 @@
   2,   /* field[2] = generation */
   3,   /* field[3] = incarnation */
   10,   /* field[10] = keeps */
+  12,   /* field[12] = left_id */
+  13,   /* field[13] = left_started_ms */
   1,   /* field[1] = node_id */
   11,   /* field[11] = ready */
   6,   /* field[6] = service */
@@ -2968,7 +3033,7 @@
 static const ProtobufCIntRange egret__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor egret__member__descriptor =
 {
@@ -2978,7 +3043,7 @@
   "Egret__Member",
   "egret",
   sizeof(Egret__Member),
-  12,
+  14,
   egret__member__field_descriptors,
   egret__member__field_indices_by_name,
   1,  egret__member__number_ranges,
