curl_loop: do not use a connection again that holds unread bytes

What callers saw: after a target had sent bytes behind a complete response, the next request for it got 502, although the target would have served it.

Cause: an idle connection on which bytes arrive is shut down, but curl takes one with unread bytes for usable. The request was written to it, and curl's second try is prevented.

Change: what has arrived is discarded, so that curl sees the end of the connection.

--- a/http/curl_loop.c
+++ b/http/curl_loop.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define POOLED_HANDLES_MAX 256
+#define DISCARD_BYTES 16384
 
 struct curl_loop {
 	struct tevent_context *ev;
@@ -137,11 +138,17 @@
 }
 
 /* The server has closed the idle connection or sent bytes that belong to no request.
- * Shuts it down, so that the server can send no more and curl does not reuse it. */
+ * Shuts it down, so that the server can send no more; the kernel resets it if more bytes
+ * arrive. What has arrived is discarded, as curl would use a connection with unread bytes
+ * again. */
 static void shut_down_idle_connection(socket_watch_t *watch)
 {
+	char discarded[DISCARD_BYTES];
+
 	counter_add(COUNTER_IDLE_CONNECTIONS_SHUT, 1);
 	shutdown(watch->fd, SHUT_RDWR);
+	while (recv(watch->fd, discarded, sizeof(discarded), MSG_DONTWAIT) > 0)
+		;
 	tevent_fd_set_flags(watch->fde, 0);
 }
 
--- a/include/http/curl_loop.h
+++ b/include/http/curl_loop.h
@@ -22,7 +22,7 @@
  *	the end of such a response. A malformed head fails it with CURLE_WRITE_ERROR.
  *
  *	An idle connection on which the server sends bytes, or which it closes, is shut
- *	down at once.
+ *	down at once and not used again.
  *
  * THREADS
  *	A loop and its transfers belong to the thread of the tevent context.
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -35,7 +35,9 @@
     case_on_platform_odd_sequence)
 from on_platform_crashes import (  # noqa: E402,F401
     case_on_platform_closed_connections, case_on_platform_crashing_request)
-from on_platform_endless import case_on_platform_endless  # noqa: E402,F401
+from on_platform_endless import (  # noqa: E402,F401
+    case_on_platform_endless, case_on_platform_endless_callers,
+    case_on_platform_endless_slow_readers)
 from on_platform_leaves import (  # noqa: E402,F401
     case_on_platform_late_reports, case_on_platform_new_lifetime)
 from on_platform_nodes import (  # noqa: E402,F401
