target_send: end the upload and the connection at an answer that comes early

Cause: the entry node ended the body of the call when the client was done, although it had discarded the rest, so curl kept the connection; and curl ends a transfer only when the upload is written, which held the complete answer, and those behind it, until the time-out.

Change: an answer that comes before the request was written in full ends the upload; its connection is closed behind it, and the call ends with the last byte of a stated length. A discarded body is not ended.

--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -268,7 +268,7 @@
 	http_request_t *request = ctx;
 
 	request->body_ended = true;
-	if (request->streaming && request->call)
+	if (request->streaming && request->call && !request->discard_body)
 		body_end(request->call->request_body);
 	if (may_send_response(request))
 		send_response(request);
--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -11,6 +11,7 @@
 
 static void free_target_call(target_call_t *tc)
 {
+	TALLOC_FREE(tc->finish_timer);
 	curl_slist_free_all(tc->headers);
 	if (tc->reply.headers)
 		g_ptr_array_free(tc->reply.headers, TRUE);
--- a/egretscaled/request/target_send.c
+++ b/egretscaled/request/target_send.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 /* Size of curl's receive buffer. It is below 64 KiB because freeing a block of 64 KiB or
  * more makes malloc() merge all free chunks. */
 #define CURL_BUFFER_BYTES (16L << 10)
@@ -14,7 +16,11 @@
 
 	if (body_aborted(body))
 		return CURL_READFUNC_ABORT;
+	/* Ends the upload; curl then waits for the rest of the response only. */
+	if (tc->answered_early)
+		return 0;
 	size_t n = body_read(body, buffer, size * count);
+	tc->request_read += (int64_t)n;
 	if (n == 0 && !body_finished(body)) {
 		tc->request_paused = true;
 		return CURL_READFUNC_PAUSE;
@@ -37,6 +43,62 @@
 	return g_ascii_strtoll(length, NULL, 10);
 }
 
+/* Whether the whole request was written. curl counts the bytes of a chunked body with
+ * their framing. */
+static bool request_is_sent(const target_call_t *tc)
+{
+	curl_off_t sent = 0;
+
+	if (tc->call->content_length == 0)
+		return true;
+	curl_easy_getinfo(tc->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return body_finished(tc->call->request_body) && sent >= tc->request_read;
+}
+
+static bool has_response_body(const target_call_t *tc, uint32_t status)
+{
+	return strcmp(tc->call->method, "HEAD") != 0 && status != STATUS_NO_CONTENT &&
+	       status != STATUS_NOT_MODIFIED;
+}
+
+static void handle_finish_timer(struct tevent_context *ev, struct tevent_timer *te,
+				struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	target_call_t *tc = private_data;
+	curl_loop_t *loop = tc->worker->curl;
+	CURL *easy = tc->easy;
+
+	tc->finish_timer = NULL;
+	target_call_handle_done(tc, easy, CURLE_OK);
+	curl_loop_stop(loop, easy);
+}
+
+/* curl itself would wait until the target reads the bytes that were already passed to the
+ * socket, and hold the response back until then. */
+static void finish_if_complete(target_call_t *tc)
+{
+	if (tc->answered_early && tc->response_left == 0 && !tc->finish_timer)
+		tc->finish_timer = worker_timer(tc->worker, 0, handle_finish_timer, tc);
+}
+
+/* The connection cannot be used again: the target still waits for the rest of the body,
+ * which may never come, as a client's connection is closed behind a response that is
+ * ahead of the end of its request. */
+static void handle_early_answer(target_call_t *tc, const response_head_t *head)
+{
+	tc->answered_early = true;
+	tc->response_left =
+		has_response_body(tc, head->status) ? tc->reply.content_length : 0;
+	curl_easy_setopt(tc->easy, CURLOPT_FORBID_REUSE, 1L);
+	if (tc->request_paused)
+		curl_loop_resume(tc->worker->curl, tc->easy);
+	tc->request_paused = false;
+	finish_if_complete(tc);
+}
+
 static bool handle_response_head(void *ctx, const response_head_t *head)
 {
 	target_call_t *tc = ctx;
@@ -60,6 +122,8 @@
 		 * next request is expected. */
 		curl_easy_setopt(tc->easy, CURLOPT_FORBID_REUSE, 1L);
 	}
+	if (!request_is_sent(tc))
+		handle_early_answer(tc, head);
 	return true;
 }
 
@@ -77,7 +141,11 @@
 		tc->response_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	return body_write(tc->call->reply_body, data, len);
+	size_t written = body_write(tc->call->reply_body, data, len);
+	if (tc->answered_early && tc->response_left > 0)
+		tc->response_left = MAX(tc->response_left - (int64_t)written, 0);
+	finish_if_complete(tc);
+	return written;
 }
 
 static void handle_body_progress(void *ctx)
--- a/include/egretscaled/request/target_call_state.h
+++ b/include/egretscaled/request/target_call_state.h
@@ -36,6 +36,12 @@
 	bool headers_delivered;
 	bool response_paused; /* the reply body is full */
 	bool request_paused;  /* the request body has no data yet */
+	int64_t request_read; /* bytes of the request body that curl took */
+	/* The target answered before it got the whole request body. The rest is not sent,
+	 * and the connection is closed behind the response. */
+	bool answered_early;
+	int64_t response_left; /* if so: bytes of the body to come, or LENGTH_UNKNOWN */
+	struct tevent_timer *finish_timer; /* the response is complete; or NULL */
 } target_call_t;
 
 /* Sends the request of a call that the gate admitted. */
