platform: refuse a status report that lacks one of its fields

What callers saw: a report of another writer without sequence and cold_remaining ended the cold start of an instance, which then got 43 requests in a second (17.6 allowed), crashed and lost those that it ran.

Cause: missing counts were read as 0, which no order of reports finds stale, and a missing cold_remaining as 0.

Change: a report must have all of its fields.

--- a/tests/unit/test_dialect.c
+++ b/tests/unit/test_dialect.c
@@ -41,13 +41,33 @@
 	g_error_free(error);
 }
 
+/* Fields of a report behind those of REPORT(). */
+#define COLD ",\"cold_remaining\":\"1.5s\""
+#define SEQUENCE ",\"sequence\":4"
+#define BORN ",\"born\":9"
+#define VERSION ",\"version\":\"v\""
+#define READY ",\"state\":\"ready\""
+
 static const report_case_t report_cases[] = {
-	{"report", "PUT", "/instances/i-1",
-	 REPORT(",\"state\":\"ready\",\"cold_remaining\":\"1.5s\",\"sequence\":4,"
-		"\"born\":9"),
-	 0, false},
-	{"report: draining", "PUT", "/instances/i-1", REPORT(",\"state\":\"draining\""),
-	 0, true},
+	{"report", "PUT", "/instances/i-1", REPORT(READY COLD SEQUENCE BORN VERSION), 0,
+	 false},
+	{"report: draining", "PUT", "/instances/i-1",
+	 REPORT(",\"state\":\"draining\"" COLD SEQUENCE BORN VERSION), 0, true},
+	/* A report of another writer ended the cold start of a target, or its use. */
+	{"report: no cold_remaining", "PUT", "/instances/i-1",
+	 REPORT(READY SEQUENCE BORN VERSION), EGRET_ERROR_JSON, false},
+	{"report: no sequence", "PUT", "/instances/i-1", REPORT(READY COLD BORN VERSION),
+	 EGRET_ERROR_JSON, false},
+	{"report: no born", "PUT", "/instances/i-1", REPORT(READY COLD SEQUENCE VERSION),
+	 EGRET_ERROR_JSON, false},
+	{"report: no zone", "PUT", "/instances/i-1",
+	 "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":4" READY COLD SEQUENCE
+		 BORN VERSION "}",
+	 EGRET_ERROR_JSON, false},
+	{"report: no version", "PUT", "/instances/i-1", REPORT(READY COLD SEQUENCE BORN),
+	 EGRET_ERROR_JSON, false},
+	{"report: draining, and nothing else", "PUT", "/instances/i-1",
+	 REPORT(",\"state\":\"draining\""), EGRET_ERROR_JSON, false},
 	{"report: end of the process", "DELETE", "/instances/i-1", "", 0, true},
 	{"report: unknown path", "PUT", "/other/i-1", REPORT(",\"state\":\"ready\""),
 	 EGRET_ERROR_NOT_FOUND, false},
@@ -58,17 +78,20 @@
 	{"report: malformed JSON", "PUT", "/instances/i-1", "\001", EGRET_ERROR_JSON,
 	 false},
 	{"report: an unknown state", "PUT", "/instances/i-1",
-	 REPORT(",\"state\":\"asleep\""), EGRET_ERROR_JSON, false},
-	{"report: no state", "PUT", "/instances/i-1", REPORT(""), EGRET_ERROR_JSON,
+	 REPORT(",\"state\":\"asleep\"" COLD SEQUENCE BORN VERSION), EGRET_ERROR_JSON,
 	 false},
+	{"report: no state", "PUT", "/instances/i-1", REPORT(COLD SEQUENCE BORN VERSION),
+	 EGRET_ERROR_JSON, false},
 	{"report: a string as sequence", "PUT", "/instances/i-1",
-	 REPORT(",\"state\":\"ready\",\"sequence\":\"4\""), EGRET_ERROR_JSON, false},
+	 REPORT(READY COLD BORN VERSION ",\"sequence\":\"4\""), EGRET_ERROR_JSON, false},
 	{"report: a fraction as born", "PUT", "/instances/i-1",
-	 REPORT(",\"state\":\"ready\",\"born\":1.5"), EGRET_ERROR_JSON, false},
+	 REPORT(READY COLD SEQUENCE VERSION ",\"born\":1.5"), EGRET_ERROR_JSON, false},
 	{"report: a number as cold_remaining", "PUT", "/instances/i-1",
-	 REPORT(",\"state\":\"ready\",\"cold_remaining\":3"), EGRET_ERROR_JSON, false},
+	 REPORT(READY SEQUENCE BORN VERSION ",\"cold_remaining\":3"), EGRET_ERROR_JSON,
+	 false},
 	{"report: no slots", "PUT", "/instances/i-1",
-	 "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}",
+	 "{\"service\":\"s\",\"address\":\"10.0.0.1:80\"" READY COLD SEQUENCE BORN VERSION
+	 "}",
 	 EGRET_ERROR_JSON, false},
 };
 
