suspects: a node that starts again takes over the refusals of its peers

Cause: refusals of requests that crash their targets were spread as crashes by gossip only. A node that started later, or was cut off meanwhile, knew none and let such a request through to its own target.

Change: the reply to a pull holds the refusals, at most 64, with their length and age.

Measured: e2e on_platform_crashing_request_restart before: one more crash (502, then 503); after: none, four times 503. test_claims suspects_take_over, three rows.

--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -83,7 +83,7 @@
 
 static struct suspect_list *list_of(suspects_t *suspects, const suspect_t *suspect)
 {
-	return suspect->crash_count ? &suspects->crashed : &suspects->completed;
+	return suspect->score ? &suspects->crashed : &suspects->completed;
 }
 
 /* Evicts the entry whose loss matters least: the oldest without a crash, or the oldest
@@ -231,6 +231,40 @@
 	       is_remembered(suspect, now);
 }
 
+uint32_t suspects_list_refusals(const suspects_t *suspects, usec_t now,
+				suspect_refusal_t out[SUSPECT_REFUSALS_MAX])
+{
+	const suspect_t *suspect;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH_REVERSE(suspect, &suspects->crashed, suspect_list, link)
+	{
+		if (count == SUSPECT_REFUSALS_MAX)
+			break;
+		if (!suspect->refuse_time || !is_remembered(suspect, now))
+			continue;
+		out[count++] = (suspect_refusal_t){
+			.fingerprint = suspect->fingerprint,
+			.refuse_time = suspect->refuse_time,
+			.age = now - suspect->last_crash,
+		};
+	}
+	return count;
+}
+
+void suspects_add_refusal(suspects_t *suspects, const suspect_refusal_t *refusal,
+			  usec_t now)
+{
+	suspect_t *suspect = take_suspect(suspects, refusal->fingerprint);
+
+	if (!is_exempt(suspect, now) && suspect->refuse_time < refusal->refuse_time) {
+		suspect->score = MAX(suspect->score, SCORE_REFUSED);
+		suspect->refuse_time = MIN(refusal->refuse_time, SUSPECT_REFUSE_TIME_MAX);
+		suspect->last_crash = MAX(suspect->last_crash, now - refusal->age);
+	}
+	put_back(suspects, suspect);
+}
+
 uint32_t suspects_count(const suspects_t *suspects)
 {
 	return g_hash_table_size(suspects->entries);
--- a/egretscaled/peers/pull.c
+++ b/egretscaled/peers/pull.c
@@ -1,5 +1,6 @@
 #include "egretscaled/peers/pull.h"
 
+#include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
 #include "membership/sync.h"
@@ -88,6 +89,23 @@
 	g_free(rows);
 }
 
+static void merge_refusals(node_t *node, const Egret__PullReply *reply)
+{
+	usec_t now = clock_boot_usec();
+
+	pthread_mutex_lock(&node->suspect_lock);
+	for (size_t i = 0; i < MIN(reply->n_refusals, SUSPECT_REFUSALS_MAX); i++) {
+		const Egret__Refusal *wire = reply->refusals[i];
+		suspect_refusal_t refusal = {
+			.fingerprint = wire->fingerprint,
+			.refuse_time = (usec_t)wire->refuse_ms * USEC_PER_MSEC,
+			.age = (usec_t)wire->age_ms * USEC_PER_MSEC,
+		};
+		suspects_add_refusal(node->suspects, &refusal, now);
+	}
+	pthread_mutex_unlock(&node->suspect_lock);
+}
+
 static void handle_frame(void *ctx, const Egret__Frame *frame)
 {
 	puller_t *puller = ctx;
@@ -95,6 +113,7 @@
 	if (frame->kind_case != EGRET__FRAME__KIND_PULL_REPLY)
 		return;
 	merge_members(puller, frame->pull_reply);
+	merge_refusals(puller->node, frame->pull_reply);
 	if (*frame->pull_reply->left_id)
 		node_add_left_process(puller->node, frame->pull_reply->left_id,
 				      frame->pull_reply->left_started_ms);
@@ -301,6 +320,33 @@
 	member_t copy;
 } encoded_member_t;
 
+/* Refusals in their wire form. */
+typedef struct encoded_refusals {
+	Egret__Refusal wire[SUSPECT_REFUSALS_MAX];
+	Egret__Refusal *list[SUSPECT_REFUSALS_MAX];
+} encoded_refusals_t;
+
+static void fill_refusals(node_t *node, encoded_refusals_t *encoded,
+			  Egret__PullReply *reply)
+{
+	suspect_refusal_t refusals[SUSPECT_REFUSALS_MAX];
+
+	pthread_mutex_lock(&node->suspect_lock);
+	uint32_t count =
+		suspects_list_refusals(node->suspects, clock_boot_usec(), refusals);
+	pthread_mutex_unlock(&node->suspect_lock);
+	for (uint32_t i = 0; i < count; i++) {
+		egret__refusal__init(&encoded->wire[i]);
+		encoded->wire[i].fingerprint = refusals[i].fingerprint;
+		encoded->wire[i].refuse_ms =
+			(uint32_t)(refusals[i].refuse_time / USEC_PER_MSEC);
+		encoded->wire[i].age_ms = (uint32_t)(refusals[i].age / USEC_PER_MSEC);
+		encoded->list[i] = &encoded->wire[i];
+	}
+	reply->refusals = encoded->list;
+	reply->n_refusals = count;
+}
+
 /* Copies what is known of the target of the node that pulls. */
 static void fill_left_process(node_t *node, const Egret__Pull *pull,
 			      char id[MEMBER_TEXT_BYTES], Egret__PullReply *reply)
@@ -363,9 +409,11 @@
 	Egret__Frame frame = EGRET__FRAME__INIT;
 	Egret__PullReply reply = EGRET__PULL_REPLY__INIT;
 	char left_id[MEMBER_TEXT_BYTES];
+	encoded_refusals_t refusals;
 
 	add_members(node, pull, members);
 	fill_left_process(node, pull, left_id, &reply);
+	fill_refusals(node, &refusals, &reply);
 	pthread_mutex_lock(&node->config_lock);
 	reply.config_revision = config_log_changes(node->config_log, pull->config_after,
 						   REPLY_ROWS_MAX_BYTES, rows);
--- a/include/claims/suspects.h
+++ b/include/claims/suspects.h
@@ -23,6 +23,9 @@
  *	more; another crash, however many others were in flight, refuses it again for
  *	four times as long, up to SUSPECT_REFUSE_TIME_MAX.
  *
+ *	A node that starts, or returns from a partition, takes over the refusals of
+ *	its peers.
+ *
  *	A fingerprint that completed on this node within SUSPECT_EXEMPT_TIME before a
  *	crash is not counted, so that common requests are not refused only because
  *	they were in flight together with the request that caused the crash.
@@ -40,6 +43,7 @@
 /* A score is forgotten this long after the last crash, or four times as long as the last
  * refusal if that is more. */
 #define SUSPECT_MEMORY_TIME (600 * USEC_PER_SEC)
+#define SUSPECT_REFUSALS_MAX 64
 #define SUSPECT_EXEMPT_TIME (30 * USEC_PER_SEC)
 
 /* How a request was in flight at a crash; also sent to other nodes. */
@@ -76,6 +80,22 @@
 /* Whether a crash would not count against the fingerprint now. */
 bool suspects_is_exempt(const suspects_t *suspects, uint64_t fingerprint, usec_t now);
 
+/* A refusal as one node passes it to another. */
+typedef struct suspect_refusal {
+	uint64_t fingerprint;
+	usec_t refuse_time; /* its length; it begins with the last crash */
+	usec_t age;	    /* of the last crash */
+} suspect_refusal_t;
+
+/* Writes at most SUSPECT_REFUSALS_MAX refusals, those of the last crashes first, and
+ * returns their number. Those that are over and not forgotten are included. */
+uint32_t suspects_list_refusals(const suspects_t *suspects, usec_t now,
+				suspect_refusal_t out[SUSPECT_REFUSALS_MAX]);
+
+/* Adds a refusal of another node unless a longer one is known. */
+void suspects_add_refusal(suspects_t *suspects, const suspect_refusal_t *refusal,
+			  usec_t now);
+
 /* Number of fingerprints that are kept. */
 uint32_t suspects_count(const suspects_t *suspects);
 
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Egret__KeeperConfirmReply Egret__KeeperConfirmReply;
 typedef struct Egret__Row Egret__Row;
 typedef struct Egret__Pull Egret__Pull;
+typedef struct Egret__Refusal Egret__Refusal;
 typedef struct Egret__PullReply Egret__PullReply;
 typedef struct Egret__Ping Egret__Ping;
 typedef struct Egret__Frame Egret__Frame;
@@ -351,6 +352,24 @@
     , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A request that is refused since it crashed its targets; see claims/suspects.h.
+ */
+struct  Egret__Refusal
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  uint32_t refuse_ms;
+  /*
+   * since the last crash
+   */
+  uint32_t age_ms;
+};
+#define EGRET__REFUSAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&egret__refusal__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Egret__PullReply
 {
   ProtobufCMessage base;
@@ -365,10 +384,12 @@
    */
   char *left_id;
   uint64_t left_started_ms;
+  size_t n_refusals;
+  Egret__Refusal **refusals;
 };
 #define EGRET__PULL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__pull_reply__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
@@ -854,6 +875,25 @@
 void   egret__pull__free_unpacked
                      (Egret__Pull *message,
                       ProtobufCAllocator *allocator);
+/* Egret__Refusal methods */
+void   egret__refusal__init
+                     (Egret__Refusal         *message);
+size_t egret__refusal__get_packed_size
+                     (const Egret__Refusal   *message);
+size_t egret__refusal__pack
+                     (const Egret__Refusal   *message,
+                      uint8_t             *out);
+size_t egret__refusal__pack_to_buffer
+                     (const Egret__Refusal   *message,
+                      ProtobufCBuffer     *buffer);
+Egret__Refusal *
+       egret__refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   egret__refusal__free_unpacked
+                     (Egret__Refusal *message,
+                      ProtobufCAllocator *allocator);
 /* Egret__PullReply methods */
 void   egret__pull_reply__init
                      (Egret__PullReply         *message);
@@ -1037,6 +1077,9 @@
 typedef void (*Egret__Pull_Closure)
                  (const Egret__Pull *message,
                   void *closure_data);
+typedef void (*Egret__Refusal_Closure)
+                 (const Egret__Refusal *message,
+                  void *closure_data);
 typedef void (*Egret__PullReply_Closure)
                  (const Egret__PullReply *message,
                   void *closure_data);
@@ -1085,6 +1128,7 @@
 extern const ProtobufCMessageDescriptor egret__keeper_confirm_reply__descriptor;
 extern const ProtobufCMessageDescriptor egret__row__descriptor;
 extern const ProtobufCMessageDescriptor egret__pull__descriptor;
+extern const ProtobufCMessageDescriptor egret__refusal__descriptor;
 extern const ProtobufCMessageDescriptor egret__pull_reply__descriptor;
 extern const ProtobufCMessageDescriptor egret__ping__descriptor;
 extern const ProtobufCMessageDescriptor egret__frame__descriptor;
--- a/tests/e2e/on_platform_crashes.py
+++ b/tests/e2e/on_platform_crashes.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from on_platform import INITIAL_NODES, PlatformDeployment, wait_for
+from on_platform import INITIAL_NODES, LEAVE_TIMEOUT_SEC, PlatformDeployment, wait_for
 from raw_target import RawTarget
 from restarting_target import RestartingTarget
 
@@ -135,6 +135,34 @@
     assert not failures, "\n".join(failures)
 
 
+def case_on_platform_crashing_request_restart():
+    """A node that starts again refuses the requests that its peers refuse."""
+    with PlatformDeployment() as d:
+        targets = use_fragile_targets(d)
+        try:
+            for _ in range(2):
+                open_connections(d)
+                d.send("/f/deep/crash", "POST")
+                time.sleep(PERIOD_SEC)
+            assert d.send("/f/deep/crash", "POST")[0] == 503
+            crashes = sum(len(target.crashed_at) for target in targets)
+            d.daemons[1].kill()
+            d.daemons[1].wait()
+            d.daemons[1] = d.start_node(1)
+            wait_for("the node to be ready", lambda: d.ready(1), 10)
+            open_connections(d)
+            # Leaves the target beside that node as the only one.
+            targets[1].state = "draining"
+            assert targets[1].report() == 200
+            time.sleep(LEAVE_TIMEOUT_SEC)
+            statuses = [d.send("/f/deep/crash", "POST", node=1)[0] for _ in range(4)]
+            assert sum(len(target.crashed_at) for target in targets) == crashes, statuses
+            assert statuses == [503] * 4, statuses
+        finally:
+            for target in targets:
+                target.close()
+
+
 CUT_RESPONSES = [
     b"", b"HTTP/1.1 200 OK\r\nContent-Le",
     b"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: id-1\r\nResponse-Seal: seal\r\n"
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -34,7 +34,8 @@
     case_odd_addresses, case_odd_records, case_on_platform_odd_entries,
     case_on_platform_odd_sequence)
 from on_platform_crashes import (  # noqa: E402,F401
-    case_on_platform_closed_connections, case_on_platform_crashing_request)
+    case_on_platform_closed_connections, case_on_platform_crashing_request,
+    case_on_platform_crashing_request_restart)
 from on_platform_early import case_on_platform_early_answer  # noqa: E402,F401
 from on_platform_endless import (  # noqa: E402,F401
     case_on_platform_endless, case_on_platform_endless_callers,
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -186,6 +186,43 @@
 	{"crashes half a minute apart are not forgotten", "cwc", true, true},
 };
 
+typedef struct refusal_case {
+	const char *name;
+	const char *own; /* steps of the node that takes over a refusal, as above */
+	usec_t age;	 /* of the last crash at the other node */
+	bool refused;
+} refusal_case_t;
+
+/* A node that starts, or returns, takes over the refusals of its peers. */
+static void test_take_over(void **state)
+{
+	const refusal_case_t *c = *state;
+	suspects_t *peer = suspects_create();
+	suspects_t *own = suspects_create();
+	suspect_refusal_t refusals[SUSPECT_REFUSALS_MAX];
+
+	for (uint64_t crash = 1; crash <= 2; crash++)
+		suspects_handle_crash(peer, 1, crash, SUSPECT_ALONE, START);
+	suspects_handle_crash(peer, 2, 1, SUSPECT_RECENT, START);
+	suspects_handle_success(peer, 3, START);
+	usec_t now = START + c->age;
+	if (*c->own == 's')
+		suspects_handle_success(own, 1, now);
+	assert_int_equal(suspects_list_refusals(peer, now, refusals), 1);
+	suspects_add_refusal(own, &refusals[0], now);
+	assert_int_equal(suspects_is_refused(own, 1, now), c->refused);
+	assert_int_equal(suspects_is_on_probation(own, 1, now), *c->own != 's');
+	assert_int_equal(suspects_count(own), 1);
+	suspects_destroy(own);
+	suspects_destroy(peer);
+}
+
+static const refusal_case_t refusal_cases[] = {
+	{"a refusal of a peer", "", 10 * USEC_PER_SEC, true},
+	{"a refusal of a peer that is over", "", SUSPECT_REFUSE_TIME, false},
+	{"a refusal of a request that completed here", "s", 10 * USEC_PER_SEC, false},
+};
+
 typedef struct full_table_case {
 	const char *name;
 	uint32_t completed; /* other requests that complete before the crashes */
@@ -308,6 +345,7 @@
 
 	failed += RUN_CASES("fence_orders", interleave_cases, test_interleavings);
 	failed += RUN_CASES("suspects", suspect_cases, test_suspect);
+	failed += RUN_CASES("suspects_take_over", refusal_cases, test_take_over);
 	failed +=
 		RUN_CASES("suspects_full", full_table_cases, test_crash_with_full_table);
 	failed += RUN_CASES("suspects_cost", cost_cases, test_completion_cost);
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &egret__pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   egret__refusal__init
+                     (Egret__Refusal         *message)
+{
+  static const Egret__Refusal init_value = EGRET__REFUSAL__INIT;
+  *message = init_value;
+}
+size_t egret__refusal__get_packed_size
+                     (const Egret__Refusal *message)
+{
+  assert(message->base.descriptor == &egret__refusal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t egret__refusal__pack
+                     (const Egret__Refusal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &egret__refusal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t egret__refusal__pack_to_buffer
+                     (const Egret__Refusal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &egret__refusal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Egret__Refusal *
+       egret__refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Egret__Refusal *)
+     protobuf_c_message_unpack (&egret__refusal__descriptor,
+                                allocator, len, data);
+}
+void   egret__refusal__free_unpacked
+                     (Egret__Refusal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &egret__refusal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   egret__pull_reply__init
                      (Egret__PullReply         *message)
 {
@@ -2444,7 +2489,71 @@
   (ProtobufCMessageInit) egret__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__pull_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor egret__refusal__field_descriptors[3] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Refusal, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Refusal, refuse_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Refusal, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned egret__refusal__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = refuse_ms */
+};
+static const ProtobufCIntRange egret__refusal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor egret__refusal__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "egret.Refusal",
+  "Refusal",
+  "Egret__Refusal",
+  "egret",
+  sizeof(Egret__Refusal),
+  3,
+  egret__refusal__field_descriptors,
+  egret__refusal__field_indices_by_name,
+  1,  egret__refusal__number_ranges,
+  (ProtobufCMessageInit) egret__refusal__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor egret__pull_reply__field_descriptors[7] =
 {
   {
     "config_revision",
@@ -2518,6 +2627,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refusals",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Egret__PullReply, n_refusals),
+    offsetof(Egret__PullReply, refusals),
+    &egret__refusal__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__pull_reply__field_indices_by_name[] = {
   3,   /* field[3] = complete */
@@ -2525,12 +2646,13 @@
   4,   /* field[4] = left_id */
   5,   /* field[5] = left_started_ms */
   2,   /* field[2] = members */
+  6,   /* field[6] = refusals */
   1,   /* field[1] = rows */
 };
 static const ProtobufCIntRange egret__pull_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor egret__pull_reply__descriptor =
 {
@@ -2540,7 +2662,7 @@
   "Egret__PullReply",
   "egret",
   sizeof(Egret__PullReply),
-  6,
+  7,
   egret__pull_reply__field_descriptors,
   egret__pull_reply__field_indices_by_name,
   1,  egret__pull_reply__number_ranges,
