claims: clear the crashes of a request that another node has answered

Cause: a completed request cleared its crashes at the node of the target only. The node that had passed it on kept them, so that a common request could be refused there after it had shared targets with those that crash them, although it completed elsewhere meanwhile.

Change: a response clears what the entry node knows against the request; crashes are remembered for 3 minutes instead of 10.

Measured: test_claims, two new rows: a crash, a success at another node and a crash refuse nothing; successes take no room in the table.

--- a/claims/suspects.c
+++ b/claims/suspects.c
@@ -208,6 +208,13 @@
 	put_back(suspects, suspect);
 }
 
+void suspects_handle_remote_success(suspects_t *suspects, uint64_t fingerprint,
+				    usec_t now)
+{
+	if (g_hash_table_contains(suspects->entries, &fingerprint))
+		suspects_handle_success(suspects, fingerprint, now);
+}
+
 bool suspects_is_exempt(const suspects_t *suspects, uint64_t fingerprint, usec_t now)
 {
 	const suspect_t *suspect = g_hash_table_lookup(suspects->entries, &fingerprint);
--- a/include/claims/suspects.h
+++ b/include/claims/suspects.h
@@ -28,7 +28,8 @@
  *
  *	A fingerprint that completed on this node within SUSPECT_EXEMPT_TIME before a
  *	crash is not counted, so that common requests are not refused only because
- *	they were in flight together with the request that caused the crash.
+ *	they were in flight together with the request that caused the crash. A node
+ *	that passes requests on clears the crashes of those that complete elsewhere.
  *
  *	The table is bounded. Each function takes constant time; a full table evicts
  *	the completed fingerprints first, the oldest one first.
@@ -42,7 +43,7 @@
 #define SUSPECT_REFUSE_TIME_MAX (7200 * USEC_PER_SEC)
 /* A score is forgotten this long after the last crash, or four times as long as the last
  * refusal if that is more. */
-#define SUSPECT_MEMORY_TIME (600 * USEC_PER_SEC)
+#define SUSPECT_MEMORY_TIME (180 * USEC_PER_SEC)
 #define SUSPECT_REFUSALS_MAX 64
 #define SUSPECT_EXEMPT_TIME (30 * USEC_PER_SEC)
 
@@ -77,6 +78,11 @@
 /* Records that a call completed: clears the crashes of its fingerprint. */
 void suspects_handle_success(suspects_t *suspects, uint64_t fingerprint, usec_t now);
 
+/* Records that a call through another node completed. Takes no room in the table: has no
+ * effect unless a crash was counted against the fingerprint. */
+void suspects_handle_remote_success(suspects_t *suspects, uint64_t fingerprint,
+				    usec_t now);
+
 /* Whether a crash would not count against the fingerprint now. */
 bool suspects_is_exempt(const suspects_t *suspects, uint64_t fingerprint, usec_t now);
 
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -104,8 +104,8 @@
 	const char *name;
 	/* At a crash: c alone in flight, d another call at the same crash, r one of
 	 * several that started last, e running before those, l alone at another node's
-	 * target. s success, w wait until the first refusal is over, W until the second
-	 * one is, m until all is forgotten */
+	 * target. s: a success; a: one at another node. w: wait until the first refusal
+	 * is over, W: until the second one is, m: until all is forgotten */
 	const char *steps;
 	bool refused;
 	bool on_probation;
@@ -148,6 +148,9 @@
 						     SUSPECT_ALONE, 0, now);
 		} else if (*step == 's') {
 			suspects_handle_success(suspects, 1, now);
+		} else if (*step == 'a') {
+			suspects_handle_remote_success(suspects, 1, now);
+			suspects_handle_remote_success(suspects, 3, now);
 		} else {
 			now += wait_of(*step);
 		}
@@ -155,6 +158,7 @@
 	assert_int_equal(suspects_is_refused(suspects, 1, now), c->refused);
 	assert_int_equal(suspects_is_on_probation(suspects, 1, now), c->on_probation);
 	assert_false(suspects_is_refused(suspects, 2, now));
+	assert_true(suspects_count(suspects) <= 1);
 	suspects_destroy(suspects);
 }
 
@@ -167,6 +171,8 @@
 	{"the refusal ends", "ccw", false, true},
 	{"a request that completed recently is exempt", "scc", false, false},
 	{"a success clears the crashes", "csc", false, false},
+	{"a success at another node clears the crashes", "lac", false, false},
+	{"successes at other nodes take no room", "aaa", false, false},
 	/* Requests that only shared a target with the one that crashed it. */
 	{"a crash of a target that it shared", "r", false, false},
 	{"two crashes of a target that it shared are not enough", "rr", false, true},
