tests/soak: random faults under load, by seed

Faults come in series and overlap: nodes killed, stopped, paused, reloaded; targets that crash, leave with late reports, or send faulty responses; requests that crash targets; the store cut off, slow, silent, refusing or losing answers; keys added and withdrawn. Afterwards the responses, the runs at the targets, leaves, crashes, withdrawn keys, memory, ends of processes and the return of service are checked.

--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -125,9 +125,16 @@
         self.base_port = free_base_port(20)
         self.targets, self.daemons, self.relay_addresses = [], [], {}
 
+    def node_ip(self, i):
+        return ADDRESSES[i]
+
+    def node_service(self, i):
+        return SERVICES[i]
+
     def settings(self, i):
-        listen = {name: f"{ADDRESSES[i]}:{self.base_port + n}" for n, name in enumerate(PORTS)}
-        return {"zone": "za", "zones": {"za": "r"}, "service": SERVICES[i], "ip": ADDRESSES[i],
+        listen = {name: self.listen_address(i, name) for name in PORTS}
+        return {"zone": "za", "zones": {"za": "r"}, "service": self.node_service(i),
+                "ip": self.node_ip(i),
                 "port_range": [self.base_port, self.base_port + 1], "app_addr": listen["app"],
                 "seeds": [],
                 "provider": {"address": self.relay_addresses.get(i, self.platform_address)},
@@ -138,7 +145,7 @@
                            "quota_slack": QUOTA_SLACK}}
 
     def listen_address(self, i, name):
-        return f"{ADDRESSES[i]}:{self.base_port + PORTS.index(name)}"
+        return f"{self.node_ip(i)}:{self.base_port + PORTS.index(name)}"
 
     def write_row(self, key, value):
         """Writes a row of the table op; None removes the row."""
@@ -171,7 +178,7 @@
 
     def add_store_relay(self, i):
         """Starts a relay between node i, which must not have been started, and the store."""
-        self.relay_addresses[i] = f"{ADDRESSES[i]}:{self.base_port + len(PORTS)}"
+        self.relay_addresses[i] = f"{self.node_ip(i)}:{self.base_port + len(PORTS)}"
         return self.spawn(f"relay-{i}", [binary("relay"), self.relay_addresses[i],
                                          self.platform_address], stdin=subprocess.PIPE)
 
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,284 @@
+#!/usr/bin/env python3
+"""Randomized soak: real nodes under load, with faults injected from outside them.
+
+    tests/soak/soak.py [--seeds FIRST-LAST] [--seconds N] [--nodes N] [--clients N]
+
+Each seed gives the times and kinds of the faults, which come in series and overlap. Afterwards
+everything is healed, and what clients and targets saw is checked: responses belong to their
+requests and are whole, nothing that may run once runs twice, refusals are true, targets that left
+or crash get nothing, withdrawn keys are refused, nodes do not end by themselves, end in time when
+they are stopped, and serve again. The logs of a seed that failed are kept.
+"""
+
+import argparse
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+# pylint: disable=wrong-import-position
+from clients import Client, check_runs, served_share  # noqa: E402
+from fleet import Fleet, READY_SEC  # noqa: E402
+
+APPLY_SEC = 2.0  # setting config_apply
+DRAIN_SEC = 2.0  # setting drain
+TIMING_SLACK_SEC = 0.5  # of this program, which shares the machine with the nodes
+CRASHES_MAX = 6  # of one request: three, and three retries
+SERVED_MIN = 0.2
+MEMORY_MAX_BYTES = 260 << 20
+WARM_SEC = 1.0  # before the first fault
+# Faults end this long before the end, so that they do not hide what the last ones cause.
+CALM_SEC = 3.0
+
+
+class Soak:
+    """One seed: clients, faults, and the checks that need the order of events."""
+
+    def __init__(self, fleet, seed, seconds, clients):
+        self.fleet, self.rand, self.seconds = fleet, random.Random(seed), seconds
+        self.clients = [Client(fleet, n, seed) for n in range(clients)]
+        self.threads, self.events, self.leaves = [], [], []
+        self.start = time.monotonic()
+
+    def note(self, text):
+        self.events.append(f"{time.monotonic() - self.start:7.2f} {text}")
+
+    # --- Faults: each is a method of (node index, duration) that returns when it is over.
+
+    def fault_kill(self, i, duration):
+        self.fleet.kill_node(i)
+        time.sleep(duration)
+        self.fleet.start_again(i)
+
+    def fault_stop(self, i, duration):
+        if not self.fleet.is_up(i):
+            return
+        self.fleet.stop_node(i)
+        time.sleep(duration / 2)
+        self.fleet.start_again(i)
+
+    def fault_pause(self, i, duration):
+        node = self.fleet.daemons[i]
+        node.was_paused = True
+        self.fleet.disturb(duration)
+        node.send_signal(signal.SIGSTOP)
+        time.sleep(duration)
+        node.send_signal(signal.SIGCONT)
+        self.fleet.disturb()
+
+    def fault_reload(self, i, duration):
+        for _ in range(3):
+            self.fleet.daemons[i].send_signal(signal.SIGHUP)
+            time.sleep(duration / 3)
+
+    def fault_target_crash(self, i, _):
+        self.fleet.targets[i].crash()
+
+    def fault_target_faulty(self, i, duration):
+        target = self.fleet.targets[i]
+        target.fault_share = 0.2
+        time.sleep(duration)
+        target.fault_share = 0
+
+    def fault_target_leaves(self, i, duration):
+        """A target leaves without reporting that it drains, and reports of before arrive late."""
+        target = self.fleet.targets[i]
+        if target.state != "ready":
+            return
+        late = [target.report_body(), target.report_body()]
+        instance_id, target.state = target.instance_id, "leaving"
+        if target.report("DELETE", instance_id=instance_id) == 200:
+            self.leaves.append((instance_id, time.monotonic()))
+        time.sleep(DRAIN_SEC + duration)
+        for body in late:
+            target.report(body=body, instance_id=instance_id)
+        time.sleep(DRAIN_SEC)
+        if target.end() and not target.closed:
+            target.start()
+
+    def fault_crashing_request(self, i, duration):
+        request_id = f"crash-{len(self.events)}"
+        path = f"/f/deep/{self.rand.random()}/crash"
+        end = time.monotonic() + duration
+        while time.monotonic() < end:
+            try:
+                self.fleet.send(path, "POST", node=i, headers={"Request-Attempt-Id": request_id})
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.3)
+
+    def fault_store_cut(self, i, duration):
+        self.fleet.cut_store(i, True)
+        time.sleep(duration)
+        self.fleet.cut_store(i, False)
+
+    def fault_store(self, _, duration):
+        fault = self.rand.choice([{"down": True}, {"busy": True}, {"read_only": True},
+                                  {"silent": True}, {"slow_ms": 300}, {"lost_share": 0.5}])
+        self.fleet.disturb(duration)
+        self.fleet.platform_fault(**fault)
+        time.sleep(duration)
+        self.fleet.platform_fault()
+        self.fleet.disturb()
+
+    def fault_key_withdrawn(self, i, _):
+        """Keys come and go; a withdrawn one is refused in time, where nothing disturbs."""
+        key = f"key-{len(self.events)}-{i}"
+        with self.config_lock:
+            self.fleet.configure(keys=("key-a", key), rate=20000)
+        time.sleep(APPLY_SEC / 2)
+        with self.config_lock:
+            self.fleet.configure(rate=20000)
+        acknowledged = time.monotonic()
+        time.sleep(APPLY_SEC + TIMING_SLACK_SEC)
+        try:
+            status = self.fleet.send("/f/key", node=i, headers={
+                "Authorization": f"Bearer {key}", "Request-Attempt-Id": f"key-{key}"})[0]
+        except (OSError, ValueError):
+            return
+        if status == 200 and self.fleet.calm_since(acknowledged):
+            self.fleet.failures.append(f"CONFIG: node {i} accepts a key withdrawn "
+                                       f"{time.monotonic() - acknowledged:.1f} s ago")
+
+    config_lock = threading.Lock()
+
+    def run_fault(self, fault, i, duration):
+        name = fault.__name__.removeprefix("fault_")
+        self.note(f"{name} node={i} seconds={duration:.2f}")
+        try:
+            fault(i, duration)
+        except (OSError, AssertionError, ValueError, KeyError) as error:
+            self.note(f"{name} node={i} failed: {error!r}")
+        self.note(f"{name} node={i} over")
+
+    def inject(self):
+        """Starts faults, alone and in series, one thread each."""
+        faults = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
+        end = self.start + self.seconds - CALM_SEC
+        time.sleep(WARM_SEC)
+        while time.monotonic() < end:
+            fault, series = self.rand.choice(faults), self.rand.choice((1, 1, 2, 3))
+            for _ in range(series):
+                thread = threading.Thread(target=self.run_fault, daemon=True, args=(
+                    fault, self.rand.randrange(self.fleet.count), 0.2 + self.rand.random() * 2.5))
+                thread.start()
+                self.threads.append(thread)
+                time.sleep(self.rand.random() * 0.4)
+            self.fleet.check_own_ends()
+            time.sleep(self.rand.random() * 1.2)
+
+    # --- The end
+
+    def heal(self):
+        for thread in self.threads:
+            thread.join(30)
+        self.fleet.platform_fault()
+        for i in range(self.fleet.count):
+            self.fleet.cut_store(i, False)
+            self.fleet.start_again(i)
+            self.fleet.daemons[i].send_signal(signal.SIGCONT)
+            if self.fleet.targets[i].state == "down":
+                self.fleet.targets[i].restart()
+        self.note("healed")
+
+    def check_return(self):
+        end = time.monotonic() + READY_SEC
+        while time.monotonic() < end:
+            try:
+                if self.fleet.serves():
+                    return
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.2)
+        self.fleet.failures.append(f"RECOVER: not all nodes serve {READY_SEC} s after the end")
+
+    def check_leaves(self):
+        for instance_id, acknowledged in self.leaves:
+            late = [run for runs in self.fleet.runs.values() for run in runs
+                    if run.instance == instance_id and
+                    run.at > acknowledged + DRAIN_SEC + TIMING_SLACK_SEC]
+            if late:
+                self.fleet.failures.append(
+                    f"DRAIN: {instance_id} got {len(late)} requests up to "
+                    f"{late[-1].at - acknowledged:.1f} s after the ack of its leave")
+
+    def check_crashes(self):
+        crashes = {}
+        for request_id, runs in self.fleet.runs.items():
+            for run in runs:
+                if request_id.startswith("crash-"):
+                    crashes[run.path] = crashes.get(run.path, 0) + 1
+        self.fleet.failures += [f"BUDGET: {path} crashed {count} targets"
+                                for path, count in crashes.items() if count > CRASHES_MAX]
+
+    def check_memory(self):
+        for i, node in enumerate(self.fleet.daemons):
+            with open(f"/proc/{node.pid}/statm", encoding="ascii") as file:
+                size = int(file.read().split()[1]) * 4096
+            if size > MEMORY_MAX_BYTES:
+                self.fleet.failures.append(f"node {i} takes {size} bytes")
+
+    def run(self):
+        """Returns the violations and the share of requests that were served."""
+        for client in self.clients:
+            client.start()
+        self.inject()
+        self.heal()
+        self.check_return()
+        for client in self.clients:
+            client.ends = True
+        for client in self.clients:
+            client.join(10)
+        self.fleet.check_own_ends()
+        self.check_memory()
+        self.check_leaves()
+        self.check_crashes()
+        share = served_share(self.clients)
+        if share < SERVED_MIN:
+            self.fleet.failures.append(f"only {share:.2f} of the requests were served")
+        return self.fleet.failures + check_runs(self.fleet, self.clients), share
+
+
+def run_seed(seed, options):
+    """Returns whether the seed passed; keeps the logs if not."""
+    with Fleet(seed, options.nodes) as fleet:
+        soak = Soak(fleet, seed, options.seconds, options.clients)
+        found, share = soak.run()
+    requests = sum(len(client.sent) for client in soak.clients)
+    print(f"seed {seed}: {'failed' if found else 'passed'}; {requests} requests, {share:.2f} served, "
+          f"{len(soak.events)} events", flush=True)
+    for violation in found[:20]:
+        print(f"  {violation}")
+    if not found:
+        shutil.rmtree(fleet.directory)
+        return True
+    with open(fleet.path("events"), "w", encoding="utf-8") as file:
+        file.write("\n".join(soak.events + found) + "\n")
+    with open(fleet.path("runs.json"), "w", encoding="utf-8") as file:
+        json.dump({name: [(run.at - soak.start, run.instance, run.path) for run in runs]
+                   for name, runs in fleet.runs.items()}, file)
+    print(f"  logs and events: {fleet.directory}")
+    return False
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST or one seed")
+    parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--clients", type=int, default=12)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    results = [run_seed(seed, options) for seed in range(int(first), int(last or first) + 1)]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
