--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -94,7 +94,7 @@
         instance_id, target.state = target.instance_id, "leaving"
         if target.report("DELETE", instance_id=instance_id) == 200:
             self.leaves.append((instance_id, time.monotonic()))
-        time.sleep(DRAIN_SEC + duration)
+        time.sleep(DRAIN_SEC + 2 * duration)  # also longer than a target counts as present
         for body in late:
             target.report(body=body, instance_id=instance_id)
         time.sleep(DRAIN_SEC)
