--- a/membership/target.c
+++ b/membership/target.c
@@ -103,7 +103,7 @@
 	bool unchanged = same && same_state(target, report, now);
 
 	note_id_reuse(target, report, now);
-	/* Without a start time, a later process cannot be told from the one that left. */
+	/* Without a start time, a later process looks like the one that left. */
 	if (report->leaving && !has_left(target, report, now))
 		remember_leave(target, report,
 			       report->started_ms ? 0 : now + LATE_REPORT_TIME);
