--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -902,7 +902,7 @@
     try:
         CASES[name]()
     except Exception:  # pylint: disable=broad-except
-        print(f"FAILED {name} after {time.monotonic() - start:.1f} s")
+        print(f"FAILED {name} after {time.monotonic() - start:.1f} s", flush=True)
         traceback.print_exc(limit=6)
         return False
     print(f"ok     {name} ({time.monotonic() - start:.1f} s)", flush=True)
@@ -915,6 +915,8 @@
     for name in red & results.keys():
         print(f"known red: {name}: {'passed' if results[name] else 'failed'}, see KNOWN-RED.txt")
     failed = [n for n, ok in results.items() if not ok and n not in red]
+    if failed:
+        print(f"failed: {' '.join(failed)}")
     passed = sum(results.values())
     print(f"{passed} passed, {len(failed)} failed")
     return 1 if failed else 0
