--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -17,7 +17,8 @@
 
 from deployment import Deployment, binary, free_base_port, http as request
 
-ADDRESSES = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+# Addresses of the nodes, of this process alone: the port of a node's metrics is fixed.
+ADDRESSES = tuple(f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}.{i}" for i in (2, 3, 4))
 SERVICES = ("front", "back", "back")
 INITIAL_NODES = 2  # nodes at the start of a case; also the index of the third node
 CONFIG_APPLY_SEC = 2  # setting config_apply: a new configuration takes effect within this time
