tests: let the targets of on_platform_limit report while requests are sent

The targets reported once, before a window of 5 s, which is also the time after which a silent target expires: the requests at the end of the window found none. Shown by a pause of 0.1 s behind the report: one 503, after 5.1 s. The checks are as before.

--- a/tests/e2e/on_platform_nodes.py
+++ b/tests/e2e/on_platform_nodes.py
@@ -25,6 +25,12 @@
         thread.join()
 
 
+def report_until(deployment, deadline):
+    while time.monotonic() < deadline:
+        deployment.report_all()
+        time.sleep(1)
+
+
 def case_on_platform_join():
     """A node that joins late serves requests as soon as it is ready. Gossip carries only recent
     updates: a node that is ready before it has pulled the directory finds no instances."""
@@ -96,7 +102,11 @@
                 responses.append(d.send("/f/x", node=len(responses) % 2))
                 time.sleep(0.05)
 
+        # A target that is silent during the whole window expires at its end.
+        reporter = threading.Thread(target=report_until, args=(d, deadline))
+        reporter.start()
         run_in_threads(clients, send_requests)
+        reporter.join()
         statuses = [status for status, _, _ in responses]
         served = statuses.count(200)
         assert set(statuses) == {200, 429}, set(statuses)
@@ -145,13 +155,9 @@
                     served.append(time.monotonic())
                 time.sleep(0.05)
 
-        def report_targets():
-            while time.monotonic() < deadline:
-                d.report_all()
-                time.sleep(1)
-
         threads = [threading.Thread(target=work) for work in
-                   [send_for_others] * 4 + [send_requests] * 8 + [report_targets]]
+                   [send_for_others] * 4 + [send_requests] * 8 +
+                   [lambda: report_until(d, deadline)]]
         for thread in threads:
             thread.start()
         for thread in threads:
