zone_rates: a node that is cut off uses no tokens until the others stop to use them

Cause: a node that is cut off takes itself for the holder of each partition after 0.1 s, and used the whole share of its zone until gossip had declared the others dead, some 3 s later; so did the holder on the other side, and a holder that is cut off alone.

Change: a node is cut off if nothing is heard for 0.1 s while it asks a holder, or for 1 s while holders of other zones are to report to it. It then uses nothing of its zone's share until its directory has the others as dead, or it hears of one. Otherwise members that left its questions unanswered do not count as reached for 2 s.

--- a/accounts/zone_rates.c
+++ b/accounts/zone_rates.c
@@ -23,6 +23,13 @@
 #define FRESH_TIME (3 * USEC_PER_SEC)
 /* A node that answered within this time does not count as silent: datagrams were lost. */
 #define ANSWER_TIME (500 * USEC_PER_MSEC)
+/* A node that hears nothing for this time, while it asks a holder, is cut off. */
+#define CUT_OFF_TIME (100 * USEC_PER_MSEC)
+/* Holders of other zones report more often than this. */
+#define REPORT_SILENCE_TIME USEC_PER_SEC
+/* A member that left a question unanswered is not reached for this time, if nothing is
+ * heard of it. */
+#define UNREACHED_TIME (2 * USEC_PER_SEC)
 /* Tokens are taken ahead for the demand of this time. */
 #define AHEAD_SEC 0.1
 #define DEMAND_TIME_CONSTANT_USEC ((double)USEC_PER_SEC)
@@ -62,9 +69,15 @@
 	uint32_t own_zone;
 	double part; /* of the own zone's share */
 	uint32_t node_count;
+	uint32_t member_count; /* entries of the directory */
 	bool stale;
 	usec_t created;
 	held_partition_t held[KEEPER_PARTITIONS];
+	usec_t heard_at; /* of any other node */
+	bool has_report; /* of another zone */
+	bool cut_off;
+	GHashTable *own_members;  /* addresses of the live members of the own zone */
+	GHashTable *unreached_at; /* address -> usec_t of the last unanswered question */
 	GHashTable *silent_until; /* address -> usec_t */
 	GHashTable *answered_at;  /* address -> usec_t */
 	GHashTable *accounts;	  /* account -> entry_account_t */
@@ -91,6 +104,10 @@
 		add_zone(rates, zone, zone);
 	rates->part = 1.0;
 	rates->created = now;
+	rates->heard_at = now;
+	rates->own_members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rates->unreached_at =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rates->silent_until =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rates->answered_at =
@@ -108,6 +125,8 @@
 	g_free(rates->zones);
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
 		shares_destroy(rates->held[i].shares);
+	g_hash_table_destroy(rates->own_members);
+	g_hash_table_destroy(rates->unreached_at);
 	g_hash_table_destroy(rates->silent_until);
 	g_hash_table_destroy(rates->answered_at);
 	g_hash_table_destroy(rates->accounts);
@@ -161,30 +180,88 @@
 	if (member->state > EGRET__MEMBER_STATE__MEMBER_SUSPECT)
 		return;
 	zone->live++;
+	if (zone == &rates->zones[rates->own_zone])
+		g_hash_table_add(rates->own_members, g_strdup(member->address));
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
 		add_candidate(
 			zone->candidates[i], member->address,
 			XXH64(member->address, strlen(member->address), HOLDER_SEED + i));
 }
 
-/* Part of the own zone's share that corresponds to the members that are live. */
-static double compute_part(const zone_rates_t *rates, uint32_t entries, usec_t now)
+static void set_time(GHashTable *table, const char *address, usec_t time)
+{
+	usec_t *existing = g_hash_table_lookup(table, address);
+
+	if (existing)
+		*existing = time;
+	else
+		g_hash_table_insert(table, g_strdup(address),
+				    g_memdup2(&time, sizeof(time)));
+}
+
+/* Live members of the own zone that this node does not reach. */
+static uint32_t count_unreached(const zone_rates_t *rates, usec_t now)
+{
+	GHashTableIter iter;
+	gpointer address, time;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, rates->unreached_at);
+	while (g_hash_table_iter_next(&iter, &address, &time)) {
+		if (now - *(usec_t *)time < UNREACHED_TIME &&
+		    g_hash_table_contains(rates->own_members, address))
+			count++;
+	}
+	return count;
+}
+
+/* Part of the own zone's share that corresponds to the members that this node reaches. */
+static double compute_part(const zone_rates_t *rates, usec_t now)
 {
 	const zone_t *own = &rates->zones[rates->own_zone];
+	uint32_t live = MAX(own->live, 1);
 	uint32_t known = MAX(own->known, 1);
 
-	if (now - rates->created < UNKNOWN_TIME && rates->node_count > entries)
-		known += rates->node_count - entries;
-	return (double)MAX(own->live, 1) / known;
+	if (now - rates->created < UNKNOWN_TIME &&
+	    rates->node_count > rates->member_count)
+		known += rates->node_count - rates->member_count;
+	if (rates->cut_off && live > 1)
+		return 0;
+	return (double)(live - MIN(count_unreached(rates, now), live - 1)) / known;
+}
+
+static void update_part(zone_rates_t *rates, usec_t now)
+{
+	rates->part = compute_part(rates, now);
+	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+		if (rates->held[i].shares)
+			shares_set_part(rates->held[i].shares, rates->part);
+	}
+}
+
+/* A datagram of another node has arrived; `address` is NULL if it is of another zone. */
+static void hear(zone_rates_t *rates, const char *address, usec_t now)
+{
+	bool changed = rates->cut_off;
+
+	if (address && strcmp(address, rates->address) == 0)
+		return;
+	if (address && g_hash_table_remove(rates->unreached_at, address))
+		changed = true;
+	rates->heard_at = now;
+	rates->cut_off = false;
+	if (changed)
+		update_part(rates, now);
 }
 
 void zone_rates_set_members(zone_rates_t *rates, const struct member_list *members,
 			    usec_t now)
 {
 	const member_t *member;
-	uint32_t entries = 0;
 
 	rates->stale = false;
+	rates->member_count = 0;
+	g_hash_table_remove_all(rates->own_members);
 	for (uint32_t i = 0; i < rates->zone_count; i++) {
 		zone_t *zone = &rates->zones[i];
 		memset(zone->candidates, 0, sizeof(zone->candidates));
@@ -193,13 +270,9 @@
 	LIST_FOREACH(member, members, link)
 	{
 		add_member(rates, member);
-		entries++;
-	}
-	rates->part = compute_part(rates, entries, now);
-	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
-		if (rates->held[i].shares)
-			shares_set_part(rates->held[i].shares, rates->part);
+		rates->member_count++;
 	}
+	update_part(rates, now);
 }
 
 void zone_rates_set_stale(zone_rates_t *rates)
@@ -251,13 +324,17 @@
 
 void zone_rates_set_silent(zone_rates_t *rates, const char *address, usec_t now)
 {
-	usec_t until = now + SILENCE_TIME;
 	const usec_t *answered = g_hash_table_lookup(rates->answered_at, address);
 
-	if (strcmp(address, rates->address) != 0 &&
-	    (!answered || now - *answered >= ANSWER_TIME))
-		g_hash_table_replace(rates->silent_until, g_strdup(address),
-				     g_memdup2(&until, sizeof(until)));
+	if (strcmp(address, rates->address) == 0)
+		return;
+	if (now - rates->heard_at >= CUT_OFF_TIME)
+		rates->cut_off = true;
+	if (!answered || now - *answered >= ANSWER_TIME) {
+		set_time(rates->silent_until, address, now + SILENCE_TIME);
+		set_time(rates->unreached_at, address, now);
+	}
+	update_part(rates, now);
 }
 
 /* --- Holder -------------------------------------------------------------- */
@@ -289,6 +366,20 @@
 	return holder && strcmp(holder, rates->address) == 0;
 }
 
+/* Whether holders of other zones are to report to this node. */
+static bool expects_reports(const zone_rates_t *rates, usec_t now)
+{
+	for (uint32_t zone = 0; rates->has_report && zone < rates->zone_count; zone++) {
+		if (zone == rates->own_zone || rates->zones[zone].live == 0)
+			continue;
+		for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
+			if (is_own_holder(rates, i, now))
+				return true;
+		}
+	}
+	return false;
+}
+
 static gboolean is_older(void *key, void *value, void *time)
 {
 	(void)key;
@@ -298,9 +389,17 @@
 void zone_rates_tick(zone_rates_t *rates, usec_t now)
 {
 	usec_t oldest = now - ANSWER_TIME;
+	usec_t oldest_unreached = now - UNREACHED_TIME;
 
 	g_hash_table_foreach_remove(rates->silent_until, is_older, &now);
 	g_hash_table_foreach_remove(rates->answered_at, is_older, &oldest);
+	bool changed = g_hash_table_foreach_remove(rates->unreached_at, is_older,
+						   &oldest_unreached) > 0;
+	if (!rates->cut_off && now - rates->heard_at >= REPORT_SILENCE_TIME &&
+	    expects_reports(rates, now))
+		rates->cut_off = changed = true;
+	if (changed)
+		update_part(rates, now);
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++) {
 		held_partition_t *held = &rates->held[i];
 
@@ -329,6 +428,11 @@
 	return rates->part;
 }
 
+bool zone_rates_is_cut_off(const zone_rates_t *rates)
+{
+	return rates->cut_off;
+}
+
 void zone_rates_answer(zone_rates_t *rates, const token_question_t *question,
 		       const account_limits_t *limits, usec_t now, token_answer_t *out)
 {
@@ -336,6 +440,8 @@
 	shares_verdict_t verdict = SHARES_NO_LOCAL_TOKEN;
 
 	*out = (token_answer_t){0};
+	if (question->asker)
+		hear(rates, question->asker, now);
 	hold(rates, partition, now);
 	shares_t *shares = rates->held[partition].shares;
 	if (question->lend)
@@ -380,6 +486,8 @@
 	    !find_zone(rates, zone) ||
 	    find_zone(rates, zone) == &rates->zones[rates->own_zone])
 		return;
+	rates->has_report = true;
+	hear(rates, NULL, now);
 	shares_begin_report(rates->held[partition].shares, zone, now);
 }
 
@@ -423,24 +531,13 @@
 	return false;
 }
 
-static void set_time(GHashTable *table, const char *address, usec_t time)
-{
-	usec_t *existing = g_hash_table_lookup(table, address);
-
-	if (existing)
-		*existing = time;
-	else
-		g_hash_table_insert(table, g_strdup(address),
-				    g_memdup2(&time, sizeof(time)));
-}
-
 void zone_rates_store_answer(zone_rates_t *rates, const char *holder, const char *name,
 			     const token_answer_t *answer, usec_t now)
 {
 	entry_account_t *account = find_or_add_account(rates, name);
 
 	set_time(rates->answered_at, holder, now);
-
+	hear(rates, holder, now);
 	account->pressure = answer->pressure;
 	if (answer->tokens <= 1)
 		return;
--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -20,6 +20,7 @@
 	struct tevent_timer *timer;
 	usec_t members_at;
 	uint32_t held; /* partitions, as last logged */
+	bool cut_off;  /* as last logged */
 };
 
 /* Longest encodings of one demand (a fixed32 and a varint) and of the other fields of a
@@ -118,6 +119,7 @@
 	log_begin(&rec, LOG_LEVEL_INFO, "rates");
 	log_int(&rec, "held", io->held);
 	log_int(&rec, "part_milli", (int64_t)(part * 1000));
+	log_int(&rec, "cut_off", io->cut_off);
 	log_end(&rec);
 }
 
@@ -146,11 +148,13 @@
 	for (uint32_t i = 0; i < KEEPER_PARTITIONS; i++)
 		report_partition(node, i, now);
 	uint32_t held = zone_rates_held(node->zone_rates);
+	bool cut_off = zone_rates_is_cut_off(node->zone_rates);
 	double part = zone_rates_part(node->zone_rates);
 	pthread_mutex_unlock(&node->account_lock);
 	pthread_mutex_unlock(&node->gossip_lock);
-	if (held != io->held) {
+	if (held != io->held || cut_off != io->cut_off) {
 		io->held = held;
+		io->cut_off = cut_off;
 		log_held(io, part);
 	}
 	schedule_tick(io);
@@ -233,6 +237,7 @@
 	Egret__Gossip reply = EGRET__GOSSIP__INIT;
 	token_question_t question = {
 		.account = message->subject,
+		.asker = message->sender,
 		.wanted = CLAMP(message->tokens, 1, SHARES_IO_TOKENS_MAX),
 		.wait_max = MIN(message->wait_ms * USEC_PER_MSEC, WAIT_MAX),
 		.lend = message->lend,
--- a/egretscaled/rates/token_wait.c
+++ b/egretscaled/rates/token_wait.c
@@ -138,8 +138,13 @@
 		return;
 	}
 	if (strcmp(waiter->holder, node->address) == 0) {
-		token_question_t question = {waiter->account, 1, action->wait_max,
-					     action->lend, action->repeated};
+		token_question_t question = {
+			.account = waiter->account,
+			.wanted = 1,
+			.wait_max = action->wait_max,
+			.lend = action->lend,
+			.repeated = action->repeated,
+		};
 		token_answer_t result;
 		shares_io_answer(node, &question, &result);
 		handle_answer(waiter, &result);
--- a/include/accounts/zone_rates.h
+++ b/include/accounts/zone_rates.h
@@ -21,7 +21,8 @@
  *	Members of a zone that are dead, or that a node has just started to look for,
  *	may be alive behind a network partition, with a holder of their own. A holder
  *	therefore uses only the part of its zone's share that corresponds to the
- *	members that it reaches.
+ *	members that it reaches. A holder that no node answers uses none of it until
+ *	its directory has the others as dead: until then they use its part as well.
  *
  *	A node with much demand for an account takes some tokens ahead of need, for
  *	TOKEN_LIFETIME.
@@ -76,10 +77,15 @@
 /* The part of its zone's share that this node uses as a holder. */
 double zone_rates_part(const zone_rates_t *rates);
 
+/* Whether this node hears nothing of others, although it asks them or they are to report.
+ */
+bool zone_rates_is_cut_off(const zone_rates_t *rates);
+
 /* --- Holder -------------------------------------------------------------- */
 
 typedef struct token_question {
 	const char *account;
+	const char *asker; /* the node that asks; NULL for this node */
 	uint32_t wanted;
 	usec_t wait_max; /* accepted until the token is due */
 	bool lend;	 /* for another zone */
--- a/tests/unit/test_zone_rates.c
+++ b/tests/unit/test_zone_rates.c
@@ -39,7 +39,7 @@
 	EVENT_NONE,
 	EVENT_SURGE,	  /* all accounts send `factor` times their demand */
 	EVENT_CUT_ZONE,	  /* one zone is apart */
-	EVENT_CUT_NODES,  /* a tenth of the nodes, each for itself */
+	EVENT_CUT_NODES,  /* some nodes, each for itself */
 	EVENT_KILL_NODES, /* a tenth of the nodes for good */
 	EVENT_RESTART_ALL,
 	EVENT_RESTART_ROLL, /* one node after the other */
@@ -57,6 +57,7 @@
 	double loss; /* of datagrams */
 	double factor; /* on the demand during the event; 0: 1 */
 	rates_event_t event;
+	double share;	    /* of the nodes that are cut off or killed; 0: a tenth */
 	double refused_max; /* of what is owed; 0 if not checked */
 } rates_case_t;
 
@@ -286,6 +287,7 @@
 	account_limits_t limits = limits_of(sim, account);
 	token_question_t question = {
 		.account = account->name,
+		.asker = i == j ? NULL : sim->nodes[i].address,
 		.wanted = i == j || action->lend ? 1 : wanted,
 		.wait_max = action->wait_max,
 		.lend = action->lend,
@@ -411,7 +413,8 @@
 
 	for (uint32_t i = 0; i < c->nodes; i++) {
 		sim_node_t *node = &sim->nodes[i];
-		bool drawn = g_rand_int_range(sim->rand, 0, 10) == 0;
+		bool drawn = c->share > 0 ? uniform(sim) < c->share
+					  : g_rand_int_range(sim->rand, 0, 10) == 0;
 
 		if (c->event == EVENT_CUT_ZONE && node->zone == 0)
 			node->group = 1;
@@ -656,6 +659,27 @@
 	 .demand = 0.625,
 	 .event = EVENT_CUT_NODES,
 	 .factor = 9},
+	{.name = "13 nodes, a third cut off, overload",
+	 SMALL,
+	 .demand = 0.625,
+	 .event = EVENT_CUT_NODES,
+	 .share = 0.35,
+	 .factor = 9},
+	{.name = "13 nodes, a third cut off, one large account",
+	 .nodes = 13,
+	 .zones = 3,
+	 .accounts = 1,
+	 .rate = 450,
+	 .demand = 0.8,
+	 .event = EVENT_CUT_NODES,
+	 .share = 0.35,
+	 .factor = 8},
+	{.name = "13 nodes, some killed",
+	 SMALL,
+	 .demand = 0.625,
+	 .event = EVENT_KILL_NODES,
+	 .share = 0.2,
+	 .refused_max = 0.01},
 	{.name = "96 nodes, some killed",
 	 LARGE,
 	 .demand = 0.625,
