--- a/accounts/zone_rates.c
+++ b/accounts/zone_rates.c
@@ -23,12 +23,12 @@
 #define FRESH_TIME (3 * USEC_PER_SEC)
 /* A node that answered within this time does not count as silent: datagrams were lost. */
 #define ANSWER_TIME (500 * USEC_PER_MSEC)
-/* A node that hears nothing for this time, while it asks a holder, is cut off. */
+/* A node that receives nothing for this time, while it asks a holder, is cut off. */
 #define CUT_OFF_TIME (100 * USEC_PER_MSEC)
 /* Holders of other zones report more often than this. */
 #define REPORT_SILENCE_TIME USEC_PER_SEC
 /* A member that left a question unanswered is not reached for this time, if nothing is
- * heard of it. */
+ * received from it. */
 #define UNREACHED_TIME (2 * USEC_PER_SEC)
 /* Tokens are taken ahead for the demand of this time. */
 #define AHEAD_SEC 0.1
@@ -73,8 +73,8 @@
 	bool stale;
 	usec_t created;
 	held_partition_t held[KEEPER_PARTITIONS];
-	usec_t heard_at; /* of any other node */
-	bool has_report; /* of another zone */
+	usec_t contact_at; /* of any other node */
+	bool has_report;   /* of another zone */
 	bool cut_off;
 	GHashTable *own_members;  /* addresses of the live members of the own zone */
 	GHashTable *unreached_at; /* address -> usec_t of the last unanswered question */
@@ -104,7 +104,7 @@
 		add_zone(rates, zone, zone);
 	rates->part = 1.0;
 	rates->created = now;
-	rates->heard_at = now;
+	rates->contact_at = now;
 	rates->own_members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rates->unreached_at =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -240,7 +240,7 @@
 }
 
 /* A datagram of another node has arrived; `address` is NULL if it is of another zone. */
-static void hear(zone_rates_t *rates, const char *address, usec_t now)
+static void record_contact(zone_rates_t *rates, const char *address, usec_t now)
 {
 	bool changed = rates->cut_off;
 
@@ -248,7 +248,7 @@
 		return;
 	if (address && g_hash_table_remove(rates->unreached_at, address))
 		changed = true;
-	rates->heard_at = now;
+	rates->contact_at = now;
 	rates->cut_off = false;
 	if (changed)
 		update_part(rates, now);
@@ -328,7 +328,7 @@
 
 	if (strcmp(address, rates->address) == 0)
 		return;
-	if (now - rates->heard_at >= CUT_OFF_TIME)
+	if (now - rates->contact_at >= CUT_OFF_TIME)
 		rates->cut_off = true;
 	if (!answered || now - *answered >= ANSWER_TIME) {
 		set_time(rates->silent_until, address, now + SILENCE_TIME);
@@ -395,7 +395,7 @@
 	g_hash_table_foreach_remove(rates->answered_at, is_older, &oldest);
 	bool changed = g_hash_table_foreach_remove(rates->unreached_at, is_older,
 						   &oldest_unreached) > 0;
-	if (!rates->cut_off && now - rates->heard_at >= REPORT_SILENCE_TIME &&
+	if (!rates->cut_off && now - rates->contact_at >= REPORT_SILENCE_TIME &&
 	    expects_reports(rates, now))
 		rates->cut_off = changed = true;
 	if (changed)
@@ -441,7 +441,7 @@
 
 	*out = (token_answer_t){0};
 	if (question->asker)
-		hear(rates, question->asker, now);
+		record_contact(rates, question->asker, now);
 	hold(rates, partition, now);
 	shares_t *shares = rates->held[partition].shares;
 	if (question->lend)
@@ -487,7 +487,7 @@
 	    find_zone(rates, zone) == &rates->zones[rates->own_zone])
 		return;
 	rates->has_report = true;
-	hear(rates, NULL, now);
+	record_contact(rates, NULL, now);
 	shares_begin_report(rates->held[partition].shares, zone, now);
 }
 
@@ -537,7 +537,7 @@
 	entry_account_t *account = find_or_add_account(rates, name);
 
 	set_time(rates->answered_at, holder, now);
-	hear(rates, holder, now);
+	record_contact(rates, holder, now);
 	account->pressure = answer->pressure;
 	if (answer->tokens <= 1)
 		return;
--- a/include/accounts/zone_rates.h
+++ b/include/accounts/zone_rates.h
@@ -77,7 +77,8 @@
 /* The part of its zone's share that this node uses as a holder. */
 double zone_rates_part(const zone_rates_t *rates);
 
-/* Whether this node hears nothing of others, although it asks them or they are to report.
+/* Whether this node receives nothing from others, although it asks them or they are to
+ * report.
  */
 bool zone_rates_is_cut_off(const zone_rates_t *rates);
 
