gate: report the response time of the target

Instances of one service differ in speed, but a reply carries only slots, calls in flight and queued calls. Load gets field 20, the smoothed response time of the target, recorded by the gate beside it. Rejected calls and responses of 500 and more are not recorded, since a target that fails at once would look fast. Nothing uses the value yet.

--- a/admission/gate.c
+++ b/admission/gate.c
@@ -19,6 +19,7 @@
 	GQueue shed_tickets;
 	GQueue expired_tickets;
 	usec_t expiry_checked_at;
+	speed_meter_t speed;
 	uint32_t inflight;
 	uint32_t queue_slots;
 	bool open;
@@ -57,10 +58,12 @@
 void gate_open(gate_t *gate, usec_t now, uint32_t slots, uint32_t cold_slots,
 	       uint32_t queue_slots, bool new_start)
 {
-	if (new_start)
+	if (new_start) {
 		limit_start(gate->limit, now, slots, cold_slots);
-	else
+		gate->speed = (speed_meter_t){0};
+	} else {
 		limit_set_bounds(gate->limit, slots, cold_slots);
+	}
 	gate->queue_slots = queue_slots ? queue_slots : slots;
 	gate->open = true;
 }
@@ -206,15 +209,22 @@
 	gate->inflight--;
 }
 
+void gate_record_response(gate_t *gate, usec_t time, usec_t now)
+{
+	speed_meter_record(&gate->speed, time, now);
+}
+
 void gate_cancel(gate_t *gate, gate_ticket_t *ticket, usec_t now)
 {
 	counter_add(COUNTER_GATE_CANCELLED, 1);
-	if (ticket->running)
+	if (ticket->running) {
+		speed_meter_record_cancelled(&gate->speed, now - ticket->started, now);
 		gate_done(gate, ticket, now, 0, LIMIT_IGNORED);
-	else if (ticket->queue_iter)
+	} else if (ticket->queue_iter) {
 		dequeue(ticket);
-	else if (!g_queue_remove(&gate->shed_tickets, ticket))
+	} else if (!g_queue_remove(&gate->shed_tickets, ticket)) {
 		g_queue_remove(&gate->expired_tickets, ticket);
+	}
 }
 
 /* Expires the queued tickets that cannot meet their deadline, or could not if they
@@ -297,6 +307,7 @@
 	out->limit = current_capacity(gate, now);
 	out->inflight = gate->inflight;
 	out->queued = (uint32_t)g_sequence_get_length(gate->queue);
+	out->response_time_usec = speed_meter_value(&gate->speed);
 	out->cold = limit_is_cold(gate->limit) ||
 		    rate_limiter_is_active(gate->start_limiter, now);
 }
--- a/egretscaled/peers/call_codec.c
+++ b/egretscaled/peers/call_codec.c
@@ -130,6 +130,7 @@
 		out->limit = wire->load->limit;
 		out->inflight = wire->load->inflight;
 		out->queued = wire->load->queued;
+		out->response_time_usec = wire->load->response_time_usec;
 		out->downstream_pressure = wire->load->pressure_below_milli / MILLI;
 	}
 	out->headers = headers_create();
@@ -153,6 +154,7 @@
 	load->limit = reply->limit;
 	load->inflight = reply->inflight;
 	load->queued = reply->queued;
+	load->response_time_usec = reply->response_time_usec;
 	load->pressure_below_milli = (uint32_t)CLAMP(reply->downstream_pressure * MILLI,
 						     0, PRESSURE_MAX * MILLI);
 	wire->load = load;
--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+#define STATUS_ERROR 500
+
 static void free_target_call(target_call_t *tc)
 {
 	TALLOC_FREE(tc->finish_timer);
@@ -52,6 +54,7 @@
 	reply->limit = load->limit;
 	reply->inflight = load->inflight;
 	reply->queued = load->queued;
+	reply->response_time_usec = load->response_time_usec;
 }
 
 /* Refuses the call. The reply carries the gate's load, so that upstream callers receive
@@ -196,6 +199,15 @@
 	pthread_mutex_unlock(&node->suspect_lock);
 }
 
+static void record_response(const target_call_t *tc, usec_t time, usec_t now)
+{
+	node_t *node = tc->worker->node;
+
+	pthread_mutex_lock(&node->gate_lock);
+	gate_record_response(node->gate, time, now);
+	pthread_mutex_unlock(&node->gate_lock);
+}
+
 static void finish_failed(target_call_t *tc, CURLcode code)
 {
 	node_t *node = tc->worker->node;
@@ -223,6 +235,7 @@
 	bool refused = tc->reply.outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN;
 	bool crashed = code != CURLE_OK && is_target_failure(code);
 	limit_outcome_t outcome = refused ? LIMIT_OVERLOADED : LIMIT_SUCCESS;
+	bool completed = code == CURLE_OK && !refused && tc->reply.status < STATUS_ERROR;
 	inflight_summary_t summary;
 
 	end_inflight_request(tc, now, &summary);
@@ -231,6 +244,8 @@
 				   tc->started_at, tc->easy, code);
 	else if (!refused)
 		record_completion(tc, now);
+	if (completed)
+		record_response(tc, own_latency(tc, now, summary.outbound_time), now);
 	release_gate_slot(tc, now, own_latency(tc, now, summary.outbound_time),
 			  code == CURLE_OK ? outcome : LIMIT_IGNORED, crashed);
 	call_detach(call);
--- a/include/admission/gate.h
+++ b/include/admission/gate.h
@@ -3,6 +3,7 @@
 
 #include "admission/limit.h"
 #include "admission/priority.h"
+#include "routing/speed.h"
 
 #include <glib.h>
 
@@ -56,7 +57,8 @@
 	uint32_t limit;	  /* calls that can run at once */
 	uint32_t inflight;
 	uint32_t queued;
-	bool cold; /* during a cold start */
+	bool cold;		     /* during a cold start */
+	uint32_t response_time_usec; /* smoothed, of the target; 0 if unknown */
 } gate_load_t;
 
 gate_t *gate_create(limit_algorithm_t algorithm);
@@ -88,6 +90,11 @@
 void gate_done(gate_t *gate, gate_ticket_t *ticket, usec_t now, usec_t own_latency,
 	       limit_outcome_t outcome);
 
+/* Records the response time of a call that the target completed. Calls that it rejected
+ * or answered with an error are not recorded, since a target that fails would look fast.
+ */
+void gate_record_response(gate_t *gate, usec_t time, usec_t now);
+
 /* Removes a ticket that is queued or in flight, or one shed or expired that gate_next()
  * has not returned yet. */
 void gate_cancel(gate_t *gate, gate_ticket_t *ticket, usec_t now);
--- a/include/egretscaled/node/call.h
+++ b/include/egretscaled/node/call.h
@@ -63,6 +63,7 @@
 	uint32_t limit;
 	uint32_t inflight;
 	uint32_t queued;
+	uint32_t response_time_usec; /* smoothed, of the target; 0 if unknown */
 	/* Highest pressure of the services to which the target makes outbound calls for
 	 * requests of the route, see node_downstream_pressure(). */
 	double downstream_pressure;
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -154,10 +154,14 @@
    * highest of the services below the route
    */
   uint32_t pressure_below_milli;
+  /*
+   * smoothed, of the target; 0 if unknown
+   */
+  uint32_t response_time_usec;
 };
 #define EGRET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Egret__Call
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -1280,7 +1280,7 @@
   (ProtobufCMessageInit) egret__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor egret__load__field_descriptors[7] =
 {
   {
     "level",
@@ -1354,6 +1354,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "response_time_usec",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Load, response_time_usec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__load__field_indices_by_name[] = {
   4,   /* field[4] = below */
@@ -1362,11 +1374,13 @@
   1,   /* field[1] = limit */
   5,   /* field[5] = pressure_below_milli */
   3,   /* field[3] = queued */
+  6,   /* field[6] = response_time_usec */
 };
-static const ProtobufCIntRange egret__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange egret__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 20, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor egret__load__descriptor =
 {
@@ -1376,10 +1390,10 @@
   "Egret__Load",
   "egret",
   sizeof(Egret__Load),
-  6,
+  7,
   egret__load__field_descriptors,
   egret__load__field_indices_by_name,
-  1,  egret__load__number_ranges,
+  2,  egret__load__number_ranges,
   (ProtobufCMessageInit) egret__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
