routing: compare instances by expected completion time

Cause: the share of slots in use sends a slow instance as many calls at a time as a fast one, an instance that rejects calls at once looks free, and calls leave a zone only once it is saturated. Change: router_set_balance(ROUTER_BALANCE_TIME) scores an instance by (calls + 1) x time / limit, the time as a ratio to the mean of the service, with a factor for calls that fail more often than elsewhere, and moves a rising share of the calls to other zones. The default score is unchanged.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -43,6 +43,7 @@
 	X(GATE_RESETS, "gate_resets", "times the limit went to the cold floor")          \
 	X(RETRIES, "retries", "calls repeated after not-run or failure")                 \
 	X(REROUTES, "reroutes", "attempts moved on before any target saw them")          \
+	X(SPILLS, "spills", "calls sent to an instance in another zone")                 \
 	X(RETRIES_CAPPED, "retries_capped", "retries not made because of a cap")         \
 	X(LATE_REPLIES, "late_replies", "replies dropped because their call was over")   \
 	X(FENCES_SENT, "fences_sent", "fence exchanges started")                         \
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -27,6 +27,14 @@
  *	service's instances are ejected at a time. Ejected instances, and those that
  *	the failure detector suspects, are used only as the last resort.
  *
+ *	With ROUTER_BALANCE_TIME, instances are compared by expected completion time
+ *	(see routing/speed.h) rather than by the share of their slots in use, for
+ *	instances that differ in speed or reject calls, and zones with unequal numbers
+ *	of instances. An instance without a recent report counts as the mean of its
+ *	service. A share of the calls goes to another zone while the local one is nearly
+ *	saturated; it rises with the load of the local zone and with the capacity
+ *	available in the others.
+ *
  *	A load report loses its weight over ROUTER_REPORT_LIFETIME_USEC, and a shed
  *	level ages, see priority_level_aged(), so that a recovered instance gets calls
  *	again. A zone that returns to service ramps up over ROUTER_ZONE_RAMP_USEC.
@@ -41,6 +49,12 @@
 
 typedef struct router router_t;
 
+/* Score by which instances are compared. */
+typedef enum router_balance {
+	ROUTER_BALANCE_SLOTS, /* share of the slots in use */
+	ROUTER_BALANCE_TIME,  /* expected completion time */
+} router_balance_t;
+
 typedef enum router_reason {
 	ROUTER_OWN_ZONE,
 	ROUTER_SPILL,	    /* to another zone */
@@ -60,6 +74,10 @@
 	uint32_t limit;
 	uint32_t inflight;
 	uint32_t queued;
+	uint32_t response_time_usec; /* smoothed, of the target; 0 if unknown */
+	/* The target rejected this call, did not complete it, or answered with a status
+	 * of 500 or more. */
+	bool failed;
 } router_report_t;
 
 typedef struct router_request {
@@ -76,6 +94,8 @@
 	uint64_t node_id;
 	char zone[MEMBER_TEXT_BYTES];
 	uint32_t candidates; /* instances of the service */
+	/* With ROUTER_BALANCE_TIME: the score of the instance, in thousandths. */
+	uint32_t score_milli;
 	/* Instances skipped, by reason. */
 	uint32_t skipped_zone_out; /* the zone is out of service */
 	uint32_t skipped_silent;
@@ -87,6 +107,9 @@
 router_t *router_create(const char *own_zone, uint64_t random_seed);
 void router_destroy(router_t *router);
 
+/* Sets the score; ROUTER_BALANCE_SLOTS after router_create(). */
+void router_set_balance(router_t *router, router_balance_t balance);
+
 /* Applies a change of the directory: adds or updates the member's instance while it
  * accepts calls, and removes it otherwise. */
 void router_update(router_t *router, const member_t *member, usec_t now);
--- a/routing/router.c
+++ b/routing/router.c
@@ -1,5 +1,8 @@
 #include "routing/router.h"
 
+#include "common/counters.h"
+#include "routing/speed.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -10,6 +13,10 @@
 #define SPILL_SCORE_MAX 0.8
 #define RAMP_MIN 0.05
 #define CHOICES 2
+/* With ROUTER_BALANCE_TIME, the share of calls that go to another zone rises between
+ * these loads of the local zone. Some instances slow down above 0.95 of their slots. */
+#define SPILL_LOAD_START 0.85
+#define SPILL_LOAD_FULL 1.0
 
 typedef struct instance {
 	member_t member;
@@ -20,8 +27,17 @@
 	uint32_t ejections;
 	usec_t ejected_until;
 	bool silent;
+	instance_speed_t speed;
+	uint32_t sent_since_report; /* calls of this node */
 } instance_t;
 
+/* Means of the instances that may get a call. */
+typedef struct service_state {
+	service_speed_t speed;
+	double load_sum;   /* shares of slots in use, by the weight of the reports */
+	double weight_sum; /* of the reports */
+} service_state_t;
+
 typedef struct zone_status {
 	bool in_service;
 	/* Start of the ramp; if the zone does not ramp up, ROUTER_ZONE_RAMP_USEC before
@@ -32,9 +48,11 @@
 struct router {
 	char *own_zone;
 	GRand *rand;
-	GHashTable *instances; /* address -> instance_t */
-	GHashTable *services;  /* service -> GPtrArray of instance_t */
-	GHashTable *zones;     /* zone -> zone_status_t */
+	router_balance_t balance;
+	service_state_t service; /* of the call being routed, with ROUTER_BALANCE_TIME */
+	GHashTable *instances;	 /* address -> instance_t */
+	GHashTable *services;	 /* service -> GPtrArray of instance_t */
+	GHashTable *zones;	 /* zone -> zone_status_t */
 };
 
 static const char *const reason_names[] = {
@@ -81,6 +99,11 @@
 	g_free(router);
 }
 
+void router_set_balance(router_t *router, router_balance_t balance)
+{
+	router->balance = balance;
+}
+
 static bool accepts_calls(const member_t *member)
 {
 	return member->state <= EGRET__MEMBER_STATE__MEMBER_SUSPECT && member->ready &&
@@ -192,10 +215,46 @@
 	return priority_level_aged(instance->report.level, now - instance->reported_at);
 }
 
+/* Returns the share of the instance's slots that is in use or queued for. The part of the
+ * report that has lost its weight counts as the mean of the service. Without that, an
+ * instance that is new or back would look empty to all nodes at once. The mean is
+ * bounded, since a saturated local zone says nothing about zones that got no calls
+ * lately. */
+static double expected_load(const router_t *router, const instance_t *instance,
+			    usec_t now)
+{
+	const service_state_t *service = &router->service;
+	double weight = report_weight(instance, now);
+	double limit = MAX(instance->report.limit, 1);
+	double mean =
+		service->weight_sum > 0 ? service->load_sum / service->weight_sum : 0;
+	mean = MIN(mean, SPILL_LOAD_START);
+	double reported = instance->report.inflight + (double)instance->report.queued;
+	double load = weight * reported + (1.0 - weight) * mean * limit +
+		      instance->sent_since_report;
+
+	return MAX(load, instance->inflight) / limit;
+}
+
+/* Returns the expected time until a further call completes. The unit is the mean time of
+ * the service at an instance whose slots are all in use. */
+static double time_score(const router_t *router, const instance_t *instance, usec_t now)
+{
+	const service_speed_t *speed = &router->service.speed;
+	double limit = MAX(instance->report.limit, 1);
+
+	return (expected_load(router, instance, now) + 1.0 / limit) *
+	       speed_time_ratio(speed, &instance->speed, now) *
+	       speed_failure_factor(speed, &instance->speed, now) /
+	       zone_ramp(router, instance, now);
+}
+
 /* Returns the load of the instance divided by its capacity; 1 is saturated. The small
  * addend prefers, among equals, the instance with fewer calls of this node. */
 static double load_score(const router_t *router, const instance_t *instance, usec_t now)
 {
+	if (router->balance == ROUTER_BALANCE_TIME)
+		return time_score(router, instance, now);
 	double weight = report_weight(instance, now);
 	double reported = weight * (instance->report.inflight + instance->report.queued);
 	double own = instance->inflight;
@@ -270,9 +329,85 @@
 	out->skipped_ejected = found->ejected->len;
 }
 
+static void add_to_service(service_state_t *service, const GPtrArray *list, usec_t now)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		double weight = report_weight(instance, now);
+		double load = instance->report.inflight + (double)instance->report.queued;
+
+		service->load_sum += weight * load / MAX(instance->report.limit, 1);
+		service->weight_sum += weight;
+		service_speed_add(&service->speed, &instance->speed, now);
+	}
+}
+
+typedef struct zone_load {
+	double load;  /* calls in flight or queued */
+	double limit; /* calls that can run */
+	double free;  /* calls that can run now */
+} zone_load_t;
+
+static zone_load_t sum_load(const router_t *router, const GPtrArray *list, usec_t now)
+{
+	zone_load_t sum = {0};
+
+	for (guint i = 0; i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		double limit =
+			MAX(instance->report.limit, 1) * zone_ramp(router, instance, now);
+		double load = expected_load(router, instance, now) *
+			      MAX(instance->report.limit, 1);
+
+		sum.load += load;
+		sum.limit += limit;
+		sum.free += MAX(limit - load, 0);
+	}
+	return sum;
+}
+
+/* Returns the share of the calls that goes to another zone. A function of the local load
+ * that rises gradually does not move all calls at once, and falls again when the local
+ * zone has capacity. */
+static double spill_share(const router_t *router, const candidates_t *found, usec_t now)
+{
+	zone_load_t own = sum_load(router, found->own, now);
+	zone_load_t other = sum_load(router, found->other, now);
+	double load = own.limit > 0 ? own.load / own.limit : SPILL_LOAD_FULL;
+	double need = (load - SPILL_LOAD_START) / (SPILL_LOAD_FULL - SPILL_LOAD_START);
+
+	if (need <= 0 || other.free <= 0)
+		return 0;
+	return MIN(need, 1.0) * other.free / (other.free + own.free);
+}
+
+static instance_t *choose_by_time(router_t *router, candidates_t *found, usec_t now,
+				  router_choice_t *out)
+{
+	router->service = (service_state_t){0};
+	add_to_service(&router->service, found->own, now);
+	add_to_service(&router->service, found->other, now);
+	instance_t *own = best_of_two(router, found->own, now);
+	out->reason = ROUTER_OWN_ZONE;
+	if (own && g_rand_double(router->rand) >= spill_share(router, found, now))
+		return own;
+	instance_t *other = best_of_two(router, found->other, now);
+	if (other &&
+	    (!own || load_score(router, other, now) < load_score(router, own, now))) {
+		out->reason = ROUTER_SPILL;
+		return other;
+	}
+	if (own)
+		return own;
+	out->reason = ROUTER_LAST_RESORT;
+	return best_of_two(router, found->ejected, now);
+}
+
 static instance_t *choose(router_t *router, candidates_t *found, usec_t now,
 			  router_choice_t *out)
 {
+	if (router->balance == ROUTER_BALANCE_TIME)
+		return choose_by_time(router, found, now, out);
 	instance_t *own = best_of_two(router, found->own, now);
 
 	out->reason = ROUTER_OWN_ZONE;
@@ -301,7 +436,13 @@
 	classify_candidates(router, request, now, &found, out);
 	instance_t *instance = choose(router, &found, now, out);
 	if (instance) {
+		if (router->balance == ROUTER_BALANCE_TIME)
+			out->score_milli = (uint32_t)CLAMP(
+				1000 * load_score(router, instance, now), 1, 1e9);
+		if (out->reason == ROUTER_SPILL)
+			counter_add(COUNTER_SPILLS, 1);
 		instance->inflight++;
+		instance->sent_since_report++;
 		g_strlcpy(out->address, instance->member.address, sizeof(out->address));
 		g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
 		out->node_id = instance->member.node_id;
@@ -342,7 +483,15 @@
 	if (report) {
 		instance->report = *report;
 		instance->reported_at = now;
+		instance->sent_since_report = 0;
+		instance_speed_report(&instance->speed, report->response_time_usec, now);
 	}
+	instance->sent_since_report =
+		MIN(instance->sent_since_report, instance->inflight);
+	bool failed = outcome == ROUTER_FAILED || (report && report->failed);
+	/* A call that the gate refused says nothing about the target. */
+	if (failed || outcome == ROUTER_ANSWERED)
+		instance_speed_record_call(&instance->speed, failed, now);
 	if (outcome == ROUTER_FAILED) {
 		if (++instance->failures >= EJECT_AFTER_FAILURES)
 			eject(router, instance, now);
