--- a/egretscaled/control/admin.c
+++ b/egretscaled/control/admin.c
@@ -144,13 +144,14 @@
 
 static void add_instance(void *ctx, const router_instance_info_t *info)
 {
-	json_array_append_new(ctx, json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i}",
-					     "address", info->address, "service",
-					     info->service, "zone", info->zone, "ejected",
-					     info->ejected, "zone_in", info->zone_in,
-					     "inflight", (int)info->inflight, "limit",
-					     (int)info->report.limit, "shed_level",
-					     (int)info->report.level));
+	json_array_append_new(
+		ctx,
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I}", "address",
+			  info->address, "service", info->service, "zone", info->zone,
+			  "ejected", info->ejected, "zone_in", info->zone_in, "inflight",
+			  (int)info->inflight, "limit", (int)info->report.limit,
+			  "shed_level", (int)info->report.level, "response_time_usec",
+			  (json_int_t)info->report.response_time_usec));
 }
 
 static json_t *instance_status(node_t *node)
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -92,6 +92,7 @@
 	node->inflight = inflight_table_create();
 	node->attempts = attempts_create();
 	node->router = router_create(settings->zone, node_random_id());
+	router_set_balance(node->router, settings->balance);
 	node->backpressure = backpressure_create();
 	node->outbound_calls = route_calls_create();
 	node->retry_budgets =
--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -56,6 +56,7 @@
 	KEY_WORKERS,
 	KEY_PIPELINE_DEPTH,
 	KEY_PIPELINE_TOTAL,
+	KEY_BALANCE,
 	KEY_LOG_LEVEL,
 	KEY_LOG_FORMAT,
 	KEY_END,
@@ -84,6 +85,10 @@
 	 "requests in progress on one connection (default 8)", 0},
 	{"pipeline-total", KEY_PIPELINE_TOTAL, "N", 0,
 	 "requests read ahead on all connections (default 256)", 0},
+	{"balance", KEY_BALANCE, "SCORE", 0,
+	 "what instances are compared by: slots in use, or expected completion time "
+	 "(slots or time; default slots, with --settings time)",
+	 0},
 	{"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
 	{"log-format", KEY_LOG_FORMAT, "FORMAT", 0, "text or json", 0},
 	{NULL, 0, NULL, 0, NULL, 0},
@@ -204,6 +209,12 @@
 		settings->pipeline_total =
 			parse_number(key, value, 0, PIPELINE_TOTAL_MAX);
 		break;
+	case KEY_BALANCE:
+		if (strcmp(value, "slots") != 0 && strcmp(value, "time") != 0)
+			exit_invalid_value(key, value, "slots or time");
+		settings->balance =
+			value[0] == 't' ? ROUTER_BALANCE_TIME : ROUTER_BALANCE_SLOTS;
+		break;
 	case KEY_LOG_LEVEL:
 		if (!log_level_parse(value, &settings->log_level))
 			exit_invalid_value(key, value, "error, warn, info or debug");
@@ -330,6 +341,8 @@
 		read_settings_file(parse.settings);
 	else
 		check_required(&parse);
+	if (parse.settings->on_platform && !parse.given[KEY_BALANCE - KEY_SETTINGS])
+		parse.settings->balance = ROUTER_BALANCE_TIME;
 	return parse.settings;
 }
 
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -17,6 +17,7 @@
 /* At most this many attempts that reached no target are repeated on another instance
  * without using up a retry. */
 #define REROUTES_MAX 3
+#define STATUS_ERROR 500
 
 static void log_route(const http_request_t *request, const router_choice_t *choice)
 {
@@ -38,6 +39,8 @@
 	log_int(&rec, "passed_ejected", choice->skipped_ejected);
 	log_int(&rec, "passed_level", choice->skipped_level);
 	log_int(&rec, "passed_excluded", choice->skipped_excluded);
+	if (choice->score_milli > 0)
+		log_int(&rec, "score_milli", choice->score_milli);
 	log_end(&rec);
 }
 
@@ -212,6 +215,11 @@
 		report.limit = reply->limit;
 		report.inflight = reply->inflight;
 		report.queued = reply->queued;
+		report.response_time_usec = reply->response_time_usec;
+		report.failed =
+			reply->outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN ||
+			reply->reason == EGRET__REASON__REASON_TARGET_REFUSED ||
+			(outcome == ROUTER_ANSWERED && reply->status >= STATUS_ERROR);
 		request->downstream_level =
 			MIN(request->downstream_level, reply->downstream_level);
 	}
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "egretscaled/node/dialect.h"
+#include "routing/router.h"
 #include "wire/peer_auth.h"
 
 #include <netinet/in.h>
@@ -66,6 +67,7 @@
 	uint32_t pipeline_depth;  /* requests in progress on one connection */
 	uint32_t pipeline_total;  /* requests read ahead on all connections */
 	uint32_t descriptors_max; /* of the process */
+	router_balance_t balance; /* without the flag: by time on the platform only */
 	log_level_t log_level;
 	log_format_t log_format;
 } settings_t;
--- a/tests/e2e/on_platform_nodes.py
+++ b/tests/e2e/on_platform_nodes.py
@@ -14,6 +14,7 @@
 RETURN_TIMEOUT_SEC = 5  # a resumed node gets requests again within this time
 METRICS_PORT = 9464
 LATENCY_OBJECTIVE_SEC = 1  # target_latency of the routes
+SPEED_REQUESTS = 200
 WEIGHT_TOLERANCE = 0.1  # largest deviation of a backend's share of the requests
 
 
@@ -68,6 +69,25 @@
                  len(d.targets[INITIAL_NODES].received) > before, RETURN_TIMEOUT_SEC)
 
 
+def case_on_platform_speed():
+    """Requests one after another: of two instances with free slots, the faster one gets more.
+    With two random choices the slow one gets a quarter of the requests, and half if the response
+    times do not reach the entry node or are not used."""
+    with PlatformDeployment() as d:
+        d.start_third_node()
+        slow, fast = d.targets[1:]
+        slow.delay_sec, fast.delay_sec = 0.06, 0.005
+        before = len(slow.received)
+        statuses = []
+        for i in range(SPEED_REQUESTS):
+            if i % 20 == 0:
+                d.report_all()
+            statuses.append(d.send("/o/x")[0])
+        answered = statuses.count(200)
+        share = (len(slow.received) - before) / max(answered, 1)
+        assert answered >= SPEED_REQUESTS / 2 and share < 0.375, (statuses, share)
+
+
 def case_on_platform_weights():
     """The backends of a route get requests in the ratio of their weights."""
     with PlatformDeployment() as d:
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -46,7 +46,7 @@
     case_on_platform_accounts, case_on_platform_borrow, case_on_platform_downstream_loss,
     case_on_platform_frozen, case_on_platform_join, case_on_platform_leave,
     case_on_platform_limit, case_on_platform_return, case_on_platform_store,
-    case_on_platform_weights)
+    case_on_platform_speed, case_on_platform_weights)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from pipelines import (  # noqa: E402,F401
