--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -436,6 +436,57 @@
 	 1.0},
 };
 
+/* --- return of a zone -------------------------------------------------------------- */
+
+typedef struct ramp_case {
+	const char *name;
+	usec_t since;	    /* the return of the local zone to service */
+	uint32_t low, high; /* bounds of the calls to it, of 1000 */
+} ramp_case_t;
+
+/* Guards against a zone that gets all of its calls at once when it returns. */
+static void test_ramp(void **state)
+{
+	const ramp_case_t *c = *state;
+	router_t *router = router_create("a", 3);
+	router_request_t request = {.service = SERVICE};
+	usec_t now = START;
+	uint32_t own = 0;
+
+	router_set_balance(router, ROUTER_BALANCE_TIME);
+	for (int i = 0; i < 4; i++) {
+		member_t member;
+		make_member(i, i % 2 ? "b" : "a", &member);
+		router_update(router, &member, now);
+	}
+	router_set_zone(router, "a", false, now);
+	now += 60 * USEC_PER_SEC;
+	router_set_zone(router, "a", true, now);
+	now += c->since;
+	for (int i = 0; i < 1000; i++) {
+		router_choice_t choice;
+		router_report_t report = {.level = PRIORITY_LEVEL_ALL,
+					  .limit = LIMIT,
+					  .inflight = 40,
+					  .response_time_usec = 50000};
+		router_pick(router, &request, now, &choice);
+		own += choice.zone[0] == 'a';
+		router_done(router, choice.address, ROUTER_ANSWERED, &report, now);
+	}
+	router_destroy(router);
+	assert_in_range(own, c->low, c->high);
+}
+
+static const ramp_case_t ramp_cases[] = {
+	{"a zone that has just returned takes few calls", 0, 0, 100},
+	{"calls leave when the load is what the zone takes during the ramp",
+	 4 * USEC_PER_SEC, 0, 100},
+	{"a part of the calls leaves when the load is nearly that", 4400 * USEC_PER_MSEC,
+	 100, 900},
+	{"a zone takes all of its calls after the ramp", ROUTER_ZONE_RAMP_USEC, 1000,
+	 1000},
+};
+
 /* --- meter of the node beside an instance ------------------------------------------ */
 
 typedef struct meter_case {
@@ -488,5 +539,6 @@
 	int failed = RUN_CASES("balance", balance_cases, test_balance);
 
 	failed += RUN_CASES("share", share_cases, test_share);
+	failed += RUN_CASES("ramp", ramp_cases, test_ramp);
 	return failed + RUN_CASES("meter", meter_cases, test_meter);
 }
