request: send rejected calls again, refuse at the entry what cannot complete

Calls are now sent again within the budget, replies report the share of calls that can complete, and entry nodes admit requests by it; Retry-After of a request that was shed is spread over a part of the route's objective.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -94,9 +94,12 @@
 	node->router = router_create(settings->zone, node_random_id());
 	router_set_balance(node->router, settings->balance);
 	node->backpressure = backpressure_create();
+	node->completion_limit = completion_limit_create(settings->bounds.retry_window);
 	node->outbound_calls = route_calls_create();
 	node->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->resends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      (GDestroyNotify)resends_destroy);
 	node->suspects = suspects_create();
 	node->crash_watch = crash_watch_create();
 	node->stop = stop_create();
@@ -117,8 +120,10 @@
 	attempts_destroy(node->attempts);
 	router_destroy(node->router);
 	backpressure_destroy(node->backpressure);
+	completion_limit_destroy(node->completion_limit);
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
+	g_hash_table_destroy(node->resends);
 	suspects_destroy(node->suspects);
 	crash_watch_destroy(node->crash_watch);
 	stop_destroy(node->stop);
--- a/egretscaled/node/pressure.c
+++ b/egretscaled/node/pressure.c
@@ -28,3 +28,41 @@
 	pthread_mutex_unlock(&node->router_lock);
 	return search.highest;
 }
+
+typedef struct completable_search {
+	node_t *node;
+	usec_t now;
+	double lowest;
+} completable_search_t;
+
+static void update_lowest_completable(void *ctx, const char *call_route,
+				      const char *service)
+{
+	completable_search_t *search = ctx;
+	node_t *node = search->node;
+	double own = node_completable_share(node, service, search->now);
+	double downstream =
+		1.0 - backpressure_missing(node->backpressure, call_route, search->now);
+
+	search->lowest = MIN(search->lowest, MIN(own, downstream));
+}
+
+double node_downstream_completable(node_t *node, const char *route)
+{
+	completable_search_t search = {
+		.node = node, .now = clock_boot_usec(), .lowest = 1.0};
+
+	pthread_mutex_lock(&node->router_lock);
+	route_calls_foreach(node->outbound_calls, route, search.now,
+			    update_lowest_completable, &search);
+	pthread_mutex_unlock(&node->router_lock);
+	return search.lowest;
+}
+
+bool node_makes_calls(node_t *node)
+{
+	pthread_mutex_lock(&node->router_lock);
+	bool makes_calls = route_calls_are_usual(node->outbound_calls);
+	pthread_mutex_unlock(&node->router_lock);
+	return makes_calls;
+}
--- a/egretscaled/node/retry_budgets.c
+++ b/egretscaled/node/retry_budgets.c
@@ -28,6 +28,45 @@
 	return budget;
 }
 
+/* The budget counts what one node sends, while the bound counts arrivals at the instances
+ * in any window: the margin covers the delay in between, and retries of other causes. */
+#define RESEND_RATIO_USED 0.85
+/* Returns NULL if the deployment states no bound. Under router_lock. */
+static resends_t *find_resends(node_t *node, const char *service)
+{
+	const bounds_t *bounds = node_bounds(node);
+	resends_t *resends = g_hash_table_lookup(node->resends, service);
+
+	if (resends || bounds->resend_ratio <= 0)
+		return resends;
+	resends = resends_create(bounds->resend_ratio * RESEND_RATIO_USED,
+				 bounds->retry_window);
+	g_hash_table_insert(node->resends, g_strdup(service), resends);
+	return resends;
+}
+
+void node_resend_record(node_t *node, const char *service, bool rejected, usec_t now)
+{
+	resends_t *resends = find_resends(node, service);
+
+	if (resends)
+		resends_record_result(resends, rejected, now);
+}
+
+bool node_resend_take(node_t *node, const char *service, usec_t now)
+{
+	resends_t *resends = find_resends(node, service);
+
+	return resends && resends_take(resends, now);
+}
+
+double node_completable_share(node_t *node, const char *service, usec_t now)
+{
+	resends_t *resends = g_hash_table_lookup(node->resends, service);
+
+	return resends ? resends_completable_share(resends, now) : 1.0;
+}
+
 void node_retry_budget_deposit(node_t *node, const char *service)
 {
 	config_t *config = node_config(node);
@@ -39,6 +78,9 @@
 	pthread_mutex_lock(&node->router_lock);
 	retry_budget_deposit(find_retry_budget(node, service, tokens_max), ratio,
 			     tokens_max);
+	resends_t *resends = find_resends(node, service);
+	if (resends)
+		resends_record_call(resends, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
 }
 
@@ -47,6 +89,9 @@
 	pthread_mutex_lock(&node->router_lock);
 	bool allowed = retry_budget_withdraw(
 		find_retry_budget(node, service, RETRY_BUDGET_TOKENS_MAX));
+	resends_t *resends = allowed ? find_resends(node, service) : NULL;
+	if (resends)
+		resends_record_retry(resends, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
 	return allowed;
 }
--- a/egretscaled/peers/call_codec.c
+++ b/egretscaled/peers/call_codec.c
@@ -132,6 +132,9 @@
 		out->queued = wire->load->queued;
 		out->response_time_usec = wire->load->response_time_usec;
 		out->downstream_pressure = wire->load->pressure_below_milli / MILLI;
+		out->downstream_completable =
+			1.0 - MIN(wire->load->incompletable_below_milli / MILLI, 1.0);
+		out->makes_calls = wire->load->makes_calls;
 	}
 	out->headers = headers_create();
 	decode_headers(wire->headers, wire->n_headers, out->headers);
@@ -157,6 +160,9 @@
 	load->response_time_usec = reply->response_time_usec;
 	load->pressure_below_milli = (uint32_t)CLAMP(reply->downstream_pressure * MILLI,
 						     0, PRESSURE_MAX * MILLI);
+	load->incompletable_below_milli =
+		(uint32_t)((1.0 - CLAMP(reply->downstream_completable, 0, 1)) * MILLI);
+	load->makes_calls = reply->makes_calls;
 	wire->load = load;
 }
 
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -185,6 +185,7 @@
 			? IMPORTANCE_LEVELS - 1
 			: effective_importance(config, context->account, route);
 	context->idempotent = route->idempotent;
+	request->objective = (usec_t)route->objective_ms * USEC_PER_MSEC;
 	context->deadline = request->arrived_at + (usec_t)timeout_ms * USEC_PER_MSEC;
 	request->retries.left = route->retries;
 	request->service =
@@ -242,43 +243,51 @@
 	return suspect;
 }
 
-/* Decides whether the request is to be shed because of the pressure of the route's
- * service or of the services downstream of it, whichever is higher; writes that pressure.
- * Outbound calls are exempt, since the requests that they belong to were admitted
+/* What the decision to shed a request depends on. */
+typedef struct shed_inputs {
+	double pressure;    /* of the route's service or of those downstream of it */
+	double completable; /* share of the route's calls that can complete */
+} shed_inputs_t;
+
+/* Outbound calls are exempt, since the requests that they belong to were admitted
  * already. */
-static bool is_shed_by_pressure(const http_request_t *request, double *pressure)
+static bool is_shed_by_load(const http_request_t *request, shed_inputs_t *inputs)
 {
 	node_t *node = request->worker->node;
+	uint32_t importance = request->context.importance;
 	usec_t now = clock_boot_usec();
+	config_t *config = node_config(node);
+	importance_range_t range = *config_importance_range(config);
 
-	if (request->from_target)
-		return false;
+	config_unref(config);
+	double draw = (double)(uint32_t)node_random_id() / (double)UINT32_MAX;
 	pthread_mutex_lock(&node->router_lock);
 	double own = router_service_pressure(node->router, request->service, now);
 	double downstream =
 		backpressure_pressure(node->backpressure, request->route, now);
+	inputs->pressure = MAX(own, downstream);
+	inputs->completable =
+		1.0 - backpressure_missing(node->backpressure, request->route, now);
+	bool shed = !pressure_admits(inputs->pressure, importance, &range, draw) ||
+		    !completion_limit_admit(node->completion_limit, request->route,
+					    inputs->completable, importance, &range, now);
 	pthread_mutex_unlock(&node->router_lock);
-	*pressure = MAX(own, downstream);
-	config_t *config = node_config(node);
-	importance_range_t range = *config_importance_range(config);
-	config_unref(config);
-	double draw = (double)(uint32_t)node_random_id() / (double)UINT32_MAX;
-	return !pressure_admits(*pressure, request->context.importance, &range, draw);
+	return shed;
 }
 
 static bool is_shed(http_request_t *request)
 {
 	node_t *node = request->worker->node;
 	priority_t priority = request_context_priority(&request->context);
-	double pressure = 0;
+	shed_inputs_t inputs = {.completable = 1.0};
 
 	pthread_mutex_lock(&node->router_lock);
 	priority_t level =
 		backpressure_level(node->backpressure, request->route, clock_boot_usec());
 	pthread_mutex_unlock(&node->router_lock);
-	bool shed_by_pressure = node->settings->dialect->outbound_on_caller_listener &&
-				is_shed_by_pressure(request, &pressure);
-	if (priority < level && !shed_by_pressure)
+	bool shed_by_load = node->settings->dialect->outbound_on_caller_listener &&
+			    !request->from_target && is_shed_by_load(request, &inputs);
+	if (priority < level && !shed_by_load)
 		return false;
 	counter_add(COUNTER_REFUSED_SHED, 1);
 	log_rec_t rec;
@@ -289,7 +298,8 @@
 	log_int(&rec, "importance", request->context.importance);
 	log_int(&rec, "rank", request->context.rank);
 	log_int(&rec, "level", level);
-	log_int(&rec, "pressure_milli", (int64_t)(pressure * 1000));
+	log_int(&rec, "pressure_milli", (int64_t)(inputs.pressure * 1000));
+	log_int(&rec, "completable_milli", (int64_t)(inputs.completable * 1000));
 	log_end(&rec);
 	return true;
 }
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -18,6 +18,12 @@
  * without using up a retry. */
 #define REROUTES_MAX 3
 #define STATUS_ERROR 500
+/* At most this many times a call that its target rejects is sent to the same instance
+ * again. */
+#define RESENDS_MAX 8
+/* Doublings of the backoff before a resend: the rejection says nothing of the next send,
+ * so there is no reason to wait long. */
+#define RESEND_BACKOFF_STEP_MAX 2
 
 static void log_route(const http_request_t *request, const router_choice_t *choice)
 {
@@ -57,6 +63,12 @@
 		g_strlcpy(router_request.excluded[i], request->excluded[i],
 			  ADDRESS_TEXT_BYTES);
 	pthread_mutex_lock(&node->router_lock);
+	if (request->sends_again) {
+		request->sends_again = false;
+		router_pick_again(node->router, request->instance, choice);
+		pthread_mutex_unlock(&node->router_lock);
+		return;
+	}
 	router_pick(node->router, &router_request, clock_boot_usec(), choice);
 	/* If every instance was tried, any may be tried again, unless an attempt reached
 	 * no target: the excluded instances then include some that just refused. */
@@ -185,6 +197,13 @@
 		start_attempt(request);
 }
 
+/* Whether the target itself stated that it did not run the request. */
+static bool is_rejection(const call_reply_t *reply)
+{
+	return reply->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN &&
+	       reply->reason == EGRET__REASON__REASON_TARGET_REFUSED;
+}
+
 static router_outcome_t router_outcome_of(const call_reply_t *reply)
 {
 	if (reply->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED)
@@ -229,9 +248,16 @@
 	if (reported && outcome == ROUTER_ANSWERED)
 		backpressure_record_level(node->backpressure, request->route,
 					  reply->downstream_level, now);
-	if (reported)
+	if (reply && is_rejection(reply))
+		node_resend_record(node, request->service, true, now);
+	else if (outcome == ROUTER_ANSWERED)
+		node_resend_record(node, request->service, false, now);
+	if (reported) {
 		backpressure_record_pressure(node->backpressure, request->route,
 					     reply->downstream_pressure, now);
+		backpressure_record_missing(node->backpressure, request->route,
+					    1.0 - reply->downstream_completable, now);
+	}
 	pthread_mutex_unlock(&node->router_lock);
 }
 
@@ -356,6 +382,14 @@
 	return true;
 }
 
+static void start_retry_timer(http_request_t *request, usec_t wait)
+{
+	call_destroy(request->call);
+	request->call = NULL;
+	request->retry_timer =
+		worker_timer(request->worker, wait, handle_retry_timer, request);
+}
+
 static bool schedule_retry(http_request_t *request, const call_reply_t *reply)
 {
 	node_t *node = request->worker->node;
@@ -374,10 +408,35 @@
 	retry_count_take(&request->retries);
 	counter_add(COUNTER_RETRIES, 1);
 	exclude_instance(request);
-	call_destroy(request->call);
-	request->call = NULL;
-	request->retry_timer =
-		worker_timer(request->worker, wait, handle_retry_timer, request);
+	start_retry_timer(request, wait);
+	return true;
+}
+
+/* Sends a call that its target rejected to the same instance again, which is not another
+ * instance in the meaning of the route's attempts. Not where the target makes calls of
+ * its own: those of a repeated run count as repeats, too. */
+static bool schedule_resend(http_request_t *request, const call_reply_t *reply)
+{
+	node_t *node = request->worker->node;
+	usec_t now = clock_boot_usec();
+	double uniform = (double)(node_random_id() >> 11) / (double)(1ull << 53);
+	usec_t wait =
+		retry_backoff(MIN(request->resends, RESEND_BACKOFF_STEP_MAX), uniform);
+
+	if (!is_rejection(reply) || reply->makes_calls || !can_resend_body(request) ||
+	    request->resends >= RESENDS_MAX || wait >= request->context.deadline - now)
+		return false;
+	pthread_mutex_lock(&node->router_lock);
+	bool allowed = node_resend_take(node, request->service, now);
+	pthread_mutex_unlock(&node->router_lock);
+	if (!allowed) {
+		counter_add(COUNTER_RESENDS_CAPPED, 1);
+		return false;
+	}
+	request->resends++;
+	request->sends_again = true;
+	counter_add(COUNTER_RESENDS, 1);
+	start_retry_timer(request, wait);
 	return true;
 }
 
@@ -434,6 +493,7 @@
 	if (reply->outcome == EGRET__OUTCOME__OUTCOME_UNKNOWN)
 		request->may_have_run = true;
 	if (node_cancels_requests(request->worker->node) ||
-	    (!reroute(request, reply) && !schedule_retry(request, reply)))
+	    (!reroute(request, reply) && !schedule_retry(request, reply) &&
+	     !schedule_resend(request, reply)))
 		http_request_refuse(request, reply->outcome, reply->reason);
 }
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -7,6 +7,11 @@
 
 /* Time after which a refused client may retry. */
 #define RETRY_AFTER (150 * USEC_PER_MSEC)
+/* A request that was shed may be sent again after a random part of its objective between
+ * these two: overload lasts for seconds, clients often retry only once, and some that
+ * were refused together must not return together. */
+#define SHED_RETRY_AFTER_MIN 0.2
+#define SHED_RETRY_AFTER_MAX 0.6
 
 http_request_t *http_request_find(worker_t *worker, uint64_t number)
 {
@@ -92,13 +97,25 @@
 	return request->worker->node->settings->dialect;
 }
 
+static usec_t retry_after(const http_request_t *request)
+{
+	const settings_t *settings = request->worker->node->settings;
+	double uniform = (double)(node_random_id() >> 11) / (double)(1ull << 53);
+	double part = SHED_RETRY_AFTER_MIN +
+		      uniform * (SHED_RETRY_AFTER_MAX - SHED_RETRY_AFTER_MIN);
+
+	if (request->reason != EGRET__REASON__REASON_SHED || !settings->on_platform)
+		return RETRY_AFTER;
+	return MAX((usec_t)(part * (double)request->objective), RETRY_AFTER);
+}
+
 refusal_t http_request_refusal(const http_request_t *request)
 {
 	return (refusal_t){
 		.outcome = request->outcome,
 		.reason = request->reason,
 		.request_id = request->context.request_id,
-		.retry_after = RETRY_AFTER,
+		.retry_after = retry_after(request),
 	};
 }
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -45,6 +45,8 @@
 	X(REROUTES, "reroutes", "attempts moved on before any target saw them")          \
 	X(SPILLS, "spills", "calls sent to an instance in another zone")                 \
 	X(RETRIES_CAPPED, "retries_capped", "retries not made because of a cap")         \
+	X(RESENDS, "resends", "calls sent again after their target rejected them")       \
+	X(RESENDS_CAPPED, "resends_capped", "resends not made because of the budget")    \
 	X(LATE_REPLIES, "late_replies", "replies dropped because their call was over")   \
 	X(FENCES_SENT, "fences_sent", "fence exchanges started")                         \
 	X(FENCES_NOT_RUN, "fences_not_run", "fence exchanges that proved not-run")       \
--- a/include/egretscaled/node/call.h
+++ b/include/egretscaled/node/call.h
@@ -67,6 +67,10 @@
 	/* Highest pressure of the services to which the target makes outbound calls for
 	 * requests of the route, see node_downstream_pressure(). */
 	double downstream_pressure;
+	/* Lowest share of the calls downstream that can be completed, 0 to 1, see
+	 * node_downstream_completable(). */
+	double downstream_completable;
+	bool makes_calls;	   /* the target usually makes outbound calls */
 	uint32_t retries_returned; /* unused retries of the context */
 } call_reply_t;
 
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -2,6 +2,7 @@
 #define EGRET_EGRETSCALED_NODE_NODE_H
 
 #include "accounts/zone_rates.h"
+#include "admission/completion_limit.h"
 #include "admission/gate.h"
 #include "admission/stop.h"
 #include "claims/attempts.h"
@@ -11,6 +12,7 @@
 #include "http/curl_loop.h"
 #include "membership/gossip.h"
 #include "membership/target.h"
+#include "retry/resends.h"
 #include "retry/retry.h"
 #include "routing/backpressure.h"
 #include "routing/route_calls.h"
@@ -95,8 +97,10 @@
 	pthread_mutex_t router_lock;
 	router_t *router;
 	backpressure_t *backpressure;
+	completion_limit_t *completion_limit;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
 	GHashTable *retry_budgets;     /* service -> retry_budget_t */
+	GHashTable *resends;	       /* service -> resends_t; on the platform only */
 
 	pthread_mutex_t suspect_lock;
 	struct suspects *suspects;
@@ -202,11 +206,26 @@
 void node_retry_budget_deposit(node_t *node, const char *service);
 bool node_retry_budget_withdraw(node_t *node, const char *service);
 
+/* Calls that their target rejected, see retry/resends.h. node_resend_record() counts a
+ * send that has ended; node_resend_take() returns whether the call may be sent again.
+ * Without effect if the deployment states no bound. Under router_lock. */
+void node_resend_record(node_t *node, const char *service, bool rejected, usec_t now);
+bool node_resend_take(node_t *node, const char *service, usec_t now);
+double node_completable_share(node_t *node, const char *service, usec_t now);
+
 /* Returns the highest pressure of the services to which the target makes outbound calls
  * for requests of the route, and of the services downstream of these; 0 if no call is
  * recorded. Acquires router_lock. */
 double node_downstream_pressure(node_t *node, const char *route);
 
+/* Returns the lowest completable share (retry/resends.h) of the same services. Acquires
+ * router_lock. */
+double node_downstream_completable(node_t *node, const char *route);
+
+/* Whether the target usually makes outbound calls for its requests. Acquires router_lock.
+ */
+bool node_makes_calls(node_t *node);
+
 /* Creates a client of the platform on the loop. */
 store_t *node_store_create(const node_t *node, curl_loop_t *loop);
 
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -33,11 +33,13 @@
 	usec_t retry_window;  /* retries are bounded in any window of this length */
 	double retry_ratio;   /* retries per request to a service */
 	uint32_t retry_min;   /* retries allowed in a window in addition to the ratio */
-	usec_t rate_window;   /* account rates are bounded in any window of this length */
-	double rate_overage;  /* fraction by which an account's rate may be exceeded */
-	uint32_t rate_slack;  /* requests allowed in a window in addition */
-	double cold_overage;  /* factor on the cold_rate of a service (config/record.h) */
-	uint32_t cold_slack;  /* requests allowed in addition */
+	double resend_ratio; /* as retry_ratio, for calls that their target rejected; 0 if
+				the deployment states no bound: then there are none */
+	usec_t rate_window;  /* account rates are bounded in any window of this length */
+	double rate_overage; /* fraction by which an account's rate may be exceeded */
+	uint32_t rate_slack; /* requests allowed in a window in addition */
+	double cold_overage; /* factor on the cold_rate of a service (config/record.h) */
+	uint32_t cold_slack; /* requests allowed in addition */
 } bounds_t;
 
 typedef struct settings {
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -78,6 +78,7 @@
 	uint64_t config_revision; /* of the configuration that gave the route */
 	bool from_target;	  /* an outbound call that arrived on a caller listener */
 	request_context_t context;
+	usec_t objective; /* latency objective of the route; 0 if none */
 	retry_count_t retries;
 	char *service;
 	char *target_path; /* path and query that the target receives */
@@ -94,6 +95,8 @@
 	uint32_t attempt_count;
 	bool may_have_run;		   /* an earlier attempt's outcome is unknown */
 	uint32_t reroutes;		   /* attempts that reached no target */
+	uint32_t resends;		   /* to an instance that had rejected the call */
+	bool sends_again;		   /* the next attempt is a resend */
 	char instance[ADDRESS_TEXT_BYTES]; /* of the current attempt */
 	struct tevent_timer *retry_timer;
 	struct tevent_timer *deadline_timer;
--- a/include/routing/backpressure.h
+++ b/include/routing/backpressure.h
@@ -40,6 +40,15 @@
 double backpressure_pressure(const backpressure_t *backpressure, const char *key,
 			     usec_t now);
 
+/* Records what is missing in the completable share of the calls downstream (0 to 1), see
+ * retry/resends.h. It is smoothed where it is measured; smoothing it again at each hop
+ * would delay it by seconds where a node gets few responses. It ages as a pressure does.
+ */
+void backpressure_record_missing(backpressure_t *backpressure, const char *key,
+				 double missing, usec_t now);
+double backpressure_missing(const backpressure_t *backpressure, const char *key,
+			    usec_t now);
+
 /* Returns the smoothed shed level downstream of the key. */
 priority_t backpressure_level(const backpressure_t *backpressure, const char *key,
 			      usec_t now);
--- a/include/routing/route_calls.h
+++ b/include/routing/route_calls.h
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -44,6 +45,10 @@
 void route_calls_record(route_calls_t *route_calls, const char *call_route,
 			const char *service, usec_t now);
 
+/* Whether the target's requests make calls, by the number of both lately. Other processes
+ * of the vm may make a few calls that look like the target's. */
+bool route_calls_are_usual(const route_calls_t *route_calls);
+
 /* Calls `fn` once for each route that the requests of `route` are known to call. */
 typedef void (*route_calls_fn)(void *ctx, const char *call_route, const char *service);
 void route_calls_foreach(route_calls_t *route_calls, const char *route, usec_t now,
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -61,6 +61,7 @@
 	ROUTER_LAST_RESORT, /* only ejected or suspected instances are available */
 	ROUTER_NO_INSTANCE, /* no instance usable, and none skipped by its shed level */
 	ROUTER_SHED,	    /* no instance usable; some skipped by their shed level */
+	ROUTER_AGAIN,	    /* the instance of the attempt before */
 } router_reason_t;
 
 typedef enum router_outcome {
@@ -127,6 +128,10 @@
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
 		 router_choice_t *out);
 
+/* Chooses the instance with this address if it still accepts calls, and counts the call
+ * as in flight on it; otherwise out->address is empty. */
+void router_pick_again(router_t *router, const char *address, router_choice_t *out);
+
 /* Ends a call on the instance. `report` is the load in the response, or NULL. */
 void router_done(router_t *router, const char *address, router_outcome_t outcome,
 		 const router_report_t *report, usec_t now);
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -154,6 +154,14 @@
    * highest of the services below the route
    */
   uint32_t pressure_below_milli;
+  /*
+   * the target usually calls other services
+   */
+  protobuf_c_boolean makes_calls;
+  /*
+   * share of calls below that cannot complete
+   */
+  uint32_t incompletable_below_milli;
   /*
    * smoothed, of the target; 0 if unknown
    */
@@ -161,7 +169,7 @@
 };
 #define EGRET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Egret__Call
--- a/routing/backpressure.c
+++ b/routing/backpressure.c
@@ -16,6 +16,8 @@
 	usec_t level_updated;
 	double pressure;
 	usec_t pressure_updated;
+	double missing;
+	usec_t missing_updated;
 } entry_t;
 
 struct backpressure {
@@ -57,6 +59,7 @@
 	entry->level = PRIORITY_LEVEL_ALL;
 	entry->level_updated = now;
 	entry->pressure_updated = now - PRESSURE_LIFETIME_USEC;
+	entry->missing_updated = now - PRESSURE_LIFETIME_USEC;
 	g_hash_table_insert(backpressure->entries, g_strdup(key), entry);
 	return entry;
 }
@@ -94,6 +97,25 @@
 	return entry ? entry->pressure * pressure_left(entry->pressure_updated, now) : 0;
 }
 
+void backpressure_record_missing(backpressure_t *backpressure, const char *key,
+				 double missing, usec_t now)
+{
+	entry_t *entry = lookup_entry(backpressure, key, missing > 0, now);
+
+	if (!entry)
+		return;
+	entry->missing = missing;
+	entry->missing_updated = now;
+}
+
+double backpressure_missing(const backpressure_t *backpressure, const char *key,
+			    usec_t now)
+{
+	const entry_t *entry = g_hash_table_lookup(backpressure->entries, key);
+
+	return entry ? entry->missing * pressure_left(entry->missing_updated, now) : 0;
+}
+
 void backpressure_record_level(backpressure_t *backpressure, const char *key,
 			       priority_t level, usec_t now)
 {
--- a/routing/route_calls.c
+++ b/routing/route_calls.c
@@ -7,6 +7,10 @@
 #define SCORE_MAX 16
 #define MISS_COST 4
 #define TARGET_CALLS_MAX 64
+/* Both counts of route_calls_are_usual() are halved when the requests reach this number.
+ */
+#define COUNTED_REQUESTS_MAX 512
+#define USUAL_CALLS_PER_REQUEST 0.1
 
 typedef struct outbound_call {
 	char *service;
@@ -33,6 +37,8 @@
 	GHashTable *callers;	  /* route -> caller_route_t */
 	GHashTable *target_calls; /* call route -> target_call_route_t */
 	uint32_t active_count;	  /* routes with requests in flight */
+	uint32_t counted_requests;
+	uint32_t counted_calls;
 };
 
 static void outbound_call_destroy(void *data)
@@ -91,6 +97,16 @@
 	}
 	if (caller->inflight_requests++ == 0)
 		route_calls->active_count++;
+	if (++route_calls->counted_requests >= COUNTED_REQUESTS_MAX) {
+		route_calls->counted_requests /= 2;
+		route_calls->counted_calls /= 2;
+	}
+}
+
+bool route_calls_are_usual(const route_calls_t *route_calls)
+{
+	return route_calls->counted_calls >
+	       USUAL_CALLS_PER_REQUEST * route_calls->counted_requests;
 }
 
 void route_calls_end(route_calls_t *route_calls, const char *route)
@@ -193,6 +209,7 @@
 	target_call_route_t *target_call =
 		record_target_call(route_calls, call_route, service, now);
 
+	route_calls->counted_calls++;
 	if (!caller) {
 		refresh_known_calls(route_calls, call_route, target_call, now);
 		return;
--- a/routing/router.c
+++ b/routing/router.c
@@ -61,6 +61,7 @@
 	[ROUTER_LAST_RESORT] = "last-resort",
 	[ROUTER_NO_INSTANCE] = "no-instance",
 	[ROUTER_SHED] = "shed",
+	[ROUTER_AGAIN] = "again",
 };
 
 const char *router_reason_name(router_reason_t reason)
@@ -427,6 +428,27 @@
 	return best_of_two(router, found->ejected, now);
 }
 
+static void fill_choice(instance_t *instance, router_choice_t *out)
+{
+	instance->inflight++;
+	instance->sent_since_report++;
+	g_strlcpy(out->address, instance->member.address, sizeof(out->address));
+	g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
+	out->node_id = instance->member.node_id;
+}
+
+void router_pick_again(router_t *router, const char *address, router_choice_t *out)
+{
+	instance_t *instance = g_hash_table_lookup(router->instances, address);
+
+	memset(out, 0, sizeof(*out));
+	out->reason = ROUTER_NO_INSTANCE;
+	if (!instance || instance->silent || !zone_in_service(router, instance))
+		return;
+	out->reason = ROUTER_AGAIN;
+	fill_choice(instance, out);
+}
+
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
 		 router_choice_t *out)
 {
@@ -441,11 +463,7 @@
 				1000 * load_score(router, instance, now), 1, 1e9);
 		if (out->reason == ROUTER_SPILL)
 			counter_add(COUNTER_SPILLS, 1);
-		instance->inflight++;
-		instance->sent_since_report++;
-		g_strlcpy(out->address, instance->member.address, sizeof(out->address));
-		g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
-		out->node_id = instance->member.node_id;
+		fill_choice(instance, out);
 	} else {
 		out->reason = out->skipped_level > 0 ? ROUTER_SHED : ROUTER_NO_INSTANCE;
 	}
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -1280,7 +1280,7 @@
   (ProtobufCMessageInit) egret__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor egret__load__field_descriptors[9] =
 {
   {
     "level",
@@ -1354,6 +1354,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "makes_calls",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Load, makes_calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incompletable_below_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Load, incompletable_below_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "response_time_usec",
     20,
@@ -1369,18 +1393,20 @@
 };
 static const unsigned egret__load__field_indices_by_name[] = {
   4,   /* field[4] = below */
+  7,   /* field[7] = incompletable_below_milli */
   2,   /* field[2] = inflight */
   0,   /* field[0] = level */
   1,   /* field[1] = limit */
+  6,   /* field[6] = makes_calls */
   5,   /* field[5] = pressure_below_milli */
   3,   /* field[3] = queued */
-  6,   /* field[6] = response_time_usec */
+  8,   /* field[8] = response_time_usec */
 };
 static const ProtobufCIntRange egret__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 6 },
-  { 0, 7 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor egret__load__descriptor =
 {
@@ -1390,7 +1416,7 @@
   "Egret__Load",
   "egret",
   sizeof(Egret__Load),
-  7,
+  9,
   egret__load__field_descriptors,
   egret__load__field_indices_by_name,
   2,  egret__load__number_ranges,
