http: refuse statuses outside 100 to 599

A response with status 600 or 999 was passed on as an answer, also where it stated that the request did not run (503, so that it could run again), and was stored for an idempotency key. Status 000 or 099 counted as an interim head; callers got 502 only because curl ended such a transfer. An answer of a peer and a stored response were passed on with any status.

response_head now takes a status outside 100 to 599 as malformed: the outcome is unknown (502). call_reply_decode() turns an answer with a status outside 200 to 599 into an unknown outcome, and an outcome that is not defined into unknown. A stored response with such a status gives 502 (CLAIM_LOST).

--- a/claims/claim.c
+++ b/claims/claim.c
@@ -1,6 +1,7 @@
 #include "claims/claim.h"
 
 #include "http/headers.h"
+#include "http/response_head.h"
 
 #include <jansson.h>
 #include <sodium.h>
@@ -89,6 +90,17 @@
 	}
 }
 
+/* Returns 0 for a status that is not one of a final response. */
+static uint32_t decode_status(const json_t *value)
+{
+	json_int_t status = json_integer_value(value);
+
+	if (status < 0 || status > UINT32_MAX ||
+	    !response_status_is_final((uint32_t)status))
+		return 0;
+	return (uint32_t)status;
+}
+
 bool claim_row_decode(const char *text, claim_row_t *out)
 {
 	json_t *json = json_loads(text, 0, NULL);
@@ -102,7 +114,7 @@
 	out->state = strcmp(state, "done") == 0 ? CLAIM_DONE : CLAIM_RUNNING;
 	out->fingerprint = get_hex(json, "fingerprint");
 	out->owner = get_hex(json, "owner");
-	out->status = (uint32_t)json_integer_value(json_object_get(json, "status"));
+	out->status = decode_status(json_object_get(json, "status"));
 	out->headers = headers_create();
 	decode_headers(json_object_get(json, "headers"), out->headers);
 	out->object = g_strdup(json_string_value(json_object_get(json, "object")));
@@ -131,5 +143,7 @@
 		return CLAIM_MISMATCH;
 	if (row->state != CLAIM_DONE || (!row->body && !row->object))
 		return CLAIM_BUSY;
+	if (!row->status)
+		return CLAIM_LOST;
 	return row->object ? CLAIM_FETCH : CLAIM_REPLAY;
 }
--- a/egretscaled/peers/call_codec.c
+++ b/egretscaled/peers/call_codec.c
@@ -1,6 +1,7 @@
 #include "egretscaled/peers/call_codec.h"
 
 #include "config/record.h"
+#include "http/response_head.h"
 
 #include <string.h>
 
@@ -113,12 +114,28 @@
 	free_headers(wire->headers);
 }
 
-void call_reply_decode(const Egret__Reply *wire, call_reply_t *out)
+/* An outcome that is not defined is unknown, and so is that of a request whose answer has
+ * no status that a caller may get. */
+static void decode_outcome(const Egret__Reply *wire, call_reply_t *out)
 {
-	memset(out, 0, sizeof(*out));
 	out->outcome = wire->outcome;
 	out->reason = wire->reason;
 	out->status = wire->status;
+	if (wire->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
+		return;
+	if (wire->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED) {
+		out->outcome = EGRET__OUTCOME__OUTCOME_UNKNOWN;
+	} else if (!response_status_is_final(wire->status)) {
+		out->outcome = EGRET__OUTCOME__OUTCOME_UNKNOWN;
+		out->reason = EGRET__REASON__REASON_TARGET_LOST;
+		out->status = 0;
+	}
+}
+
+void call_reply_decode(const Egret__Reply *wire, call_reply_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	decode_outcome(wire, out);
 	out->content_length = wire->content_length;
 	out->retries_returned = wire->retries_back;
 	out->level = PRIORITY_LEVEL_ALL;
--- a/egretscaled/request/claims_io.c
+++ b/egretscaled/request/claims_io.c
@@ -204,6 +204,11 @@
 		counter_add(COUNTER_CLAIM_CONFLICTS, 1);
 		refuse(handle, EGRET__REASON__REASON_CLAIM_RUNNING);
 		break;
+	case CLAIM_LOST:
+		counter_add(COUNTER_CLAIM_CONFLICTS, 1);
+		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_UNKNOWN,
+				    EGRET__REASON__REASON_TARGET_LOST);
+		break;
 	}
 	claim_row_clear(&row);
 	claim_handle_unref(handle);
--- a/http/response_head.c
+++ b/http/response_head.c
@@ -9,8 +9,14 @@
 #define STATUS_LINE_MIN_BYTES 12
 #define STATUS_OFFSET 9
 #define STATUS_DIGITS 3
+#define STATUS_MIN 100
 #define STATUS_FINAL_MIN 200
 
+bool response_status_is_final(uint32_t status)
+{
+	return status >= STATUS_FINAL_MIN && status <= RESPONSE_STATUS_MAX;
+}
+
 static response_head_state_t parse_status_line(response_head_t *head, const char *line)
 {
 	const char *status = line + STATUS_OFFSET;
@@ -26,6 +32,8 @@
 	if (status[STATUS_DIGITS] && status[STATUS_DIGITS] != ' ')
 		return RESPONSE_HEAD_MALFORMED;
 	head->status = (uint32_t)g_ascii_strtoull(status, NULL, 10);
+	if (head->status < STATUS_MIN || head->status > RESPONSE_STATUS_MAX)
+		return RESPONSE_HEAD_MALFORMED;
 	g_clear_pointer(&head->headers, g_ptr_array_unref);
 	head->headers = headers_create();
 	return RESPONSE_HEAD_FIELDS;
@@ -80,7 +88,7 @@
 		return parse_status_line(head, line);
 	if (*line)
 		return parse_field(head, line);
-	if (head->status < STATUS_FINAL_MIN)
+	if (!response_status_is_final(head->status))
 		return RESPONSE_HEAD_START;
 	return lengths_agree(head->headers) ? RESPONSE_HEAD_COMPLETE
 					    : RESPONSE_HEAD_MALFORMED;
--- a/include/claims/claim.h
+++ b/include/claims/claim.h
@@ -31,8 +31,8 @@
 typedef struct claim_row {
 	claim_state_t state;
 	uint64_t fingerprint;
-	uint64_t owner; /* random id of this claim */
-	uint32_t status;
+	uint64_t owner;	    /* random id of this claim */
+	uint32_t status;    /* 0 after decoding if it is not from 200 to 599 */
 	GPtrArray *headers; /* of header_t */
 	GBytes *body;	    /* of the response; NULL if in an object */
 	char *object;	    /* name of the object, or NULL */
@@ -43,6 +43,7 @@
 	CLAIM_FETCH,	/* an object holds the response */
 	CLAIM_BUSY,	/* the request is running, or its outcome is unknown */
 	CLAIM_MISMATCH, /* the key was used for another request */
+	CLAIM_LOST,	/* the request ran, and its stored status is not one of HTTP */
 } claim_verdict_t;
 
 /* Row key: claim/ACCOUNT/SHA-256 of the idempotency key. Free with g_free(). */
--- a/include/egretscaled/peers/call_codec.h
+++ b/include/egretscaled/peers/call_codec.h
@@ -18,7 +18,8 @@
 		 Egret__Context *context);
 void call_encode_clear(Egret__Call *wire);
 
-/* Fills `out`; the caller owns its header list. */
+/* Fills `out`; the caller owns its header list. An answer with a status outside 200 to
+ * 599 becomes an unknown outcome with the reason target-lost. */
 void call_reply_decode(const Egret__Reply *wire, call_reply_t *out);
 
 /* Fills `wire` and `load`; free the header list with call_reply_encode_clear(). */
--- a/include/http/response_head.h
+++ b/include/http/response_head.h
@@ -2,6 +2,7 @@
 #define EGRET_HTTP_RESPONSE_HEAD_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -12,7 +13,9 @@
  * DESCRIPTION
  *	Parses the head of a response line by line. Until the empty line that ends it,
  *	the head is incomplete and nothing in it may be used: the server may have
- *	closed the connection at any byte. Interim responses (1xx) are discarded.
+ *	closed the connection at any byte. Interim responses (1xx) are discarded. A
+ *	status outside 100 to 599, also that of an interim response, is malformed: it
+ *	states neither what became of the request nor that it did not run.
  *	Lines after the head are trailers; they are ignored, but count towards
  *	RESPONSE_HEAD_MAX_BYTES.
  *
@@ -24,6 +27,8 @@
  * bound the trailers. */
 #define RESPONSE_HEAD_MAX_BYTES (12u << 10)
 
+#define RESPONSE_STATUS_MAX 599
+
 typedef enum response_head_state {
 	RESPONSE_HEAD_START,  /* waits for a status line */
 	RESPONSE_HEAD_FIELDS, /* waits for a header field or the empty line */
@@ -38,6 +43,9 @@
 	size_t bytes;	    /* of all lines */
 } response_head_t;
 
+/* Whether the status is one of a final response, 200 to 599. */
+bool response_status_is_final(uint32_t status);
+
 /* `line` ends with CR LF or LF. Returns the new state. */
 response_head_state_t response_head_add_line(response_head_t *head, const char *line,
 					     size_t len);
--- a/tests/e2e/on_platform_responses.py
+++ b/tests/e2e/on_platform_responses.py
@@ -4,7 +4,7 @@
 import http.client
 
 from on_platform import PlatformDeployment
-from raw_target import RawTarget, incomplete_heads
+from raw_target import RawTarget, incomplete_heads, odd_statuses
 
 ID = "id-1"
 FIELDS = f"Request-Attempt-Id: {ID}\r\nResponse-Seal: seal\r\n"
@@ -128,3 +128,29 @@
                 failures.append(f"{row[0]}: {status}, runs {target.runs(f'{path}-{n}')}")
         target.close()
     assert not failures, "\n".join(failures)
+
+
+def case_on_platform_odd_statuses():
+    """No client gets a response with a status outside 200 to 599, of a target of the node or of
+    another one: whether the request ran is unknown, whatever the response states."""
+    responses, failures = {}, []
+    with PlatformDeployment() as d:
+        target = replace_target(d, 1, lambda r: responses.get(r["path"], (ANSWER, True)))
+        for n, (name, text, keep, expected) in enumerate(odd_statuses(FIELDS, "Not-Executed: 1\r\n")):
+            for node in (0, 1):
+                for method, prefix in (("POST", "/f/deep/"), ("GET", "/o/")):
+                    d.report_all()
+                    path = f"{prefix}{n}-{node}"
+                    responses[path] = (text, keep)
+                    try:
+                        status, headers, _ = d.send(path, method, {"Deadline-Ms": "500"}, node)
+                    except http.client.IncompleteRead as error:
+                        failures.append(f"{name}, {method}, node {node}: {error}")
+                        continue
+                    sealed = headers["Response-Seal"] is not None
+                    if status not in expected or sealed != (status < 500 or status == 599) or \
+                            (method == "POST" and target.runs(path) != 1):
+                        failures.append(f"{name}, {method}, node {node}: {status}, sealed {sealed}, "
+                                        f"runs {target.runs(path)}")
+        target.close()
+    assert not failures, "\n".join(failures)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -26,7 +26,8 @@
     case_on_platform_exhausted, case_on_platform_hangup, case_on_platform_heads,
     case_on_platform_hurried_stop, case_on_platform_ports, case_on_platform_stop)
 from on_platform_responses import (  # noqa: E402,F401
-    case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
+    case_on_platform_cut_head, case_on_platform_odd_statuses, case_on_platform_repeated_refusal,
+    case_on_platform_unidentified)
 from on_platform_config import (  # noqa: E402,F401
     case_on_platform_address_after_outage, case_on_platform_config_after_outage,
     case_on_platform_evacuation_after_compaction, case_on_platform_evacuation_after_outage)
@@ -59,7 +60,7 @@
 # pylint: disable=wrong-import-position
 from deployment import (  # noqa: E402
     BUILD, HOST, Deployment, ServingDeployment, binary, http as request, key_record)
-from raw_target import RawTarget, incomplete_heads  # noqa: E402
+from raw_target import RawTarget, incomplete_heads, odd_statuses  # noqa: E402
 
 KNOWN_RED = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
 CHANGE_APPLY_SEC = 3  # documented time within which a change takes effect on all nodes
@@ -459,13 +460,17 @@
         assert received_paths.count(b"/write/die") == 1, received_paths
 
 
+def report_raw_target(d, i, target):
+    body = json.dumps({"service": "back", "address": target.address, "slots": 1,
+                       "cold_slots": 1}).encode()
+    assert request("PUT", d.nodes[i].address["outbound"], "/v1/target", body)[0] == 200
+
+
 def use_raw_target(d, respond, i=0):
     """Lets node i use a RawTarget instead of its target; returns once it has received a request."""
     target = RawTarget(f"{HOST}:0", respond)
     d.nodes[i].target.kill()
-    body = json.dumps({"service": "back", "address": target.address, "slots": 1,
-                       "cold_slots": 1}).encode()
-    assert request("PUT", d.nodes[i].address["outbound"], "/v1/target", body)[0] == 200
+    report_raw_target(d, i, target)
     wait_until(lambda: send(d, "/write/warm", i, method="POST")[0] == 200 and target.received, 8,
                "the target to be used")
     return target
@@ -498,6 +503,47 @@
     assert not failures, "\n".join(failures)
 
 
+def case_odd_statuses():
+    """No caller gets a response with a status outside 200 to 599, of a target of the node or of
+    another one, also when it is stored for an idempotency key: the outcome is unknown."""
+    layout = {"zones": ["za"],
+              "services": [dict(service, instances=1, calls=[])
+                           for service in TWO_SERVICES["services"]]}
+    answer = (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", True)
+    responses, failures = {}, []
+    with running_deployment(layout) as d:
+        target = use_raw_target(d, lambda r: responses.get(r["path"], answer), 1)
+        for n, (name, text, keep, expected) in enumerate(
+                odd_statuses("Content-Type: text/plain\r\n", "Egret-Outcome: not-run\r\n")):
+            report_raw_target(d, 1, target)
+            for node in (0, 1):
+                for method, prefix, key in (("POST", "/write", None), ("GET", "/back", None),
+                                            ("POST", "/write/key", f"k-{n}-{node}")):
+                    path = f"{prefix}/{n}-{node}"
+                    responses[path] = (text, keep)
+                    headers = {**KEY_HEADERS, "Egret-Timeout-Ms": "500"}
+                    if key:
+                        headers["Idempotency-Key"] = key
+                    try:
+                        status, answered, _ = send(d, path, node, headers, method)
+                    except http.client.IncompleteRead as error:
+                        status, answered = f"{error}", {"Egret-Outcome": None}
+                    got, runs = (status, answered["Egret-Outcome"]), target.runs(path)
+                    outcome = "unknown" if expected <= {502, 504} else "answered"
+                    if status not in expected or got[1] != outcome or \
+                            (method == "POST" and runs != 1):
+                        failures.append(f"{name}, {method} {prefix}, node {node}: {got}, {runs} runs")
+                    if not key:
+                        continue
+                    # The outcome of the first request with the key is not known.
+                    repeated = send(d, path, node, headers, method)[0]
+                    if repeated not in (expected if outcome == "answered" else {409}) or \
+                            target.runs(path) != 1:
+                        failures.append(f"{name}, repeated key, node {node}: {repeated}")
+        target.close()
+    assert not failures, "\n".join(failures)
+
+
 def case_repeated_refusal():
     """A target writes its refusal again on the connection before its next response. No caller
     gets not-run for a request that ran."""
--- a/tests/harness/raw_target.py
+++ b/tests/harness/raw_target.py
@@ -21,6 +21,41 @@
     return [(name, text.encode()) for name, text in rows]
 
 
+def odd_statuses(fields, refusal):
+    """Returns responses with a status that is not one of a final response, and some that are valid,
+    as (name, bytes, whether the connection stays open, statuses that a caller may get). fields:
+    header lines of each response; refusal: header line that states that the request did not run."""
+    rest = f"{fields}Content-Length: 2\r\n\r\nok"
+    ok = f"HTTP/1.1 200 OK\r\n{rest}"
+    rows = []
+    for keep in (False, True):
+        end = "kept" if keep else "closed"
+        for status in ("000", "099", "00", "0", "0200", "+20", "-20", "2000", "600", "999", "OK", ""):
+            rows.append((f"{status}, {end}", f"HTTP/1.1 {status} X\r\n{rest}", keep, {502}))
+        for status in ("000", "099", "600", "999"):
+            rows += [(f"{status} without a body, {end}",
+                      f"HTTP/1.1 {status}\r\n{fields}Content-Length: 0\r\n\r\n", keep, {502}),
+                     (f"{status} that states not-run, {end}",
+                      f"HTTP/1.1 {status} X\r\n{refusal}{rest}", keep, {502}),
+                     (f"{status} before the final head, {end}",
+                      f"HTTP/1.1 {status} X\r\n\r\n{ok}", keep, {502}),
+                     (f"{status} behind an interim head, {end}",
+                      f"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 {status} X\r\n{rest}", keep, {502})]
+        rows += [(f"interim heads, {end}",
+                  f"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 100 X\r\n\r\n{ok}", keep, {200}),
+                 (f"interim status 199, {end}", f"HTTP/1.1 199 X\r\n\r\n{ok}", keep, {200}),
+                 (f"599, {end}", f"HTTP/1.1 599 X\r\n{rest}", keep, {599}),
+                 # The node waits for the final head until the deadline.
+                 (f"101, {end}", "HTTP/1.1 101 X\r\n\r\n", keep, {502, 504}),
+                 (f"101 and a response, {end}", f"HTTP/1.1 101 X\r\n\r\n{ok}", keep, {502, 504}),
+                 (f"199 alone, {end}", "HTTP/1.1 199 X\r\n\r\n", keep, {504 if keep else 502}),
+                 (f"part of a head, {end}", f"HTTP/1.1 200 X\r\n{fields}", keep,
+                  {504 if keep else 502}),
+                 (f"a head without end, {end}",
+                  f"HTTP/1.1 200 X\r\n{fields}" + "X-Filler: y\r\n" * 2000, keep, {502})]
+    return [(name, text.encode(), keep, expected) for name, text, keep, expected in rows]
+
+
 class RawTarget:
     """Calls `respond` with each request that it receives, a dict of connection (number), method,
     path, headers (names in lower case) and body. It returns the bytes to write, in pieces that
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -336,6 +336,45 @@
 	assert_false(claim_row_decode("{", &copy));
 }
 
+typedef struct stored_status_case {
+	const char *name;
+	const char *status; /* JSON */
+	bool in_object;
+	claim_verdict_t verdict;
+} stored_status_case_t;
+
+/* A stored response, also one that was stored by another version of the node, is not
+ * given to a caller unless its status is one of a final response. */
+static void test_stored_status(void **state)
+{
+	const stored_status_case_t *c = *state;
+	claim_row_t row;
+	char *text = g_strdup_printf("{\"state\":\"done\",\"fingerprint\":\"7\","
+				     "\"status\":%s,\"%s\":\"b2s=\"}",
+				     c->status, c->in_object ? "object" : "body");
+
+	assert_true(claim_row_decode(text, &row));
+	assert_int_equal(claim_check(&row, 7), c->verdict);
+	assert_int_equal(claim_check(&row, 8), CLAIM_MISMATCH);
+	claim_row_clear(&row);
+	g_free(text);
+}
+
+static const stored_status_case_t stored_status_cases[] = {
+	{"stored status 200", "200", false, CLAIM_REPLAY},
+	{"stored status 599, in an object", "599", true, CLAIM_FETCH},
+	{"stored status 0", "0", false, CLAIM_LOST},
+	{"stored status 0, in an object", "0", true, CLAIM_LOST},
+	{"stored status 99", "99", false, CLAIM_LOST},
+	{"stored status 199", "199", false, CLAIM_LOST},
+	{"stored status 600", "600", false, CLAIM_LOST},
+	{"stored status 999, in an object", "999", true, CLAIM_LOST},
+	{"stored status -1", "-1", false, CLAIM_LOST},
+	{"stored status 2^32 + 200", "4294967496", false, CLAIM_LOST},
+	{"stored status as text", "\"200\"", false, CLAIM_LOST},
+	{"stored status null", "null", false, CLAIM_LOST},
+};
+
 static const claim_case_t claim_cases[] = {
 	{"a running claim", CLAIM_RUNNING, 7, false, NULL, CLAIM_BUSY},
 	{"a response in the row", CLAIM_DONE, 7, true, NULL, CLAIM_REPLAY},
@@ -356,5 +395,6 @@
 		RUN_CASES("suspects_full", full_table_cases, test_crash_with_full_table);
 	failed += RUN_CASES("suspects_cost", cost_cases, test_completion_cost);
 	failed += RUN_CASES("claims", claim_cases, test_claim);
+	failed += RUN_CASES("stored_status", stored_status_cases, test_stored_status);
 	return failed;
 }
