--- a/config/config.c
+++ b/config/config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define ZONE_ROW_PREFIX "record/availability_zone/"
+#define ROLLOUT_ROW_PREFIX "record/rollout/"
 
 struct config_log {
 	GHashTable *rows; /* key -> config_row_t */
@@ -50,7 +51,8 @@
 static bool is_superseded(const config_log_t *log, const char *key, uint64_t revision)
 {
 	return revision < log->snapshot && strcmp(key, CONFIG_SNAPSHOT_KEY) != 0 &&
-	       !g_str_has_prefix(key, ZONE_ROW_PREFIX);
+	       !g_str_has_prefix(key, ZONE_ROW_PREFIX) &&
+	       !g_str_has_prefix(key, ROLLOUT_ROW_PREFIX);
 }
 
 static gboolean row_is_superseded(void *key, void *value, void *ctx)
@@ -164,6 +166,7 @@
 
 	if (!record)
 		return;
+	record->revision = row->revision;
 	GHashTable *table = config->records[record->kind];
 	const record_t *existing = g_hash_table_lookup(table, record->name);
 	if (existing && existing->schema_version > record->schema_version) {
--- a/config/record.c
+++ b/config/record.c
@@ -12,6 +12,7 @@
 #define RATE_MAX 1e6
 #define WEIGHT_MAX 1000000
 #define SLOTS_MAX 100000
+#define ROLLOUT_MAX_MS 86400000
 #define QUEUE_SLOTS_DEFAULT 0 /* as many as the target has slots */
 #define RETRY_RATIO_DEFAULT 0.1
 
@@ -21,6 +22,7 @@
 	[RECORD_ROUTE] = "route",
 	[RECORD_AVAILABILITY_ZONE] = "availability_zone",
 	[RECORD_SERVICE] = "service",
+	[RECORD_ROLLOUT] = "rollout",
 };
 
 typedef struct parse {
@@ -282,12 +284,27 @@
 		get_integer(p, "connections", 0, SLOTS_MAX, 0, "0 to 100000 connections");
 }
 
+static void parse_rollout(parse_t *p, record_t *r)
+{
+	static const char *const allowed_fields[] = {"service", "to_version",
+						     "duration_ms", NULL};
+	const char *service = json_string_value(json_object_get(p->json, "service"));
+
+	check_fields(p, allowed_fields);
+	if (g_strcmp0(service, r->name) != 0)
+		report_error(p, "service", "the name of the record");
+	r->rollout.to_version = get_name(p, "to_version");
+	r->rollout.duration_ms = get_integer(p, "duration_ms", 1000, ROLLOUT_MAX_MS, -1,
+					     "1000 to 86400000 milliseconds");
+}
+
 static void (*const parsers[RECORD_KIND_COUNT])(parse_t *, record_t *) = {
 	[RECORD_CLIENT_ACCOUNT] = parse_client_account,
 	[RECORD_KEY] = parse_key,
 	[RECORD_ROUTE] = parse_route,
 	[RECORD_AVAILABILITY_ZONE] = parse_zone,
 	[RECORD_SERVICE] = parse_service,
+	[RECORD_ROLLOUT] = parse_rollout,
 };
 
 static bool parse_kind(parse_t *p, record_kind_t *kind)
@@ -297,7 +314,7 @@
 	if (json_is_string(value) && record_kind_parse(json_string_value(value), kind))
 		return true;
 	report_error(p, "kind",
-		     "client_account, key, route, availability_zone or service");
+		     "client_account, key, route, availability_zone, service or rollout");
 	return false;
 }
 
@@ -350,6 +367,8 @@
 		g_array_free(record->route.backends, TRUE);
 		g_free(record->route.service);
 		g_ptr_array_free(record->route.methods, TRUE);
+	} else if (record->kind == RECORD_ROLLOUT) {
+		g_free(record->rollout.to_version);
 	}
 	g_free(record);
 }
--- a/egretscaled/control/admin.c
+++ b/egretscaled/control/admin.c
@@ -163,6 +163,32 @@
 	return list;
 }
 
+static void add_rollout(void *ctx, const rollout_status_t *status)
+{
+	json_array_append_new(
+		ctx,
+		json_pack("{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:i}", "service",
+			  status->order.service, "to", status->order.to, "state",
+			  rollout_state_name(status->state), "recorded", status->recorded,
+			  "elapsed_ms", (json_int_t)(status->elapsed / USEC_PER_MSEC),
+			  "duration_ms",
+			  (json_int_t)(status->order.duration / USEC_PER_MSEC),
+			  "responses_new", (json_int_t)status->responses_new,
+			  "responses_old", (json_int_t)status->responses_old, "bad",
+			  (json_int_t)status->bad, "nodes", (int)status->nodes));
+}
+
+static json_t *rollouts_status(node_t *node)
+{
+	json_t *list = json_array();
+
+	pthread_mutex_lock(&node->router_lock);
+	if (node->rollout)
+		rollout_foreach(node->rollout, clock_boot_usec(), add_rollout, list);
+	pthread_mutex_unlock(&node->router_lock);
+	return list;
+}
+
 static char *render_status(node_t *node)
 {
 	gate_load_t load;
@@ -180,6 +206,8 @@
 		(json_int_t)read_revision(node), "target", gate_status(&load, &target),
 		"keeps", keeper_status(node), "members", member_status(node), "instances",
 		instance_status(node));
+	if (node->rollout)
+		json_object_set_new(json, "rollouts", rollouts_status(node));
 	char *text = json_dumps(json, JSON_INDENT(2));
 	json_decref(json);
 	return text;
--- a/egretscaled/main.c
+++ b/egretscaled/main.c
@@ -4,9 +4,11 @@
 #include "common/log.h"
 #include "egretscaled/control/admin.h"
 #include "egretscaled/control/config_poll.h"
+#include "egretscaled/control/rollout_status.h"
 #include "egretscaled/node/worker.h"
 #include "egretscaled/peers/gossip_io.h"
 #include "egretscaled/peers/pull.h"
+#include "egretscaled/peers/rollout_gossip.h"
 #include "egretscaled/rates/leases_io.h"
 #include "egretscaled/rates/shares_io.h"
 #include "egretscaled/wiring.h"
@@ -42,8 +44,10 @@
 	gossip_io_t *gossip;
 	puller_t *puller;
 	config_poll_t *poll;
-	leases_io_t *leases; /* NULL where node->zone_rates is used */
-	shares_io_t *shares; /* else NULL */
+	leases_io_t *leases;		     /* NULL where node->zone_rates is used */
+	shares_io_t *shares;		     /* else NULL */
+	rollout_gossip_t *rollout_gossip;    /* NULL without canary_share */
+	rollout_status_io_t *rollout_status; /* NULL without canary_share */
 	mhd_loop_t *admin;
 	mhd_loop_t *readiness; /* on the platform only, else NULL */
 	struct tevent_timer *timer;
@@ -388,6 +392,12 @@
 			leases_io_create(control->ev, control->ev, node, control->store);
 	control->poll =
 		config_poll_create(control->ev, control->ev, node, control->store);
+	if (node->rollout) {
+		control->rollout_gossip =
+			rollout_gossip_create(control->ev, control->ev, node);
+		control->rollout_status = rollout_status_create(control->ev, control->ev,
+								node, control->store);
+	}
 	control->admin = admin_create(control->ev, control->ev, node, error);
 	if (!control->admin)
 		return false;
@@ -411,6 +421,8 @@
 	mhd_loop_destroy(control->readiness);
 	config_poll_destroy(control->poll);
 	store_destroy(control->store);
+	rollout_status_destroy(control->rollout_status);
+	rollout_gossip_destroy(control->rollout_gossip);
 	leases_io_destroy(control->leases);
 	shares_io_destroy(control->shares);
 	puller_destroy(control->puller);
--- a/egretscaled/node/dialect_egret.c
+++ b/egretscaled/node/dialect_egret.c
@@ -163,6 +163,10 @@
 	if (!service || !record_name_valid(service) || !address ||
 	    !address_parse(address, &parsed, NULL))
 		return false;
+	const char *version = json_string_value(json_object_get(json, "version"));
+	if (version && !record_name_valid(version))
+		return false;
+	g_strlcpy(out->version, version ? version : "", sizeof(out->version));
 	g_strlcpy(out->service, service, sizeof(out->service));
 	address_format(&parsed, out->address);
 	return read_count(json, "slots", 0, &out->slots) &&
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -92,6 +92,10 @@
 	node->inflight = inflight_table_create();
 	node->attempts = attempts_create();
 	node->router = router_create(settings->zone, node_random_id());
+	if (settings->bounds.canary_share > 0)
+		node->rollout =
+			rollout_create(settings->bounds.canary_share,
+				       settings->bounds.rollback_time, node->node_id);
 	node->backpressure = backpressure_create();
 	node->outbound_calls = route_calls_create();
 	node->retry_budgets =
@@ -115,6 +119,7 @@
 	inflight_table_destroy(node->inflight);
 	attempts_destroy(node->attempts);
 	router_destroy(node->router);
+	rollout_destroy(node->rollout);
 	backpressure_destroy(node->backpressure);
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
@@ -265,6 +270,7 @@
 	counter_add(COUNTER_CONFIG_CHANGES, changed);
 	apply_zones(node, current);
 	apply_service(node, current);
+	node->ops->on_config(node, current);
 	config_unref(current);
 	log_config(revision, changed, source);
 	pthread_mutex_lock(&node->gossip_lock);
@@ -338,6 +344,10 @@
 		bool draining = target.draining || withdrawn;
 		g_strlcpy(fields.service, target.last_report.service,
 			  sizeof(fields.service));
+		/* Without roll-outs, nobody reads it. */
+		if (node->rollout)
+			g_strlcpy(fields.version, target.last_report.version,
+				  sizeof(fields.version));
 		fields.target = draining ? EGRET__TARGET_STATE__TARGET_DRAINING
 					 : EGRET__TARGET_STATE__TARGET_UP;
 		fields.slots = target.last_report.slots;
--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -38,6 +38,8 @@
 	.rate_slack = 20,
 	.cold_overage = 1.5,
 	.cold_slack = 5,
+	.canary_slack = 50,
+	.rollback_time = 5 * USEC_PER_SEC,
 };
 
 enum {
@@ -56,6 +58,7 @@
 	KEY_WORKERS,
 	KEY_PIPELINE_DEPTH,
 	KEY_PIPELINE_TOTAL,
+	KEY_CANARY_SHARE,
 	KEY_LOG_LEVEL,
 	KEY_LOG_FORMAT,
 	KEY_END,
@@ -84,6 +87,10 @@
 	 "requests in progress on one connection (default 8)", 0},
 	{"pipeline-total", KEY_PIPELINE_TOTAL, "N", 0,
 	 "requests read ahead on all connections (default 256)", 0},
+	{"canary-share", KEY_CANARY_SHARE, "FRACTION", 0,
+	 "part of a service's requests for a new version during a roll-out (default 0: "
+	 "no roll-outs)",
+	 0},
 	{"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
 	{"log-format", KEY_LOG_FORMAT, "FORMAT", 0, "text or json", 0},
 	{NULL, 0, NULL, 0, NULL, 0},
@@ -117,6 +124,16 @@
 		exit_invalid_value(key, value, "a loopback address (127.0.0.0/8)");
 }
 
+static double parse_fraction(int key, const char *value)
+{
+	char *end = NULL;
+	double number = g_ascii_strtod(value, &end);
+
+	if (end == value || *end || !(number >= 0 && number <= 1))
+		exit_invalid_value(key, value, "a number from 0 to 1");
+	return number;
+}
+
 static uint32_t parse_number(int key, const char *value, long low, long high)
 {
 	char allowed_text[64];
@@ -204,6 +221,9 @@
 		settings->pipeline_total =
 			parse_number(key, value, 0, PIPELINE_TOTAL_MAX);
 		break;
+	case KEY_CANARY_SHARE:
+		settings->bounds.canary_share = parse_fraction(key, value);
+		break;
 	case KEY_LOG_LEVEL:
 		if (!log_level_parse(value, &settings->log_level))
 			exit_invalid_value(key, value, "error, warn, info or debug");
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -3,6 +3,7 @@
 #include "claims/suspects.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "egretscaled/node/rollout.h"
 #include "egretscaled/peers/peer_client.h"
 #include "egretscaled/request/target_call.h"
 
@@ -38,6 +39,10 @@
 	log_int(&rec, "passed_ejected", choice->skipped_ejected);
 	log_int(&rec, "passed_level", choice->skipped_level);
 	log_int(&rec, "passed_excluded", choice->skipped_excluded);
+	if (choice->skipped_version > 0) {
+		log_str(&rec, "version", choice->version);
+		log_int(&rec, "passed_version", choice->skipped_version);
+	}
 	log_end(&rec);
 }
 
@@ -54,13 +59,13 @@
 		g_strlcpy(router_request.excluded[i], request->excluded[i],
 			  ADDRESS_TEXT_BYTES);
 	pthread_mutex_lock(&node->router_lock);
-	router_pick(node->router, &router_request, clock_boot_usec(), choice);
+	node_rollout_pick(node, &router_request, clock_boot_usec(), choice);
 	/* If every instance was tried, any may be tried again, unless an attempt reached
 	 * no target: the excluded instances then include some that just refused. */
 	if (choice->reason == ROUTER_NO_INSTANCE && choice->skipped_excluded > 0 &&
 	    request->reroutes == 0) {
 		router_request.excluded_count = 0;
-		router_pick(node->router, &router_request, clock_boot_usec(), choice);
+		node_rollout_pick(node, &router_request, clock_boot_usec(), choice);
 	}
 	pthread_mutex_unlock(&node->router_lock);
 }
@@ -128,6 +133,13 @@
 	request->attempt_count++;
 	request->routed = true;
 	g_strlcpy(request->instance, choice.address, sizeof(request->instance));
+	if (worker->node->rollout) {
+		g_strlcpy(request->version, choice.version, sizeof(request->version));
+		g_strlcpy(request->instance_zone, choice.zone,
+			  sizeof(request->instance_zone));
+		request->instance_since = choice.since;
+		request->sent_at = clock_boot_usec();
+	}
 	/* Retries are only lent where the target's calls name their parent; others could
 	 * not use them. */
 	if (!worker->node->settings->dialect->outbound_on_caller_listener)
@@ -196,6 +208,47 @@
 	}
 }
 
+static rollout_outcome_t rollout_outcome_of(router_outcome_t outcome,
+					    const call_reply_t *reply)
+{
+	/* The deadline passed, or the client has hung up. */
+	if (!reply)
+		return outcome == ROUTER_FAILED ? ROLLOUT_FAILED : ROLLOUT_UNKNOWN;
+	if (reply->outcome == EGRET__OUTCOME__OUTCOME_ANSWERED)
+		return reply->status >= 500 ? ROLLOUT_FAILED : ROLLOUT_GOOD;
+	if (reply->reason == EGRET__REASON__REASON_TARGET_REFUSED)
+		return ROLLOUT_UNKNOWN;
+	if (reply->outcome == EGRET__OUTCOME__OUTCOME_NOT_RUN)
+		return ROLLOUT_NOT_SENT;
+	switch (reply->reason) {
+	case EGRET__REASON__REASON_PEER_LOST:
+	case EGRET__REASON__REASON_TARGET_LOST:
+	case EGRET__REASON__REASON_TARGET_UNREACHABLE:
+		return ROLLOUT_LOST;
+	case EGRET__REASON__REASON_DEADLINE:
+		return ROLLOUT_FAILED;
+	default:
+		return ROLLOUT_UNKNOWN;
+	}
+}
+
+static void record_rollout_result(const http_request_t *request, router_outcome_t outcome,
+				  const call_reply_t *reply, usec_t now)
+{
+	rollout_result_t result = {
+		.service = request->service,
+		.version = request->version,
+		.route = request->route ? request->route : "",
+		.zone = request->instance_zone,
+		.instance = request->instance,
+		.outcome = rollout_outcome_of(outcome, reply),
+		.sent_at = request->sent_at,
+		.time = now - request->sent_at,
+	};
+
+	node_rollout_result(request->worker->node, &result, request->instance_since);
+}
+
 void http_attempt_end_routing(http_request_t *request, router_outcome_t outcome,
 			      const call_reply_t *reply)
 {
@@ -215,6 +268,8 @@
 		request->downstream_level =
 			MIN(request->downstream_level, reply->downstream_level);
 	}
+	if (node->rollout)
+		record_rollout_result(request, outcome, reply, now);
 	pthread_mutex_lock(&node->router_lock);
 	router_done(node->router, request->instance, outcome, reported ? &report : NULL,
 		    now);
--- a/egretscaled/wiring.c
+++ b/egretscaled/wiring.c
@@ -2,9 +2,11 @@
 
 #include "egretscaled/node/crash.h"
 #include "egretscaled/node/load_log.h"
+#include "egretscaled/node/rollout.h"
 #include "egretscaled/peers/gossip_io.h"
 #include "egretscaled/peers/ingress.h"
 #include "egretscaled/peers/peer_client.h"
+#include "egretscaled/peers/rollout_gossip.h"
 #include "egretscaled/rates/loans_io.h"
 #include "egretscaled/rates/shares_io.h"
 #include "egretscaled/rates/token_wait.h"
@@ -22,6 +24,9 @@
 	case EGRET__GOSSIP_KIND__GOSSIP_TOKEN_ASK:
 		shares_io_handle_question(node, message);
 		break;
+	case EGRET__GOSSIP_KIND__GOSSIP_ROLLOUT:
+		rollout_gossip_handle_message(node, message);
+		break;
 	default:
 		token_wait_handle_answer(node, message);
 	}
@@ -33,6 +38,7 @@
 		.on_gate_verdict = target_call_handle_verdict,
 		.on_member = shares_io_handle_member,
 		.on_target_report = node_crash_handle_report,
+		.on_config = node_rollout_apply,
 		.on_message = handle_message,
 	};
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -64,6 +64,13 @@
 	X(GOSSIP_REJECTED, "gossip_rejected", "datagrams that failed authentication")    \
 	X(PEER_REJECTED, "peer_rejected", "peer connections that failed authentication") \
 	X(PEER_BAD_FRAMES, "peer_bad_frames", "peer connections closed for bad frames")  \
+	X(ROLLOUT_SENDS, "rollout_sends",                                                \
+	  "calls sent to a new version while its roll-out was in progress")              \
+	X(ROLLOUT_COMPLETED, "rollout_completed", "roll-outs known to be completed")     \
+	X(ROLLOUT_ROLLED_BACK, "rollout_rolled_back",                                    \
+	  "roll-outs known to be rolled back")                                           \
+	X(ROLLOUT_STATUS_WRITES, "rollout_status_writes",                                \
+	  "status rows of roll-outs written")                                            \
 	X(IDLE_CONNECTIONS_SHUT, "idle_connections_shut",                                \
 	  "idle connections that the server closed or sent bytes on")                    \
 	X(CUT_AT_STOP, "cut_at_stop",                                                    \
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -28,7 +28,7 @@
 /*
  * A row with this key supersedes every record of an older revision, so that a
  * complete configuration replaces the previous one. The status of
- * availability zones is set independently of it and stays.
+ * availability zones and the roll-outs are set independently of it and stay.
  */
 #define CONFIG_SNAPSHOT_KEY "snapshot"
 
--- a/include/config/record.h
+++ b/include/config/record.h
@@ -29,6 +29,7 @@
 	RECORD_ROUTE,
 	RECORD_AVAILABILITY_ZONE,
 	RECORD_SERVICE,
+	RECORD_ROLLOUT,
 	RECORD_KIND_COUNT,
 } record_kind_t;
 
@@ -84,17 +85,25 @@
 	uint32_t connections; /* limit of connections to a target; 0 if unknown */
 } service_record_t;
 
+/* An order to move a service to another version; the name is that of the service. */
+typedef struct rollout_record {
+	char *to_version;
+	uint32_t duration_ms;
+} rollout_record_t;
+
 typedef struct record {
 	record_kind_t kind;
 	char *name;
 	uint32_t schema_version;
 	bool schema_supported;
+	uint64_t revision; /* of its row; 0 if it was not read from one */
 	union {
 		client_account_t client_account;
 		key_record_t key;
 		route_t route;
 		zone_record_t zone;
 		service_record_t service;
+		rollout_record_t rollout;
 	};
 } record_t;
 
--- a/include/egretscaled/node/locks.h
+++ b/include/egretscaled/node/locks.h
@@ -21,7 +21,8 @@
  *	3. node.account_lock	leases, lenders, keeper locations and zone_rates
  *	4. node.gate_lock	gate and state of this node's target
  *	5. node.inflight_lock	requests in flight, started and fenced attempts
- *	6. node.router_lock	router, route calls, backpressure, retry budgets
+ *	6. node.router_lock	router, roll-outs, route calls, backpressure, retry
+ *				budgets
  *	7. node.suspect_lock	crash suspects, calls lost at a crash
  *	8. node.stop_lock	phases of a planned stop
  *	9. worker.inbox_lock	tasks posted to a worker
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -12,6 +12,7 @@
 #include "membership/gossip.h"
 #include "membership/target.h"
 #include "retry/retry.h"
+#include "rollout/rollout.h"
 #include "routing/backpressure.h"
 #include "routing/route_calls.h"
 #include "routing/router.h"
@@ -50,6 +51,8 @@
 	/* The target, whose reports have an id, has reported its state, as the process
 	 * that was known or as another one. Any thread. */
 	void (*on_target_report)(node_t *node, bool same_process);
+	/* Another configuration is in force. Control thread. */
+	void (*on_config)(node_t *node, const config_t *config);
 	/* A gossip datagram that does not concern the directory. Control thread. */
 	void (*on_message)(node_t *node, const Egret__Gossip *message);
 } node_ops_t;
@@ -94,6 +97,7 @@
 
 	pthread_mutex_t router_lock;
 	router_t *router;
+	rollout_t *rollout; /* NULL without canary_share */
 	backpressure_t *backpressure;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
 	GHashTable *retry_budgets;     /* service -> retry_budget_t */
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -37,6 +37,11 @@
 	uint32_t rate_slack;  /* requests allowed in a window in addition */
 	double cold_overage;  /* factor on the cold_rate of a service (config/record.h) */
 	uint32_t cold_slack;  /* requests allowed in addition */
+	/* Fraction of the requests to a service that a new version gets during its
+	 * roll-out; 0 if versions make no difference. */
+	double canary_share;
+	uint32_t canary_slack; /* requests allowed in addition; not used, see rollout.h */
+	usec_t rollback_time;  /* from the 50th bad response to the last request */
 } bounds_t;
 
 typedef struct settings {
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -95,6 +95,11 @@
 	bool may_have_run;		   /* an earlier attempt's outcome is unknown */
 	uint32_t reroutes;		   /* attempts that reached no target */
 	char instance[ADDRESS_TEXT_BYTES]; /* of the current attempt */
+	/* Of that instance; set only where roll-outs are on. */
+	char version[MEMBER_TEXT_BYTES];
+	char instance_zone[MEMBER_TEXT_BYTES];
+	usec_t instance_since;
+	usec_t sent_at;
 	struct tevent_timer *retry_timer;
 	struct tevent_timer *deadline_timer;
 	char (*excluded)[ADDRESS_TEXT_BYTES]; /* instances that were tried */
--- a/include/membership/directory.h
+++ b/include/membership/directory.h
@@ -42,6 +42,7 @@
 	Egret__MemberState state;
 	char zone[MEMBER_TEXT_BYTES];
 	char service[MEMBER_TEXT_BYTES];
+	char version[MEMBER_TEXT_BYTES]; /* of the target; empty if not reported */
 	Egret__TargetState target;
 	uint32_t slots;
 	uint32_t cold_slots;
--- a/include/membership/target.h
+++ b/include/membership/target.h
@@ -44,6 +44,7 @@
 	uint64_t sequence;   /* rises with each report of a process */
 	bool leaving;
 	char service[MEMBER_TEXT_BYTES];
+	char version[MEMBER_TEXT_BYTES]; /* of the target; empty if not reported */
 	char address[ADDRESS_TEXT_BYTES];
 	uint32_t slots;	       /* calls that the target can run concurrently */
 	uint32_t connections;  /* maximum number of connections; 0 if not reported */
--- a/include/platform/rows.h
+++ b/include/platform/rows.h
@@ -15,6 +15,9 @@
  *	rows of a response. Malformed rows are logged and skipped.
  */
 
+/* Its rows are read by others: their fields are not wrapped in `value`. */
+#define PLATFORM_STATUS_TABLE "status"
+
 typedef struct row_list row_list_t;
 
 row_list_t *row_list_create(void);
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -68,6 +68,9 @@
 	/* Addresses already tried for this request. */
 	char excluded[ROUTER_EXCLUDED_MAX][ADDRESS_TEXT_BYTES];
 	uint32_t excluded_count;
+	/* Whether an instance may be chosen; NULL if all may. */
+	bool (*allows)(void *ctx, const member_t *member);
+	void *allows_ctx;
 } router_request_t;
 
 typedef struct router_choice {
@@ -75,12 +78,15 @@
 	char address[ADDRESS_TEXT_BYTES];
 	uint64_t node_id;
 	char zone[MEMBER_TEXT_BYTES];
+	char version[MEMBER_TEXT_BYTES];
+	usec_t since;	     /* the instance became usable, as far as this router knows */
 	uint32_t candidates; /* instances of the service */
 	/* Instances skipped, by reason. */
 	uint32_t skipped_zone_out; /* the zone is out of service */
 	uint32_t skipped_silent;
 	uint32_t skipped_ejected;  /* ejected or suspected; usable as the last resort */
 	uint32_t skipped_level;	   /* the shed level does not admit the call */
+	uint32_t skipped_version;  /* not allowed by the request */
 	uint32_t skipped_excluded; /* already tried for this request */
 } router_choice_t;
 
@@ -117,6 +123,13 @@
  * out of service or whose node is silent do not count. */
 double router_service_pressure(router_t *router, const char *service, usec_t now);
 
+typedef void (*router_member_fn)(void *ctx, const member_t *member);
+
+/* Calls fn with each instance of the service whose zone is in service and whose node is
+ * not silent. */
+void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
+			   void *ctx);
+
 const char *router_reason_name(router_reason_t reason);
 
 /* For status output: router_foreach() calls `fn` once for each instance. */
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Egret__KeeperClaim Egret__KeeperClaim;
 typedef struct Egret__Member Egret__Member;
 typedef struct Egret__Suspicion Egret__Suspicion;
+typedef struct Egret__RolloutCell Egret__RolloutCell;
+typedef struct Egret__Rollout Egret__Rollout;
 typedef struct Egret__Gossip Egret__Gossip;
 
 
@@ -100,7 +102,11 @@
   /*
    * subject: the sender's zone
    */
-  EGRET__GOSSIP_KIND__GOSSIP_DEMAND = 8
+  EGRET__GOSSIP_KIND__GOSSIP_DEMAND = 8,
+  /*
+   * subject: the service
+   */
+  EGRET__GOSSIP_KIND__GOSSIP_ROLLOUT = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(EGRET__GOSSIP_KIND)
 } Egret__GossipKind;
 
@@ -482,10 +488,14 @@
    */
   char *left_id;
   uint64_t left_started_ms;
+  /*
+   * of the target
+   */
+  char *version;
 };
 #define EGRET__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, EGRET__MEMBER_STATE__MEMBER_ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, EGRET__TARGET_STATE__TARGET_NONE, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, EGRET__MEMBER_STATE__MEMBER_ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, EGRET__TARGET_STATE__TARGET_NONE, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Egret__Suspicion
@@ -504,6 +514,58 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Counts of one version, route, zone and instance; see rollout/compare.h.
+ */
+struct  Egret__RolloutCell
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean is_new;
+  uint32_t route;
+  uint32_t zone;
+  uint32_t instance;
+  uint32_t responses;
+  uint32_t failures;
+  uint32_t lost;
+  /*
+   * bucket of times[0]
+   */
+  uint32_t first_time;
+  size_t n_times;
+  uint32_t *times;
+};
+#define EGRET__ROLLOUT_CELL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&egret__rollout_cell__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * What a node reports of an order to move a service to another version.
+ */
+struct  Egret__Rollout
+{
+  ProtobufCMessage base;
+  char *to;
+  uint64_t order;
+  uint64_t node;
+  uint32_t age_ms;
+  /*
+   * rollout_state_t
+   */
+  uint32_t state;
+  protobuf_c_boolean recorded;
+  protobuf_c_boolean allowed;
+  /*
+   * a part of the sender's
+   */
+  size_t n_cells;
+  Egret__RolloutCell **cells;
+};
+#define EGRET__ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&egret__rollout__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
 /*
  * Requests a second that the sender takes for an account.
  */
@@ -565,10 +627,11 @@
    * of the accounts of a demand report
    */
   uint32_t partition;
+  Egret__Rollout *rollout;
 };
 #define EGRET__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__gossip__descriptor) \
-    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , EGRET__GOSSIP_KIND__GOSSIP_PING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
 
 
 /* Egret__Header methods */
@@ -1008,6 +1071,44 @@
 void   egret__suspicion__free_unpacked
                      (Egret__Suspicion *message,
                       ProtobufCAllocator *allocator);
+/* Egret__RolloutCell methods */
+void   egret__rollout_cell__init
+                     (Egret__RolloutCell         *message);
+size_t egret__rollout_cell__get_packed_size
+                     (const Egret__RolloutCell   *message);
+size_t egret__rollout_cell__pack
+                     (const Egret__RolloutCell   *message,
+                      uint8_t             *out);
+size_t egret__rollout_cell__pack_to_buffer
+                     (const Egret__RolloutCell   *message,
+                      ProtobufCBuffer     *buffer);
+Egret__RolloutCell *
+       egret__rollout_cell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   egret__rollout_cell__free_unpacked
+                     (Egret__RolloutCell *message,
+                      ProtobufCAllocator *allocator);
+/* Egret__Rollout methods */
+void   egret__rollout__init
+                     (Egret__Rollout         *message);
+size_t egret__rollout__get_packed_size
+                     (const Egret__Rollout   *message);
+size_t egret__rollout__pack
+                     (const Egret__Rollout   *message,
+                      uint8_t             *out);
+size_t egret__rollout__pack_to_buffer
+                     (const Egret__Rollout   *message,
+                      ProtobufCBuffer     *buffer);
+Egret__Rollout *
+       egret__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   egret__rollout__free_unpacked
+                     (Egret__Rollout *message,
+                      ProtobufCAllocator *allocator);
 /* Egret__Gossip methods */
 void   egret__gossip__init
                      (Egret__Gossip         *message);
@@ -1098,6 +1199,12 @@
 typedef void (*Egret__Suspicion_Closure)
                  (const Egret__Suspicion *message,
                   void *closure_data);
+typedef void (*Egret__RolloutCell_Closure)
+                 (const Egret__RolloutCell *message,
+                  void *closure_data);
+typedef void (*Egret__Rollout_Closure)
+                 (const Egret__Rollout *message,
+                  void *closure_data);
 typedef void (*Egret__Gossip_Closure)
                  (const Egret__Gossip *message,
                   void *closure_data);
@@ -1135,6 +1242,8 @@
 extern const ProtobufCMessageDescriptor egret__keeper_claim__descriptor;
 extern const ProtobufCMessageDescriptor egret__member__descriptor;
 extern const ProtobufCMessageDescriptor egret__suspicion__descriptor;
+extern const ProtobufCMessageDescriptor egret__rollout_cell__descriptor;
+extern const ProtobufCMessageDescriptor egret__rollout__descriptor;
 extern const ProtobufCMessageDescriptor egret__gossip__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/membership/directory.c
+++ b/membership/directory.c
@@ -230,6 +230,7 @@
 	out->state = member->state;
 	out->zone = (char *)member->zone;
 	out->service = (char *)member->service;
+	out->version = (char *)member->version;
 	out->target = member->target;
 	out->slots = member->slots;
 	out->cold_slots = member->cold_slots;
@@ -261,6 +262,7 @@
 	    !address_parse(out->address, &address, NULL) ||
 	    !copy_text(out->zone, sizeof(out->zone), wire->zone) ||
 	    !copy_text(out->service, sizeof(out->service), wire->service) ||
+	    !copy_text(out->version, sizeof(out->version), wire->version) ||
 	    !copy_text(out->left_id, sizeof(out->left_id), wire->left_id))
 		return false;
 	if (wire->state > EGRET__MEMBER_STATE__MEMBER_LEFT ||
--- a/membership/target.c
+++ b/membership/target.c
@@ -55,6 +55,7 @@
 static bool same_state(const target_t *target, const target_report_t *report, usec_t now)
 {
 	return target->last_report.slots == report->slots &&
+	       strcmp(target->last_report.version, report->version) == 0 &&
 	       target->last_report.cold_slots == report->cold_slots &&
 	       (target->cold_until > now) == (report->cold_time_left > 0);
 }
--- a/routing/router.c
+++ b/routing/router.c
@@ -13,6 +13,7 @@
 
 typedef struct instance {
 	member_t member;
+	usec_t since;
 	uint32_t inflight;
 	router_report_t report;
 	usec_t reported_at;
@@ -109,7 +110,6 @@
 	instance_t *instance = g_hash_table_lookup(router->instances, member->address);
 	bool usable = accepts_calls(member);
 
-	(void)now;
 	if (instance && (!usable || instance->member.node_id != member->node_id ||
 			 strcmp(instance->member.service, member->service) != 0)) {
 		remove_instance(router, instance);
@@ -123,6 +123,7 @@
 	}
 	instance = g_new0(instance_t, 1);
 	instance->member = *member;
+	instance->since = now;
 	instance->report.level = PRIORITY_LEVEL_ALL;
 	instance->report.limit = MAX(member->cold_slots, 1);
 	g_hash_table_insert(router->instances, instance->member.address, instance);
@@ -255,6 +256,9 @@
 			out->skipped_zone_out++;
 		else if (instance->silent)
 			out->skipped_silent++;
+		else if (request->allows &&
+			 !request->allows(request->allows_ctx, &instance->member))
+			out->skipped_version++;
 		else if (is_excluded(request, instance))
 			out->skipped_excluded++;
 		else if (effective_level(instance, now) <= request->priority)
@@ -304,6 +308,8 @@
 		instance->inflight++;
 		g_strlcpy(out->address, instance->member.address, sizeof(out->address));
 		g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
+		g_strlcpy(out->version, instance->member.version, sizeof(out->version));
+		out->since = instance->since;
 		out->node_id = instance->member.node_id;
 	} else {
 		out->reason = out->skipped_level > 0 ? ROUTER_SHED : ROUTER_NO_INSTANCE;
@@ -385,6 +391,18 @@
 	return limit > 0 ? load / limit : 0;
 }
 
+void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
+			   void *ctx)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		if (zone_in_service(router, instance) && !instance->silent)
+			fn(ctx, &instance->member);
+	}
+}
+
 void router_foreach(router_t *router, usec_t now, router_instance_fn fn, void *ctx)
 {
 	GHashTableIter iter;
--- /dev/null
+++ b/tests/e2e/on_platform_rollouts.py
@@ -0,0 +1,154 @@
+"""End-to-end cases on roll-outs of a version: an order of the operator's, two instances of one
+service with different versions, and the status that the nodes write."""
+
+import base64
+import json
+import threading
+import time
+
+from on_platform import INITIAL_NODES, PlatformDeployment, wait_for
+from on_platform_config import read_rows
+
+CANARY_SHARE, CANARY_SLACK, ROLLBACK_SEC = 0.1, 50, 5
+DURATION_SEC = 12
+SENDERS = 8  # threads that send one request after the other
+NEW = INITIAL_NODES  # index of the target with the new version
+OLD = NEW - 1  # index of the other target of its service
+
+
+class RolloutDeployment(PlatformDeployment):
+    """Node 0 sends to the service of the targets 1 (v1) and 2 (v2)."""
+
+    bounds = {"canary_share": CANARY_SHARE, "canary_slack": CANARY_SLACK,
+              "rollback": f"{ROLLBACK_SEC}s"}
+
+    def settings(self, i):
+        settings = super().settings(i)
+        settings["bounds"].update(self.bounds)
+        return settings
+
+    def __enter__(self):
+        super().__enter__()
+        try:
+            self.start_third_node()
+            self.stopped = threading.Event()
+            assert self.targets[NEW].report(version="v2") == 200
+            threading.Thread(target=self.report_versions, daemon=True).start()
+            for target in self.targets[OLD:]:
+                target.delay_sec = 0.02
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *unused):
+        self.stopped.set()
+        super().__exit__(*unused)
+
+    def report_versions(self):
+        while not self.stopped.wait(0.5):
+            try:
+                for i, target in enumerate(self.targets):
+                    target.report(version="v2" if i == NEW else "v1")
+            except OSError:
+                return
+
+    def order(self, to="v2"):
+        self.write_row("rollout/back", {"service": "back", "to": to,
+                                        "duration": f"{DURATION_SEC}s"})
+
+    def status(self):
+        """Returns the state in the row of the store, or None."""
+        row = read_rows(self, "status").get("rollout/back")
+        value = json.loads(base64.b64decode(row["value"])) if row else {}
+        assert not row or (value["service"], value["to"]) == ("back", "v2"), value
+        return value.get("state")
+
+    def received(self):
+        return [len(target.received) for target in self.targets[OLD:]]
+
+
+class Load:
+    """Sends requests to the service until the end of the block."""
+
+    def __init__(self, d):
+        self.d, self.stopped, self.statuses = d, threading.Event(), []
+        self.threads = [threading.Thread(target=self.run, daemon=True) for _ in range(SENDERS)]
+
+    def run(self):
+        while not self.stopped.is_set():
+            self.statuses.append(self.d.send("/o/x")[0])
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *unused):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join(10)
+
+
+def case_on_platform_rollout_good():
+    """A good version is not completed before its time, gets all requests afterwards and at most
+    its share before."""
+    with RolloutDeployment() as d, Load(d) as load:
+        before = d.received()
+        d.order()
+        wait_for("the roll-out to be in progress", lambda: d.status() == "in_progress", 5)
+        wait_for("requests to reach the new version",
+                 lambda: d.received()[1] > before[1] + 5, 5)
+        wait_for("the roll-out to be completed", lambda: d.status() == "completed", DURATION_SEC)
+        time.sleep(0.5)  # requests that were sent before the verdict
+        after = d.received()
+        time.sleep(1)
+        end = d.received()
+        assert end[0] == after[0] and end[1] > after[1], (before, after, end)
+        assert set(load.statuses) == {200}, set(load.statuses)
+
+
+def case_on_platform_rollout_bad():
+    """A version that fails is rolled back in time, gets at most its share, and nothing after the
+    rollback. Another order for it starts over, and without an order both versions get requests."""
+    with RolloutDeployment() as d, Load(d):
+        # A 500 is not sent again: it reaches the client.
+        d.targets[NEW].response = (500, {})
+        time.sleep(0.5)
+        before = d.received()
+        d.order()
+        wait_for("the roll-out to be rolled back", lambda: d.status() == "rolled_back",
+                 DURATION_SEC)
+        time.sleep(0.5)
+        after = d.received()
+        old, new = after[0] - before[0], after[1] - before[1]
+        # Requests that were sent before the nodes knew of the order have no bound.
+        assert new <= CANARY_SHARE * (old + new) + CANARY_SLACK, (old, new)
+        time.sleep(1)
+        end = d.received()
+        assert end[1] == after[1] and end[0] > after[0], (before, after, end)
+        d.order()
+        wait_for("the new order to be in progress", lambda: d.status() == "in_progress", 5)
+        wait_for("the new order to be rolled back", lambda: d.status() == "rolled_back",
+                 DURATION_SEC)
+        d.targets[NEW].response = (200, {})
+        d.write_row("rollout/back", None)
+        count = d.received()
+        wait_for("both versions to get requests",
+                 lambda: all(b > a + 20 for a, b in zip(count, d.received())), 5)
+
+
+class OffDeployment(RolloutDeployment):
+    bounds = {}
+
+
+def case_on_platform_rollout_off():
+    """Without canary_share, an order changes nothing: both versions get requests and no status
+    is written."""
+    with OffDeployment() as d, Load(d):
+        d.order()
+        time.sleep(3)
+        count = d.received()
+        time.sleep(1)
+        assert all(b > a + 10 for a, b in zip(count, d.received())), (count, d.received())
+        assert d.status() is None
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &egret__suspicion__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   egret__rollout_cell__init
+                     (Egret__RolloutCell         *message)
+{
+  static const Egret__RolloutCell init_value = EGRET__ROLLOUT_CELL__INIT;
+  *message = init_value;
+}
+size_t egret__rollout_cell__get_packed_size
+                     (const Egret__RolloutCell *message)
+{
+  assert(message->base.descriptor == &egret__rollout_cell__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t egret__rollout_cell__pack
+                     (const Egret__RolloutCell *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &egret__rollout_cell__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t egret__rollout_cell__pack_to_buffer
+                     (const Egret__RolloutCell *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &egret__rollout_cell__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Egret__RolloutCell *
+       egret__rollout_cell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Egret__RolloutCell *)
+     protobuf_c_message_unpack (&egret__rollout_cell__descriptor,
+                                allocator, len, data);
+}
+void   egret__rollout_cell__free_unpacked
+                     (Egret__RolloutCell *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &egret__rollout_cell__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   egret__rollout__init
+                     (Egret__Rollout         *message)
+{
+  static const Egret__Rollout init_value = EGRET__ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t egret__rollout__get_packed_size
+                     (const Egret__Rollout *message)
+{
+  assert(message->base.descriptor == &egret__rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t egret__rollout__pack
+                     (const Egret__Rollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &egret__rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t egret__rollout__pack_to_buffer
+                     (const Egret__Rollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &egret__rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Egret__Rollout *
+       egret__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Egret__Rollout *)
+     protobuf_c_message_unpack (&egret__rollout__descriptor,
+                                allocator, len, data);
+}
+void   egret__rollout__free_unpacked
+                     (Egret__Rollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &egret__rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   egret__gossip__init
                      (Egret__Gossip         *message)
 {
@@ -2965,7 +3055,7 @@
   (ProtobufCMessageInit) egret__keeper_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__member__field_descriptors[14] =
+static const ProtobufCFieldDescriptor egret__member__field_descriptors[15] =
 {
   {
     "address",
@@ -3135,6 +3225,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Member, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__member__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -3150,12 +3252,13 @@
   8,   /* field[8] = slots */
   4,   /* field[4] = state */
   7,   /* field[7] = target */
+  14,   /* field[14] = version */
   5,   /* field[5] = zone */
 };
 static const ProtobufCIntRange egret__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor egret__member__descriptor =
 {
@@ -3165,7 +3268,7 @@
   "Egret__Member",
   "egret",
   sizeof(Egret__Member),
-  14,
+  15,
   egret__member__field_descriptors,
   egret__member__field_indices_by_name,
   1,  egret__member__number_ranges,
@@ -3249,7 +3352,278 @@
   (ProtobufCMessageInit) egret__suspicion__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[18] =
+static const ProtobufCFieldDescriptor egret__rollout_cell__field_descriptors[9] =
+{
+  {
+    "is_new",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, is_new),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "responses",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, responses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_time",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__RolloutCell, first_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "times",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Egret__RolloutCell, n_times),
+    offsetof(Egret__RolloutCell, times),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned egret__rollout_cell__field_indices_by_name[] = {
+  5,   /* field[5] = failures */
+  7,   /* field[7] = first_time */
+  3,   /* field[3] = instance */
+  0,   /* field[0] = is_new */
+  6,   /* field[6] = lost */
+  4,   /* field[4] = responses */
+  1,   /* field[1] = route */
+  8,   /* field[8] = times */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange egret__rollout_cell__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor egret__rollout_cell__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "egret.RolloutCell",
+  "RolloutCell",
+  "Egret__RolloutCell",
+  "egret",
+  sizeof(Egret__RolloutCell),
+  9,
+  egret__rollout_cell__field_descriptors,
+  egret__rollout_cell__field_indices_by_name,
+  1,  egret__rollout_cell__number_ranges,
+  (ProtobufCMessageInit) egret__rollout_cell__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor egret__rollout__field_descriptors[8] =
+{
+  {
+    "to",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recorded",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, recorded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "allowed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Rollout, allowed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cells",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Egret__Rollout, n_cells),
+    offsetof(Egret__Rollout, cells),
+    &egret__rollout_cell__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned egret__rollout__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  6,   /* field[6] = allowed */
+  7,   /* field[7] = cells */
+  2,   /* field[2] = node */
+  1,   /* field[1] = order */
+  5,   /* field[5] = recorded */
+  4,   /* field[4] = state */
+  0,   /* field[0] = to */
+};
+static const ProtobufCIntRange egret__rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor egret__rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "egret.Rollout",
+  "Rollout",
+  "Egret__Rollout",
+  "egret",
+  sizeof(Egret__Rollout),
+  8,
+  egret__rollout__field_descriptors,
+  egret__rollout__field_indices_by_name,
+  1,  egret__rollout__number_ranges,
+  (ProtobufCMessageInit) egret__rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor egret__gossip__field_descriptors[19] =
 {
   {
     "kind",
@@ -3467,6 +3841,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Gossip, rollout),
+    &egret__rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned egret__gossip__field_indices_by_name[] = {
   10,   /* field[10] = config_age_ms */
@@ -3481,6 +3867,7 @@
   17,   /* field[17] = partition */
   16,   /* field[16] = pressure_centi */
   14,   /* field[14] = repeated */
+  18,   /* field[18] = rollout */
   3,   /* field[3] = sender */
   1,   /* field[1] = sequence */
   2,   /* field[2] = subject */
@@ -3492,7 +3879,7 @@
 {
   { 1, 0 },
   { 9, 7 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor egret__gossip__descriptor =
 {
@@ -3502,7 +3889,7 @@
   "Egret__Gossip",
   "egret",
   sizeof(Egret__Gossip),
-  18,
+  19,
   egret__gossip__field_descriptors,
   egret__gossip__field_indices_by_name,
   2,  egret__gossip__number_ranges,
@@ -3667,7 +4054,7 @@
   egret__target_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[8] =
+static const ProtobufCEnumValue egret__gossip_kind__enum_values_by_number[9] =
 {
   { "GOSSIP_PING", "EGRET__GOSSIP_KIND__GOSSIP_PING", 0 },
   { "GOSSIP_ACK", "EGRET__GOSSIP_KIND__GOSSIP_ACK", 1 },
@@ -3677,17 +4064,19 @@
   { "GOSSIP_TOKEN_GRANT", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_GRANT", 6 },
   { "GOSSIP_TOKEN_DENY", "EGRET__GOSSIP_KIND__GOSSIP_TOKEN_DENY", 7 },
   { "GOSSIP_DEMAND", "EGRET__GOSSIP_KIND__GOSSIP_DEMAND", 8 },
+  { "GOSSIP_ROLLOUT", "EGRET__GOSSIP_KIND__GOSSIP_ROLLOUT", 9 },
 };
 static const ProtobufCIntRange egret__gossip_kind__value_ranges[] = {
-{0, 0},{5, 4},{0, 8}
+{0, 0},{5, 4},{0, 9}
 };
-static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex egret__gossip_kind__enum_values_by_name[9] =
 {
   { "GOSSIP_ACK", 1 },
   { "GOSSIP_DEMAND", 7 },
   { "GOSSIP_NEWS", 3 },
   { "GOSSIP_PING", 0 },
   { "GOSSIP_PING_REQUEST", 2 },
+  { "GOSSIP_ROLLOUT", 8 },
   { "GOSSIP_TOKEN_ASK", 4 },
   { "GOSSIP_TOKEN_DENY", 6 },
   { "GOSSIP_TOKEN_GRANT", 5 },
@@ -3699,9 +4088,9 @@
   "GossipKind",
   "Egret__GossipKind",
   "egret",
-  8,
+  9,
   egret__gossip_kind__enum_values_by_number,
-  8,
+  9,
   egret__gossip_kind__enum_values_by_name,
   2,
   egret__gossip_kind__value_ranges,
