egretctl: order a roll-out, show its state

Cause: the product's own mode had no way to order a roll-out.

Unit tests for records, status rows, settings, versions of members and the router's filter.

--- a/egretctl/main.c
+++ b/egretctl/main.c
@@ -15,9 +15,10 @@
 
 /* Sorted by name, for bsearch(3). */
 static const command_t commands[] = {
-	{"apply", ctl_apply},	{"diff", ctl_diff},	{"drain", ctl_drain},
-	{"get", ctl_get},	{"key", ctl_key},	{"list", ctl_list},
-	{"retire", ctl_retire}, {"status", ctl_status}, {"validate", ctl_validate},
+	{"apply", ctl_apply},	    {"diff", ctl_diff},	      {"drain", ctl_drain},
+	{"get", ctl_get},	    {"key", ctl_key},	      {"list", ctl_list},
+	{"retire", ctl_retire},	    {"rollout", ctl_rollout}, {"status", ctl_status},
+	{"validate", ctl_validate},
 };
 
 enum {
@@ -25,6 +26,8 @@
 	OPTION_ADMIN,
 	OPTION_OUTPUT,
 	OPTION_DRY_RUN,
+	OPTION_TO,
+	OPTION_WITHIN,
 };
 
 static const struct argp_option options[] = {
@@ -37,6 +40,8 @@
 	{"file", 'f', "FILE|DIR", 0, "JSON file or directory with records (repeatable)",
 	 0},
 	{"dry-run", OPTION_DRY_RUN, NULL, 0, "print the changes without writing them", 0},
+	{"to", OPTION_TO, "VERSION", 0, "version that a roll-out moves a service to", 0},
+	{"within", OPTION_WITHIN, "SECONDS", 0, "time that a roll-out may take", 0},
 	{NULL, 0, NULL, 0, NULL, 0},
 };
 
@@ -66,6 +71,12 @@
 	case OPTION_DRY_RUN:
 		ctl->dry_run = true;
 		return 0;
+	case OPTION_TO:
+		ctl->to = arg;
+		return 0;
+	case OPTION_WITHIN:
+		ctl->within = arg;
+		return 0;
 	case 'f':
 		g_ptr_array_add(ctl->paths, arg);
 		return 0;
@@ -110,8 +121,8 @@
 		.args_doc = "COMMAND [ARGUMENT...]",
 		.doc = "egretctl - manages configuration records and shows the state of "
 		       "nodes"
-		       "\vCommands: apply, diff, drain, get, key, list, retire, status, "
-		       "validate. See egretctl(1).",
+		       "\vCommands: apply, diff, drain, get, key, list, retire, rollout, "
+		       "status, validate. See egretctl(1).",
 	};
 	ctl_t ctl = {.platform = getenv("EGRETSCALE_PLATFORM"),
 		     .admin = getenv("EGRETSCALE_ADMIN_LISTEN"),
--- a/egretctl/status.c
+++ b/egretctl/status.c
@@ -38,6 +38,15 @@
 		printf("keeps partition %ld: epoch %ld, portion %ld/1000\n",
 		       integer_field(item, "partition"), integer_field(item, "epoch"),
 		       integer_field(item, "portion_milli"));
+	json_array_foreach(json_object_get(status, "rollouts"), i, item) printf(
+		"roll-out of %s to %s: %s%s, %ld of %ld ms, %ld responses of the new "
+		"version, %ld of the old, counts of %ld nodes\n",
+		string_field(item, "service"), string_field(item, "to"),
+		string_field(item, "state"),
+		json_is_true(json_object_get(item, "recorded")) ? " (recorded)" : "",
+		integer_field(item, "elapsed_ms"), integer_field(item, "duration_ms"),
+		integer_field(item, "responses_new"),
+		integer_field(item, "responses_old"), integer_field(item, "nodes"));
 	printf("\n%-22s %-12s %-8s %-16s %-9s %s\n", "MEMBER", "ZONE", "STATE", "SERVICE",
 	       "TARGET", "SLOTS");
 	json_array_foreach(json_object_get(status, "members"), i, item)
--- a/include/egretctl/ctl.h
+++ b/include/egretctl/ctl.h
@@ -35,6 +35,8 @@
 	char *admin;	/* a node's admin address, or NULL */
 	bool json;	/* --output=json */
 	bool dry_run;
+	char *to;	  /* --to, or NULL */
+	char *within;	  /* --within, or NULL */
 	GPtrArray *paths; /* of char *: one for each -f */
 	int argc;	  /* number of arguments after the command */
 	char **argv;
@@ -49,6 +51,7 @@
 int ctl_key(ctl_t *ctl);
 int ctl_list(ctl_t *ctl);
 int ctl_retire(ctl_t *ctl);
+int ctl_rollout(ctl_t *ctl);
 int ctl_status(ctl_t *ctl);
 int ctl_validate(ctl_t *ctl);
 
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -77,6 +77,18 @@
 	 HEAD("route") "\"prefix\":\"/\",\"service\":\"s\",\"importance\":1,"
 		       "\"methods\":[\"get\"]}",
 	 "methods"},
+	{"roll-out",
+	 HEAD("rollout") "\"service\":\"n\",\"to_version\":\"v2\","
+			 "\"duration_ms\":12000}",
+	 NULL},
+	{"roll-out of another service",
+	 HEAD("rollout") "\"service\":\"m\",\"to_version\":\"v2\","
+			 "\"duration_ms\":12000}",
+	 "service"},
+	{"roll-out without a version",
+	 HEAD("rollout") "\"service\":\"n\",\"duration_ms\":12000}", "to_version"},
+	{"roll-out without a duration",
+	 HEAD("rollout") "\"service\":\"n\",\"to_version\":\"v2\"}", "duration_ms"},
 	{"timeout 0",
 	 HEAD("route") "\"prefix\":\"/"
 		       "\",\"service\":\"s\",\"importance\":1,\"timeout_ms\":0}",
--- a/tests/unit/test_dialect.c
+++ b/tests/unit/test_dialect.c
@@ -35,6 +35,8 @@
 	if (ok) {
 		assert_string_equal(report.id, "i-1");
 		assert_int_equal(report.leaving, c->leaving);
+		if (strcmp(c->method, "PUT") == 0)
+			assert_string_equal(report.version, "v");
 		return;
 	}
 	assert_int_equal(error->code, c->error);
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -424,6 +424,35 @@
 static const merge_case_t merge_cases[] = {
 	{"entries in random order: the newest stays", 50}};
 
+/* The version of a target reaches other nodes; an entry of an older program has none. */
+typedef struct version_case {
+	const char *name;
+	const char *version;
+} version_case_t;
+
+static void test_version(void **state)
+{
+	const version_case_t *c = *state;
+	member_t member = {.address = "127.0.0.1:2", .zone = "a", .service = "s"};
+	member_t decoded;
+	Egret__Member wire;
+	Egret__KeeperClaim claims[KEEPER_PARTITIONS];
+	Egret__KeeperClaim *claim_list[KEEPER_PARTITIONS];
+	uint8_t buffer[512];
+
+	g_strlcpy(member.version, c->version, sizeof(member.version));
+	member_encode(&member, &wire, claims, claim_list);
+	size_t len = egret__member__pack(&wire, buffer);
+	Egret__Member *unpacked = egret__member__unpack(NULL, len, buffer);
+	assert_non_null(unpacked);
+	assert_true(member_decode(unpacked, &decoded));
+	assert_string_equal(decoded.version, c->version);
+	egret__member__free_unpacked(unpacked, NULL);
+}
+
+static const version_case_t version_cases[] = {{"version: v2", "v2"},
+					       {"version: none", ""}};
+
 typedef struct suspicion_case {
 	const char *name;
 	int peers;
@@ -474,6 +503,7 @@
 	failed += RUN_CASES("found_without_address_list", list_cases,
 			    test_found_without_address_list);
 	failed += RUN_CASES("suspicion_spread", suspicion_cases, test_suspicion_spread);
+	failed += RUN_CASES("version", version_cases, test_version);
 	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
 	return failed;
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -126,6 +126,12 @@
 	{"settings: a bad bound",
 	 "{" SETTINGS_HEAD SETTINGS_REST ",\"bounds\":{\"drain\":\"soon\"}}",
 	 "drain: \"soon\" is not allowed: must be a time"},
+	{"settings: a share above 1",
+	 "{" SETTINGS_HEAD SETTINGS_REST ",\"bounds\":{\"canary_share\":1.5}}",
+	 "canary_share: 1.5 is not allowed: must be a number from 0 to 1"},
+	{"settings: a bad time of a rollback",
+	 "{" SETTINGS_HEAD SETTINGS_REST ",\"bounds\":{\"rollback\":\"soon\"}}",
+	 "rollback: \"soon\" is not allowed"},
 	{"settings: a bound of another type",
 	 "{" SETTINGS_HEAD SETTINGS_REST ",\"bounds\":{\"cold_slack\":\"5\"}}",
 	 "cold_slack"},
@@ -255,6 +261,91 @@
 	row_list_destroy(second);
 }
 
+static void find_rollout(void *ctx, const record_t *record)
+{
+	const record_t **found = ctx;
+
+	*found = record;
+}
+
+/* An order survives a change of the configuration, is replaced with another identity, and
+ * ends with its row, also if the history of the table is lost. */
+static void test_rollout_rows(void **state)
+{
+	(void)state;
+	row_list_t *rows = row_list_create();
+	row_list_t *later = row_list_create();
+	config_log_t *log = config_log_create();
+	const record_t *found = NULL;
+
+	row_list_add(rows, "config", 12, CONFIG, NULL);
+	row_list_add(rows, "rollout/a", 13,
+		     "{\"service\":\"a\",\"to\":\"v2\",\"duration\":\"12s\"}", NULL);
+	config_t *config = decode_and_build(rows, true, log, 15);
+	config_foreach(config, RECORD_ROLLOUT, find_rollout, &found);
+	assert_non_null(found);
+	assert_string_equal(found->name, "a");
+	assert_string_equal(found->rollout.to_version, "v2");
+	assert_int_equal(found->rollout.duration_ms, 12000);
+	assert_int_equal(found->revision, 13);
+	config_unref(config);
+	row_list_add(later, "config", 20, CONFIG, NULL);
+	config = decode_and_build(later, false, log, 20);
+	found = NULL;
+	config_foreach(config, RECORD_ROLLOUT, find_rollout, &found);
+	assert_non_null(found);
+	config_unref(config);
+	config = decode_and_build(later, true, log, 25);
+	found = NULL;
+	config_foreach(config, RECORD_ROLLOUT, find_rollout, &found);
+	assert_null(found);
+	config_unref(config);
+	row_list_destroy(later);
+	later = row_list_create();
+	row_list_add(later, "rollout/a", 30,
+		     "{\"service\":\"a\",\"to\":\"v2\",\"duration\":\"12s\"}", NULL);
+	config = decode_and_build(later, false, log, 30);
+	config_foreach(config, RECORD_ROLLOUT, find_rollout, &found);
+	assert_non_null(found);
+	assert_int_equal(found->revision, 30);
+	config_unref(config);
+	config_log_destroy(log);
+	row_list_destroy(rows);
+	row_list_destroy(later);
+}
+
+/* Others read the fields of a status row: they are not wrapped. */
+static void test_status_row(void **state)
+{
+	(void)state;
+	store_write_t write = {.key = "status/rollout/a",
+			       .value = "{\"state\":\"completed\",\"to\":\"v2\"}"};
+	char *text = rows_encode_commit("a1", &write, 1);
+	json_t *commit = json_loads(text, 0, NULL);
+	const char *base64 = json_string_value(json_object_get(
+		json_array_get(json_object_get(commit, "writes"), 0), "value"));
+	gsize len;
+	guchar *bytes = g_base64_decode(base64, &len);
+	json_t *value = json_loadb((const char *)bytes, len, 0, NULL);
+	row_list_t *list = row_list_create();
+	json_t *response =
+		json_pack("{s:[{s:s, s:s, s:i, s:s}]}", "rows", "table", "status", "key",
+			  "rollout/a", "ver", 5, "value", base64);
+
+	assert_string_equal(json_string_value(json_object_get(value, "state")),
+			    "completed");
+	assert_string_equal(json_string_value(json_object_get(value, "to")), "v2");
+	assert_true(row_list_decode(list, response, "status", 0, true, NULL));
+	assert_string_equal(row_list_rows(list)[0].attempt, "a1");
+	assert_non_null(strstr(row_list_rows(list)[0].value, "\"completed\""));
+	row_list_destroy(list);
+	json_decref(response);
+	json_decref(value);
+	g_free(bytes);
+	json_decref(commit);
+	free(text);
+}
+
 typedef struct bad_config_case {
 	const char *name;
 	const char *json;
@@ -367,6 +458,8 @@
 	const struct CMUnitTest single[] = {
 		cmocka_unit_test(test_config_rows),
 		cmocka_unit_test(test_config_replaces),
+		cmocka_unit_test(test_rollout_rows),
+		cmocka_unit_test(test_status_row),
 		cmocka_unit_test(test_rows),
 		cmocka_unit_test(test_commit_round_trip),
 	};
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -188,6 +188,52 @@
 
 /* --- ramp and report age ---------------------------------------------------- */
 
+/* A request that allows one version never gets an instance of another, even if there is
+ * no other instance. */
+typedef struct allow_case {
+	const char *name;
+	const char *versions[4];
+	const char *allowed;
+	bool found;
+} allow_case_t;
+
+static bool has_version(void *ctx, const member_t *member)
+{
+	return strcmp(member->version, ctx) == 0;
+}
+
+static void test_allows(void **state)
+{
+	const allow_case_t *c = *state;
+	router_t *router = router_create("a", 7);
+	router_request_t request = {.service = SERVICE,
+				    .priority = priority_make(5, 100),
+				    .allows = has_version,
+				    .allows_ctx = (void *)c->allowed};
+
+	for (int i = 0; i < 4 && c->versions[i]; i++) {
+		member_t member = make_member(i, "a", UP);
+		g_strlcpy(member.version, c->versions[i], sizeof(member.version));
+		router_update(router, &member, START);
+	}
+	for (int i = 0; i < 100; i++) {
+		router_choice_t choice;
+		router_pick(router, &request, START, &choice);
+		assert_int_equal(*choice.address != '\0', c->found);
+		if (!c->found)
+			continue;
+		assert_string_equal(choice.version, c->allowed);
+		router_done(router, choice.address, ROUTER_ANSWERED, NULL, START);
+	}
+	router_destroy(router);
+}
+
+static const allow_case_t allow_cases[] = {
+	{"allows: one of two versions", {"v1", "v2", "v1", "v2"}, "v2", true},
+	{"allows: instances without a version", {"", "v2"}, "", true},
+	{"allows: no instance", {"v1", "v1"}, "v2", false},
+};
+
 typedef struct ramp_case {
 	const char *name;
 	usec_t since;	    /* the return of the zone to service */
@@ -614,7 +660,8 @@
 			    test_pressure_of_few_responses);
 	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
 	failed += RUN_CASES("learned_calls", load_cases, test_calls_learned_under_load);
-	failed += RUN_CASES("router_ramp", ramp_cases, test_ramp);
+	failed += RUN_CASES("allows", allow_cases, test_allows) +
+		  RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
 	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
 	failed += RUN_CASES("retry_ratio", ratio_cases, test_ratio);
