rollout: leave the idle version out of a service's pressure; e2e cases

Cause: while new instances run beside the old ones, their free slots halve the pressure by which entry nodes shed. The stand-in target had no version.

Change: instances of the version that gets few requests or none do not count in the pressure and the shed level of their service.

--- a/egretscaled/node/rollout.c
+++ b/egretscaled/node/rollout.c
@@ -96,6 +96,7 @@
 						     g_str_equal, NULL))
 			continue;
 		rollout_withdraw(node->rollout, known->pdata[i]);
+		router_set_idle(node->router, known->pdata[i], NULL, false);
 		log_withdrawal(known->pdata[i]);
 	}
 	node_rollout_refresh(node, ordered.now);
@@ -224,6 +225,9 @@
 
 		router_foreach_usable(node->router, service, count_new, &filter);
 		rollout_set_available(node->rollout, service, filter.wants_new);
+		router_set_idle(node->router, service, filter.to,
+				rollout_state(node->rollout, service) !=
+					ROLLOUT_COMPLETED);
 	}
 	g_ptr_array_free(services, TRUE);
 }
--- a/include/egretscaled/node/rollout.h
+++ b/include/egretscaled/node/rollout.h
@@ -24,8 +24,8 @@
  * result->cold. Acquires config_lock and router_lock. */
 void node_rollout_result(node_t *node, rollout_result_t *result, usec_t since);
 
-/* Finds out for each order whether the new version has usable instances. Under
- * router_lock. */
+/* Finds out for each order whether the new version has usable instances, and leaves the
+ * version that gets few requests out of the service's pressure. Under router_lock. */
 void node_rollout_refresh(node_t *node, usec_t now);
 
 /* Counts and logs a state that this node has decided, or learned from `source`. */
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -105,6 +105,12 @@
  * address. */
 bool router_set_silent(router_t *router, const char *address, bool silent);
 
+/* Leaves those instances of the service out of its pressure and shed level that have this
+ * version, or if `same` is false those that have another: they get few requests or none,
+ * so that their free slots are no capacity. NULL counts all instances again. */
+void router_set_idle(router_t *router, const char *service, const char *version,
+		     bool same);
+
 /* Chooses an instance and counts the call as in flight on it. If there is none,
  * out->address is empty; out->reason is set in both cases. */
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
--- a/routing/router.c
+++ b/routing/router.c
@@ -21,6 +21,7 @@
 	uint32_t ejections;
 	usec_t ejected_until;
 	bool silent;
+	bool idle; /* see router_set_idle() */
 } instance_t;
 
 typedef struct zone_status {
@@ -139,6 +140,18 @@
 	return instance != NULL;
 }
 
+void router_set_idle(router_t *router, const char *service, const char *version,
+		     bool same)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		instance_t *instance = list->pdata[i];
+		instance->idle = version &&
+				 (strcmp(instance->member.version, version) == 0) == same;
+	}
+}
+
 void router_set_zone(router_t *router, const char *zone, bool in_service, usec_t now)
 {
 	zone_status_t *status = g_hash_table_lookup(router->zones, zone);
@@ -367,7 +380,8 @@
 	if (!list || list->len == 0)
 		return PRIORITY_LEVEL_ALL;
 	for (guint i = 0; i < list->len; i++)
-		best = MAX(best, effective_level(list->pdata[i], now));
+		if (!((const instance_t *)list->pdata[i])->idle)
+			best = MAX(best, effective_level(list->pdata[i], now));
 	return best;
 }
 
@@ -381,7 +395,8 @@
 		const instance_t *instance = list->pdata[i];
 		double weight = report_weight(instance, now);
 
-		if (!zone_in_service(router, instance) || instance->silent)
+		if (!zone_in_service(router, instance) || instance->silent ||
+		    instance->idle)
 			continue;
 		double reported = weight * (instance->report.inflight +
 					    (double)instance->report.queued);
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -55,6 +55,7 @@
     case_pipeline_bodies, case_pipeline_closed_by_caller, case_pipeline_depth,
     case_pipeline_hangup, case_pipeline_malformed, case_pipeline_mixed, case_pipeline_stop,
     case_pipeline_together, case_pipeline_upload_behind)
+from rollouts import case_rollout_bad, case_rollout_good, case_rollout_usage  # noqa: E402,F401
 from stops import (  # noqa: E402,F401
     case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls,
     case_stop_waiting_call)
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -85,6 +85,8 @@
             f"--slots={s['slots']}", f"--cold-slots={s.get('cold_slots', s['slots'])}",
             f"--service-ms={s['service_ms']}", f"--calls={','.join(s.get('calls', []))}",
             f"--seed={self.deployment.seed}"]
+        if "version" in s:
+            command += [f"--version={s['version']}", f"--fail={s.get('fail', 0)}"]
         if self.deployment.history:
             command.append(f"--history={self.deployment.path(self.name + '.history')}")
         self.target = self.deployment.spawn(self.name + "-target", command)
--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -28,6 +28,8 @@
 	char *service;
 	char *calls; /* comma-separated services called for each request */
 	char *history;
+	char *version;	   /* reported; NULL if none */
+	double fail_share; /* part of the requests that get 500 */
 	int slots;
 	int cold_slots;
 	double service_ms; /* mean service time */
@@ -151,7 +153,8 @@
 	const char *service = req->calls ? req->calls[req->next_call] : NULL;
 
 	if (!service) {
-		finish_request(req, 200);
+		bool fails = g_rand_double(target.rand) < target.args.fail_share;
+		finish_request(req, fails ? 500 : 200);
 		return;
 	}
 	req->next_call++;
@@ -397,9 +400,12 @@
 	} else {
 		snprintf(body, sizeof(body),
 			 "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%d,"
-			 "\"cold_slots\":%d}",
+			 "\"cold_slots\":%d%s%s%s}",
 			 target.args.service, target.args.listen_text, target.args.slots,
-			 target.args.cold_slots);
+			 target.args.cold_slots,
+			 target.args.version ? ",\"version\":\"" : "",
+			 target.args.version ? target.args.version : "",
+			 target.args.version ? "\"" : "");
 		snprintf(url, sizeof(url), "http://%s/v1/target", target.args.node);
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body);
 		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
@@ -424,7 +430,8 @@
 	{"service", 's', "NAME", 0, NULL, 0},	{"calls", 'c', "NAMES", 0, NULL, 0},
 	{"slots", 'S', "N", 0, NULL, 0},	{"cold-slots", 'C', "N", 0, NULL, 0},
 	{"service-ms", 'm', "MS", 0, NULL, 0},	{"seed", 'r', "N", 0, NULL, 0},
-	{"history", 'h', "FILE", 0, NULL, 0},	{NULL, 0, NULL, 0, NULL, 0},
+	{"history", 'h', "FILE", 0, NULL, 0},	{"version", 'v', "NAME", 0, NULL, 0},
+	{"fail", 'f', "FRACTION", 0, NULL, 0},	{NULL, 0, NULL, 0, NULL, 0},
 };
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -461,6 +468,12 @@
 	case 'h':
 		args->history = arg;
 		return 0;
+	case 'v':
+		args->version = arg;
+		return 0;
+	case 'f':
+		args->fail_share = atof(arg);
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -234,6 +234,40 @@
 	{"allows: no instance", {"v1", "v1"}, "v2", false},
 };
 
+/* Free slots of a version that gets no requests would hide the pressure of the other. */
+typedef struct idle_case {
+	const char *name;
+	const char *idle; /* version; NULL if none */
+	bool same;
+	double pressure;
+} idle_case_t;
+
+static void test_idle(void **state)
+{
+	const idle_case_t *c = *state;
+	router_t *router = router_create("a", 7);
+
+	for (int i = 0; i < 2; i++) {
+		member_t member = make_member(i, "a", UP);
+		router_report_t report = {
+			.level = ALL, .limit = 10, .inflight = i == 0 ? 20 : 0};
+		g_strlcpy(member.version, i == 0 ? "v1" : "v2", sizeof(member.version));
+		router_update(router, &member, START);
+		router_done(router, member.address, ROUTER_ANSWERED, &report, START);
+	}
+	router_set_idle(router, SERVICE, "v1", true);
+	router_set_idle(router, SERVICE, c->idle, c->same);
+	double pressure = router_service_pressure(router, SERVICE, START);
+	assert_true(pressure > c->pressure - 0.01 && pressure < c->pressure + 0.01);
+	router_destroy(router);
+}
+
+static const idle_case_t idle_cases[] = {
+	{"idle: none", NULL, false, 1},
+	{"idle: the new version", "v2", true, 2},
+	{"idle: all but the new version", "v2", false, 0},
+};
+
 typedef struct ramp_case {
 	const char *name;
 	usec_t since;	    /* the return of the zone to service */
@@ -660,6 +694,7 @@
 			    test_pressure_of_few_responses);
 	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
 	failed += RUN_CASES("learned_calls", load_cases, test_calls_learned_under_load);
+	failed += RUN_CASES("idle", idle_cases, test_idle);
 	failed += RUN_CASES("allows", allow_cases, test_allows) +
 		  RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
