--- a/tests/e2e/on_platform_rollouts.py
+++ b/tests/e2e/on_platform_rollouts.py
@@ -138,6 +138,38 @@
                  lambda: all(b > a + 20 for a, b in zip(count, d.received())), 5)
 
 
+def case_on_platform_rollout_store():
+    """While the store refuses all calls, a bad version is rolled back, a node that restarts does not
+    send to it, and the status is written when the store is back."""
+    with RolloutDeployment() as d, Load(d):
+        d.targets[NEW].response = (500, {})
+        d.order()
+        wait_for("the roll-out to be in progress", lambda: d.status() == "in_progress", 5)
+        d.platform_fault(busy=True)
+        count = d.received()
+        wait_for("the new version to get no more requests", lambda: is_quiet(d), DURATION_SEC)
+        end = d.received()
+        assert end[1] - count[1] <= CANARY_SHARE * sum(end) + CANARY_SLACK, (count, end)
+        d.platform_fault()
+        wait_for("the status to be written", lambda: d.status() == "rolled_back", 5)
+        d.daemons[OLD].kill()
+        d.daemons[OLD].wait()
+        before = len(d.targets[NEW].received)
+        d.daemons[OLD] = d.start_node(OLD)
+        wait_for("the restarted node to be ready", lambda: d.ready(OLD), 10)
+        for _ in range(50):
+            d.send("/o/x", node=OLD)
+        assert len(d.targets[NEW].received) == before
+
+
+def is_quiet(d):
+    """Whether only the old version gets requests for a second."""
+    before = d.received()
+    time.sleep(1)
+    after = d.received()
+    return after[1] == before[1] and after[0] > before[0]
+
+
 class OffDeployment(RolloutDeployment):
     bounds = {}
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -48,7 +48,8 @@
     case_on_platform_limit, case_on_platform_return, case_on_platform_store,
     case_on_platform_weights)
 from on_platform_rollouts import (  # noqa: E402,F401
-    case_on_platform_rollout_bad, case_on_platform_rollout_good, case_on_platform_rollout_off)
+    case_on_platform_rollout_bad, case_on_platform_rollout_good, case_on_platform_rollout_off,
+    case_on_platform_rollout_store)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from pipelines import (  # noqa: E402,F401
--- a/tests/unit/rollout_sim.c
+++ b/tests/unit/rollout_sim.c
@@ -278,6 +278,22 @@
 	g_ptr_array_set_size(ended, 0);
 }
 
+/* Two messages with a part of the cells each, the second part first. */
+static void deliver(sim_node_t *to, const rollout_report_t *report, usec_t now)
+{
+	rollout_report_t *part = g_memdup2(report, sizeof(*report));
+	uint32_t half = report->cell_count / 2;
+
+	part->cell_count = report->cell_count - half;
+	memcpy(part->cells, report->cells + half,
+	       part->cell_count * sizeof(part->cells[0]));
+	rollout_merge(to->rollout, part, now);
+	memcpy(part->cells, report->cells, half * sizeof(part->cells[0]));
+	part->cell_count = half;
+	rollout_merge(to->rollout, part, now);
+	g_free(part);
+}
+
 static void exchange_counts(sim_t *sim, usec_t now)
 {
 	rollout_report_t *report = g_new0(rollout_report_t, 1);
@@ -288,7 +304,7 @@
 		for (int j = 0; j < sim->node_count; j++) {
 			if (j != i &&
 			    has_link(sim, &sim->nodes[i], &sim->nodes[j], now - START))
-				rollout_merge(sim->nodes[j].rollout, report, now);
+				deliver(&sim->nodes[j], report, now);
 		}
 	}
 	g_free(report);
