rollout: write completed only after the verdict has settled

Cause: the old instances stop as soon as the row says completed, when some nodes may not know the verdict yet and calls to old instances may be in flight.

Change: the row is written an eighth of the duration (0.5 to 5 s) after the verdict. Roll-outs with little evidence are decided at 0.75 of the duration instead of 0.8, so that the row is written in time.

--- a/egretscaled/control/rollout_status.c
+++ b/egretscaled/control/rollout_status.c
@@ -12,7 +12,13 @@
 #define TICK_PERIOD (100 * USEC_PER_MSEC)
 #define RETRY_WAIT USEC_PER_SEC
 /* Longest random wait before a write. */
-#define WRITE_WAIT_MAX USEC_PER_SEC
+#define WRITE_WAIT_MAX (USEC_PER_SEC / 2)
+/* The old instances stop as soon as `completed` is written. Before that, the verdict
+ * reaches all nodes and their calls to old instances end: this part (1/N) of the
+ * duration, within limits. */
+#define SETTLE_DIVISOR 8
+#define SETTLE_MIN (USEC_PER_SEC / 2)
+#define SETTLE_MAX (5 * USEC_PER_SEC)
 #define KEY_PREFIX "status/rollout/"
 
 /* What is known of the row of one order. */
@@ -103,8 +109,9 @@
 
 	pthread_mutex_lock(&node->router_lock);
 	const char *to = rollout_version(node->rollout, row->order.service);
-	bool changed = rollout_handle_recorded(node->rollout, row->order.service,
-					       row->order.to, row->order.id, row->state);
+	bool changed =
+		rollout_handle_recorded(node->rollout, row->order.service, row->order.to,
+					row->order.id, row->state, now);
 	rollout_foreach(node->rollout, now, find_status, &lookup);
 	/* The order may have changed while the row was read. */
 	if (to && lookup.found && lookup.status.order.id == row->order.id)
@@ -197,6 +204,14 @@
 	return (usec_t)(node_random_id() % (uint64_t)WRITE_WAIT_MAX);
 }
 
+static bool is_settled(const rollout_status_t *status)
+{
+	usec_t wait =
+		CLAMP(status->order.duration / SETTLE_DIVISOR, SETTLE_MIN, SETTLE_MAX);
+
+	return status->state != ROLLOUT_COMPLETED || status->state_age >= wait;
+}
+
 /* Starts what the row needs next, if anything. */
 static void advance_row(status_row_t *row, const rollout_status_t *status, usec_t now)
 {
@@ -207,7 +222,7 @@
 		return;
 	}
 	if (status->state == row->state || status->recorded ||
-	    row->state > ROLLOUT_IN_PROGRESS)
+	    row->state > ROLLOUT_IN_PROGRESS || !is_settled(status))
 		return;
 	if (row->wanted != status->state) {
 		row->wanted = status->state;
--- a/include/rollout/rollout.h
+++ b/include/rollout/rollout.h
@@ -66,7 +66,7 @@
  * even ample evidence does not complete a roll-out earlier. One that becomes bad later
  * than this is not noticed. */
 #define ROLLOUT_COMPLETE_AT 0.6
-#define ROLLOUT_FEW_AT 0.8
+#define ROLLOUT_FEW_AT 0.75
 #define ROLLOUT_ROTATIONS 16
 /* Counts older than this are of a node that has no contact. */
 #define ROLLOUT_REPORT_LIFETIME (3 * USEC_PER_SEC)
@@ -145,6 +145,7 @@
 	uint64_t sent_new; /* by this node */
 	uint64_t ended;	   /* by this node, both versions */
 	usec_t elapsed;
+	usec_t state_age; /* time since this node has the state */
 } rollout_status_t;
 
 /* `share` is canary_share; `rollback` is the longest time from the 50th bad response of a
@@ -196,7 +197,7 @@
 
 /* Takes the verdict of the row in the store. Returns whether the state changed. */
 bool rollout_handle_recorded(rollout_t *rollout, const char *service, const char *to,
-			     uint64_t order_id, rollout_state_t state);
+			     uint64_t order_id, rollout_state_t state, usec_t now);
 
 typedef void (*rollout_verdict_fn)(void *ctx, const rollout_status_t *status);
 
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -37,6 +37,7 @@
 	bool allowed;
 	bool has_new;
 	rollout_state_t state;
+	usec_t state_at;
 	bool recorded;
 	uint64_t sent_new;
 	uint64_t ended;
@@ -130,6 +131,7 @@
 	added->order = *order;
 	added->started_at = now;
 	added->learned_at = now;
+	added->state_at = now;
 	added->state = ROLLOUT_IN_PROGRESS;
 	added->sources = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	for (int i = 0; i < WINDOW_ROTATIONS; i++)
@@ -219,7 +221,8 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		used[i] = true;
-	if (!order || order->state != ROLLOUT_IN_PROGRESS || wanted >= count)
+	if (count == 0 || !order || order->state != ROLLOUT_IN_PROGRESS ||
+	    wanted >= count)
 		return;
 	place_t *places = g_new0(place_t, count);
 	for (uint32_t i = 0; i < count; i++) {
@@ -350,12 +353,14 @@
 
 /* Of two states of an order the recorded one takes precedence, then the later one of the
  * enumeration. The result does not depend on the order of messages. */
-static bool take_state(order_t *order, rollout_state_t state, bool recorded)
+static bool take_state(order_t *order, rollout_state_t state, bool recorded, usec_t now)
 {
 	if (state <= ROLLOUT_IN_PROGRESS || (order->recorded && !recorded) ||
 	    (order->recorded == recorded && state <= order->state))
 		return false;
 	bool changed = order->state != state;
+	if (changed)
+		order->state_at = now;
 	order->state = state;
 	order->recorded = recorded;
 	return changed;
@@ -391,15 +396,15 @@
 	}
 	source->received_at = now;
 	take_cells(&source->report, report);
-	return take_state(order, report->state, report->recorded);
+	return take_state(order, report->state, report->recorded, now);
 }
 
 bool rollout_handle_recorded(rollout_t *rollout, const char *service, const char *to,
-			     uint64_t order_id, rollout_state_t state)
+			     uint64_t order_id, rollout_state_t state, usec_t now)
 {
 	order_t *order = find_order(rollout, service);
 
-	return is_order(order, to, order_id) && take_state(order, state, true);
+	return is_order(order, to, order_id) && take_state(order, state, true, now);
 }
 
 static void add_cell(counts_t *counts, const rollout_cell_t *from)
@@ -577,6 +582,7 @@
 		.sent_new = order->sent_new,
 		.ended = order->ended,
 		.elapsed = now - order->started_at,
+		.state_age = now - order->state_at,
 	};
 }
 
@@ -596,7 +602,7 @@
 			continue;
 		order->decided_at = now;
 		if (!take_state(order, decide(order, rollout->open_time, nodes, now),
-				false))
+				false, now))
 			continue;
 		fill_status(order, now, &status);
 		fn(ctx, &status);
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -241,7 +241,8 @@
 				   false, ROLLOUT_GOOD, 5 * SEC, 10 * MS};
 
 	rollout_set_order(first, &order, SEC);
-	assert_true(rollout_handle_recorded(first, "s", "v2", 7, ROLLOUT_ROLLED_BACK));
+	assert_true(rollout_handle_recorded(first, "s", "v2", 7, ROLLOUT_ROLLED_BACK,
+					    2 * SEC));
 	rollout_set_order(again, &order, 5 * SEC);
 	rollout_set_available(again, "s", true);
 	for (int i = 0; i < 1000; i++)
