rollout: no requests to a version before its order can have arrived

Cause: the directory may announce instances of an ordered version before the order, and until then they got as many requests as the others.

Change: without an order, a version that has just appeared in a service gets no requests until the configuration is known to be current as of that moment.

--- a/egretscaled/node/rollout.c
+++ b/egretscaled/node/rollout.c
@@ -118,8 +118,9 @@
 	return strcmp(member->version, filter->to) == 0;
 }
 
-static void add_new_instance(void *ctx, const member_t *member)
+static void add_new_instance(void *ctx, const member_t *member, usec_t since)
 {
+	(void)since;
 	version_filter_t *filter = ctx;
 	rollout_instance_t instance = {member->address, member->zone};
 
@@ -170,17 +171,71 @@
 	return *out->address;
 }
 
+/* The versions of a service of which an instance became usable before the configuration
+ * was last known to be current. */
+typedef struct known_versions {
+	usec_t as_of;
+	GPtrArray *known; /* texts of directory entries */
+	bool has_unknown;
+} known_versions_t;
+
+static bool is_known(void *ctx, const member_t *member)
+{
+	const known_versions_t *versions = ctx;
+
+	return g_ptr_array_find_with_equal_func(versions->known, member->version,
+						g_str_equal, NULL);
+}
+
+static void add_known(void *ctx, const member_t *member, usec_t since)
+{
+	known_versions_t *versions = ctx;
+
+	if (since <= versions->as_of && !is_known(versions, member))
+		g_ptr_array_add(versions->known, (void *)member->version);
+}
+
+static void find_unknown(void *ctx, const member_t *member, usec_t since)
+{
+	known_versions_t *versions = ctx;
+
+	(void)since;
+	versions->has_unknown |= !is_known(versions, member);
+}
+
+/* The instances of an ordered version may become known before the order. Until the
+ * configuration is known to be current, a version that has just appeared therefore gets
+ * no requests, unless there is no other. */
+static void pick_known_version(node_t *node, const router_request_t *request, usec_t now,
+			       router_choice_t *out)
+{
+	router_request_t filtered = *request;
+	known_versions_t versions = {node_config_as_of(node), g_ptr_array_new(), false};
+
+	router_foreach_usable(node->router, request->service, add_known, &versions);
+	if (versions.known->len > 0)
+		router_foreach_usable(node->router, request->service, find_unknown,
+				      &versions);
+	if (versions.has_unknown) {
+		filtered.allows = is_known;
+		filtered.allows_ctx = &versions;
+	}
+	router_pick(node->router, &filtered, now, out);
+	g_ptr_array_free(versions.known, TRUE);
+}
+
 void node_rollout_pick(node_t *node, router_request_t *request, usec_t now,
 		       router_choice_t *out)
 {
-	rollout_choice_t choice =
-		node->rollout ? rollout_choose(node->rollout, request->service)
-			      : ROLLOUT_ANY;
-
-	if (choice == ROLLOUT_ANY) {
+	if (!node->rollout) {
 		router_pick(node->router, request, now, out);
 		return;
 	}
+	rollout_choice_t choice = rollout_choose(node->rollout, request->service);
+	if (choice == ROLLOUT_ANY) {
+		pick_known_version(node, request, now, out);
+		return;
+	}
 	bool in_progress =
 		rollout_state(node->rollout, request->service) == ROLLOUT_IN_PROGRESS;
 	bool found = pick_version(node, request, choice == ROLLOUT_NEW, now, out);
@@ -207,8 +262,9 @@
 	pthread_mutex_unlock(&node->router_lock);
 }
 
-static void count_new(void *ctx, const member_t *member)
+static void count_new(void *ctx, const member_t *member, usec_t since)
 {
+	(void)since;
 	version_filter_t *filter = ctx;
 
 	filter->wants_new |= is_new(filter, member);
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -129,7 +129,9 @@
  * out of service or whose node is silent do not count. */
 double router_service_pressure(router_t *router, const char *service, usec_t now);
 
-typedef void (*router_member_fn)(void *ctx, const member_t *member);
+/* `since`: when the instance became usable with its version, as far as this router knows.
+ */
+typedef void (*router_member_fn)(void *ctx, const member_t *member, usec_t since);
 
 /* Calls fn with each instance of the service whose zone is in service and whose node is
  * not silent. */
--- a/routing/router.c
+++ b/routing/router.c
@@ -119,6 +119,8 @@
 	if (!usable)
 		return;
 	if (instance) {
+		if (strcmp(instance->member.version, member->version) != 0)
+			instance->since = now;
 		instance->member = *member;
 		return;
 	}
@@ -414,7 +416,7 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const instance_t *instance = list->pdata[i];
 		if (zone_in_service(router, instance) && !instance->silent)
-			fn(ctx, &instance->member);
+			fn(ctx, &instance->member, instance->since);
 	}
 }
 
--- a/tests/e2e/on_platform_rollouts.py
+++ b/tests/e2e/on_platform_rollouts.py
@@ -31,7 +31,7 @@
         super().__enter__()
         try:
             self.start_third_node()
-            self.stopped = threading.Event()
+            self.stopped, self.version = threading.Event(), "v2"
             assert self.targets[NEW].report(version="v2") == 200
             threading.Thread(target=self.report_versions, daemon=True).start()
             for target in self.targets[OLD:]:
@@ -49,7 +49,7 @@
         while not self.stopped.wait(0.5):
             try:
                 for i, target in enumerate(self.targets):
-                    target.report(version="v2" if i == NEW else "v1")
+                    target.report(version=self.version if i == NEW else "v1")
             except OSError:
                 return
 
@@ -138,6 +138,22 @@
                  lambda: all(b > a + 20 for a, b in zip(count, d.received())), 5)
 
 
+def case_on_platform_rollout_unknown():
+    """A version that appears while the configuration may be out of date gets no requests, since
+    its order may not have arrived; without an order it gets them once the store answers."""
+    with RolloutDeployment() as d, Load(d):
+        d.platform_fault(busy=True)
+        time.sleep(1)
+        d.version = "v3"
+        time.sleep(1)  # until the next report, and for requests sent before it
+        before = d.received()
+        time.sleep(1.5)
+        after = d.received()
+        assert after[1] == before[1] and after[0] > before[0], (before, after)
+        d.platform_fault()
+        wait_for("the version to get requests", lambda: d.received()[1] > after[1] + 20, 5)
+
+
 def case_on_platform_rollout_store():
     """While the store refuses all calls, a bad version is rolled back, a node that restarts does not
     send to it, and the status is written when the store is back."""
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -49,7 +49,7 @@
     case_on_platform_weights)
 from on_platform_rollouts import (  # noqa: E402,F401
     case_on_platform_rollout_bad, case_on_platform_rollout_good, case_on_platform_rollout_off,
-    case_on_platform_rollout_store)
+    case_on_platform_rollout_store, case_on_platform_rollout_unknown)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from pipelines import (  # noqa: E402,F401
