--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -14,6 +14,7 @@
 #include "membership/target.h"
 #include "retry/resends.h"
 #include "retry/retry.h"
+#include "rollout/rollout.h"
 #include "routing/backpressure.h"
 #include "routing/route_calls.h"
 #include "routing/router.h"
@@ -52,6 +53,8 @@
 	/* The target, whose reports have an id, has reported its state, as the process
 	 * that was known or as another one. Any thread. */
 	void (*on_target_report)(node_t *node, bool same_process);
+	/* Another configuration is in force. Control thread. */
+	void (*on_config)(node_t *node, const config_t *config);
 	/* A gossip datagram that does not concern the directory. Control thread. */
 	void (*on_message)(node_t *node, const Egret__Gossip *message);
 } node_ops_t;
@@ -96,6 +99,7 @@
 
 	pthread_mutex_t router_lock;
 	router_t *router;
+	rollout_t *rollout; /* NULL without canary_share */
 	backpressure_t *backpressure;
 	completion_limit_t *completion_limit;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -87,6 +87,9 @@
 	/* Addresses already tried for this request. */
 	char excluded[ROUTER_EXCLUDED_MAX][ADDRESS_TEXT_BYTES];
 	uint32_t excluded_count;
+	/* Whether an instance may be chosen; NULL if all may. */
+	bool (*allows)(void *ctx, const member_t *member);
+	void *allows_ctx;
 } router_request_t;
 
 typedef struct router_choice {
@@ -94,6 +97,8 @@
 	char address[ADDRESS_TEXT_BYTES];
 	uint64_t node_id;
 	char zone[MEMBER_TEXT_BYTES];
+	char version[MEMBER_TEXT_BYTES];
+	usec_t since;	     /* the instance became usable, as far as this router knows */
 	uint32_t candidates; /* instances of the service */
 	/* With ROUTER_BALANCE_TIME: the score of the instance, in thousandths. */
 	uint32_t score_milli;
@@ -102,6 +107,7 @@
 	uint32_t skipped_silent;
 	uint32_t skipped_ejected;  /* ejected or suspected; usable as the last resort */
 	uint32_t skipped_level;	   /* the shed level does not admit the call */
+	uint32_t skipped_version;  /* not allowed by the request */
 	uint32_t skipped_excluded; /* already tried for this request */
 } router_choice_t;
 
@@ -123,6 +129,12 @@
  * address. */
 bool router_set_silent(router_t *router, const char *address, bool silent);
 
+/* Leaves those instances of the service out of its pressure and shed level that have this
+ * version, or if `same` is false those that have another: they get few requests or none,
+ * so that their free slots are no capacity. NULL counts all instances again. */
+void router_set_idle(router_t *router, const char *service, const char *version,
+		     bool same);
+
 /* Chooses an instance and counts the call as in flight on it. If there is none,
  * out->address is empty; out->reason is set in both cases. */
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
@@ -145,6 +157,15 @@
  * out of service or whose node is silent do not count. */
 double router_service_pressure(router_t *router, const char *service, usec_t now);
 
+/* `since`: when the instance became usable with its version, as far as this router knows.
+ */
+typedef void (*router_member_fn)(void *ctx, const member_t *member, usec_t since);
+
+/* Calls fn with each instance of the service whose zone is in service and whose node is
+ * not silent. */
+void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
+			   void *ctx);
+
 const char *router_reason_name(router_reason_t reason);
 
 /* For status output: router_foreach() calls `fn` once for each instance. */
--- a/routing/router.c
+++ b/routing/router.c
@@ -20,6 +20,7 @@
 
 typedef struct instance {
 	member_t member;
+	usec_t since;
 	uint32_t inflight;
 	router_report_t report;
 	usec_t reported_at;
@@ -29,6 +30,7 @@
 	bool silent;
 	instance_speed_t speed;
 	uint32_t sent_since_report; /* calls of this node */
+	bool idle;		    /* see router_set_idle() */
 } instance_t;
 
 /* Means of the instances that may get a call. */
@@ -133,7 +135,6 @@
 	instance_t *instance = g_hash_table_lookup(router->instances, member->address);
 	bool usable = accepts_calls(member);
 
-	(void)now;
 	if (instance && (!usable || instance->member.node_id != member->node_id ||
 			 strcmp(instance->member.service, member->service) != 0)) {
 		remove_instance(router, instance);
@@ -142,11 +143,14 @@
 	if (!usable)
 		return;
 	if (instance) {
+		if (strcmp(instance->member.version, member->version) != 0)
+			instance->since = now;
 		instance->member = *member;
 		return;
 	}
 	instance = g_new0(instance_t, 1);
 	instance->member = *member;
+	instance->since = now;
 	instance->report.level = PRIORITY_LEVEL_ALL;
 	instance->report.limit = MAX(member->cold_slots, 1);
 	g_hash_table_insert(router->instances, instance->member.address, instance);
@@ -162,6 +166,18 @@
 	return instance != NULL;
 }
 
+void router_set_idle(router_t *router, const char *service, const char *version,
+		     bool same)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		instance_t *instance = list->pdata[i];
+		instance->idle = version &&
+				 (strcmp(instance->member.version, version) == 0) == same;
+	}
+}
+
 void router_set_zone(router_t *router, const char *zone, bool in_service, usec_t now)
 {
 	zone_status_t *status = g_hash_table_lookup(router->zones, zone);
@@ -315,6 +331,9 @@
 			out->skipped_zone_out++;
 		else if (instance->silent)
 			out->skipped_silent++;
+		else if (request->allows &&
+			 !request->allows(request->allows_ctx, &instance->member))
+			out->skipped_version++;
 		else if (is_excluded(request, instance))
 			out->skipped_excluded++;
 		else if (effective_level(instance, now) <= request->priority)
@@ -434,6 +453,8 @@
 	instance->sent_since_report++;
 	g_strlcpy(out->address, instance->member.address, sizeof(out->address));
 	g_strlcpy(out->zone, instance->member.zone, sizeof(out->zone));
+	g_strlcpy(out->version, instance->member.version, sizeof(out->version));
+	out->since = instance->since;
 	out->node_id = instance->member.node_id;
 }
 
@@ -528,7 +549,8 @@
 	if (!list || list->len == 0)
 		return PRIORITY_LEVEL_ALL;
 	for (guint i = 0; i < list->len; i++)
-		best = MAX(best, effective_level(list->pdata[i], now));
+		if (!((const instance_t *)list->pdata[i])->idle)
+			best = MAX(best, effective_level(list->pdata[i], now));
 	return best;
 }
 
@@ -542,7 +564,8 @@
 		const instance_t *instance = list->pdata[i];
 		double weight = report_weight(instance, now);
 
-		if (!zone_in_service(router, instance) || instance->silent)
+		if (!zone_in_service(router, instance) || instance->silent ||
+		    instance->idle)
 			continue;
 		double reported = weight * (instance->report.inflight +
 					    (double)instance->report.queued);
@@ -552,6 +575,18 @@
 	return limit > 0 ? load / limit : 0;
 }
 
+void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
+			   void *ctx)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		if (zone_in_service(router, instance) && !instance->silent)
+			fn(ctx, &instance->member, instance->since);
+	}
+}
+
 void router_foreach(router_t *router, usec_t now, router_instance_fn fn, void *ctx)
 {
 	GHashTableIter iter;
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -48,12 +48,16 @@
     case_on_platform_frozen, case_on_platform_join, case_on_platform_leave,
     case_on_platform_limit, case_on_platform_return, case_on_platform_store,
     case_on_platform_speed, case_on_platform_weights)
+from on_platform_rollouts import (  # noqa: E402,F401
+    case_on_platform_rollout_bad, case_on_platform_rollout_good, case_on_platform_rollout_off,
+    case_on_platform_rollout_store, case_on_platform_rollout_unknown)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from pipelines import (  # noqa: E402,F401
     case_pipeline_bodies, case_pipeline_closed_by_caller, case_pipeline_depth,
     case_pipeline_hangup, case_pipeline_malformed, case_pipeline_mixed, case_pipeline_stop,
     case_pipeline_together, case_pipeline_upload_behind)
+from rollouts import case_rollout_bad, case_rollout_good, case_rollout_usage  # noqa: E402,F401
 from stops import (  # noqa: E402,F401
     case_stop_adopted_call, case_stop_late_requests, case_stop_unfinished_calls,
     case_stop_waiting_call)
