store: revisions that compare the store's era first

A store that is restored from a copy assigns versions again and raises Store-Era by one. The node compared versions alone: a row or a page of the former era passed for the newer one, a condition could match a version that was assigned again, and a feed that began before the copy was taken for complete.

The adapter now composes a revision from the era (high bits) and the version, so that comparisons elsewhere need no change, and translates conditions and feeds back. A revision of another era is a conflict, or a table to be read again; a response of a former era fails. Without the header the era is 0 and revisions are the versions, as before.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -25,6 +25,9 @@
 	X(STORE_WATCHES, "store_watches", "reads of the records that wait for a change") \
 	X(STORE_CHECKS, "store_checks", "reads of the records that do not wait")         \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")            \
+	X(STORE_ERAS, "store_eras", "changes of the store's era seen by its clients")    \
+	X(STORE_OLD_RESPONSES, "store_old_responses", "responses of a former era")       \
+	X(CONFIG_KEPT, "config_kept", "restored rows older than those in force")         \
 	X(LOG_DROPPED, "log_lines_dropped", "log lines dropped at the queue's bound")    \
 	X(REQUESTS, "caller_requests", "requests taken from callers")                    \
 	X(ANSWERED, "caller_answered", "answers of targets given to callers")            \
--- a/include/platform/rows.h
+++ b/include/platform/rows.h
@@ -20,6 +20,10 @@
 row_list_t *row_list_create(void);
 void row_list_destroy(row_list_t *list);
 
+/* Sets the store's era of the responses that follow; 0 at first. It is part of the
+ * revision of each row (common/revision.h). */
+void row_list_set_era(row_list_t *list, uint64_t era);
+
 /* Adds rows whose value cannot be read without a value, like tombstones, instead of
  * skipping them. They can then be replaced, as their revision is known. */
 void row_list_keep_unreadable(row_list_t *list);
--- a/include/store/store.h
+++ b/include/store/store.h
@@ -20,7 +20,13 @@
  *	row. It carries a random attempt id, which is stored with the rows. If the
  *	response is lost, store_commit() sends the commit again, and on a conflict
  *	reads a row back and compares the attempt ids. It reports UNKNOWN_RESULT
- *	only if the second try or the read-back fails too.
+ *	only if the second try or the read-back fails too, or if the store was
+ *	restored from a copy meanwhile.
+ *
+ *	A revision holds the store's era and version (common/revision.h). Once a
+ *	response of a new era has arrived, those of former eras fail (UNAVAILABLE; a
+ *	commit is sent again). A commit that expects a revision of a former era is a
+ *	CONFLICT.
  *
  * OWNERSHIP
  *	Arguments are copied. Results are only valid during the callback.
@@ -101,9 +107,10 @@
 
 /*
  * As store_changes(), but waits for the first change, and fails with TIMEOUT if there is
- * no response after the sum of both waits. If after_revision is 0, or the platform no
- * longer has the history since then, it reads the rows without waiting for a change. A
- * read that does not wait for a change uses a connection of its own.
+ * no response after the sum of both waits. If after_revision is 0, it is
+ * of a former era, or the platform no longer has the history since then, it reads the
+ * rows without waiting for a change. A read that does not wait for a change uses a
+ * connection of its own.
  */
 void store_watch(store_t *store, const char *prefix, uint64_t after_revision,
 		 const store_wait_t *wait, store_rows_fn done, void *ctx);
--- a/store/store.c
+++ b/store/store.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/error.h"
+#include "common/revision.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -77,6 +78,28 @@
 
 static void commit_send(commit_t *commit);
 
+static void commit_unknown(commit_t *commit, const char *why)
+{
+	GError *error = g_error_new(EGRET_ERROR, EGRET_ERROR_UNKNOWN_RESULT,
+				    "commit of %s: %s", commit->writes[0].key, why);
+
+	commit_finish(commit, 0, error);
+	g_error_free(error);
+}
+
+/* Whether a condition of the commit is of another era than `revision`: the store then
+ * compared it with a version that it assigned again. */
+static bool has_condition_of_other_era(const commit_t *commit, uint64_t revision)
+{
+	for (size_t i = 0; i < commit->count; i++) {
+		uint64_t expected = commit->writes[i].expected_revision;
+		if (expected != STORE_REVISION_NONE &&
+		    revision_era(expected) != revision_era(revision))
+			return true;
+	}
+	return false;
+}
+
 /* A commit is atomic: the attempt id of its first row shows whether it was applied. */
 static void handle_read_back(void *ctx, uint64_t revision, const store_row_t *rows,
 			     size_t count, const GError *error)
@@ -85,18 +108,16 @@
 	commit_t *commit = ctx;
 
 	if (error && error->code != EGRET_ERROR_NOT_FOUND) {
-		GError *unknown_error = g_error_new(
-			EGRET_ERROR, EGRET_ERROR_UNKNOWN_RESULT, "commit of %s: %s",
-			commit->writes[0].key, error->message);
-		commit_finish(commit, 0, unknown_error);
-		g_error_free(unknown_error);
+		commit_unknown(commit, error->message);
 		return;
 	}
-	if (count == 1 && rows[0].attempt &&
-	    strcmp(rows[0].attempt, commit->attempt) == 0)
-		commit_finish(commit, rows[0].revision, NULL);
-	else
+	if (count != 1 || !rows[0].attempt ||
+	    strcmp(rows[0].attempt, commit->attempt) != 0)
 		commit_finish(commit, 0, commit->conflict);
+	else if (has_condition_of_other_era(commit, rows[0].revision))
+		commit_unknown(commit, "the store's era changed");
+	else
+		commit_finish(commit, rows[0].revision, NULL);
 }
 
 static void handle_commit(void *ctx, uint64_t revision, const GError *error)
@@ -125,11 +146,7 @@
 		commit_send(commit);
 		return;
 	}
-	GError *unknown_error =
-		g_error_new(EGRET_ERROR, EGRET_ERROR_UNKNOWN_RESULT, "commit of %s: %s",
-			    commit->writes[0].key, error->message);
-	commit_finish(commit, 0, unknown_error);
-	g_error_free(unknown_error);
+	commit_unknown(commit, error->message);
 }
 
 static void commit_send(commit_t *commit)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -1,9 +1,10 @@
 /* Tests how the client of the platform's store takes responses that break off, pages of a
- * list that changes meanwhile, and connections that are kept, with a server on a loopback
- * socket. */
+ * list that changes meanwhile, connections that are kept, and a store that is restored
+ * from a copy, with a server on a loopback socket. */
 #include "case.h"
 
 #include "common/error.h"
+#include "common/revision.h"
 #include "http/curl_loop.h"
 #include "platform/store.h"
 
@@ -37,23 +38,29 @@
 	GThread *thread;
 } server_t;
 
-/* Reads the head of a request and the body that its length states. */
-static void read_request(int fd)
+/* Reads the head of a request and the body that its length states; returns its length. */
+static size_t read_request_text(int fd, char *data, size_t size)
 {
-	char data[8192];
 	size_t len = 0;
 	ssize_t n;
 
-	while (len < sizeof(data) - 1 &&
-	       (n = recv(fd, data + len, sizeof(data) - 1 - len, 0)) > 0) {
+	while (len < size - 1 && (n = recv(fd, data + len, size - 1 - len, 0)) > 0) {
 		len += (size_t)n;
 		data[len] = '\0';
 		const char *end = strstr(data, "\r\n\r\n");
 		const char *length = strstr(data, "Content-Length: ");
 		guint64 body = length ? g_ascii_strtoull(length + 16, NULL, 10) : 0;
 		if (end && (size_t)(end + 4 - data) + body <= len)
-			return;
+			return len;
 	}
+	return 0;
+}
+
+static void read_request(int fd)
+{
+	char data[8192];
+
+	read_request_text(fd, data, sizeof(data));
 }
 
 static void *serve(void *data)
@@ -327,8 +334,251 @@
 	 2},
 };
 
+/* A response of the store, in turn, and what its request must contain. */
+typedef struct era_response {
+	const char *request;
+	const char *era;  /* the header's value, or NULL for none */
+	int status;	  /* 0: the connection is closed without a response */
+	const char *body; /* %s: the value of the last commit */
+} era_response_t;
+
+typedef struct era_call {
+	call_kind_t kind;
+	uint64_t revision; /* rows: that the watch starts from; commit: that it expects */
+	int error;	   /* expected code; 0 for success */
+	uint64_t result;   /* expected revision, or highest one of the rows */
+} era_call_t;
+
+typedef struct era_case {
+	const char *name;
+	era_call_t calls[4];
+	era_response_t responses[8];
+} era_case_t;
+
+typedef struct era_server {
+	int fd;
+	const era_response_t *responses;
+	char *mismatch; /* first request that was not the expected one */
+	char *value;	/* of the last commit, in base64 */
+	GThread *thread;
+} era_server_t;
+
+static void check_request(era_server_t *server, const char *text, const char *expected)
+{
+	const char *value = strstr(text, "\"value\":\"");
+
+	if (value) {
+		value += strlen("\"value\":\"");
+		g_free(server->value);
+		server->value = g_strndup(value, strcspn(value, "\""));
+	}
+	if (!strstr(text, expected) && !server->mismatch)
+		server->mismatch = g_strdup_printf("%s is not in %s", expected, text);
+}
+
+static void send_response(const era_server_t *server, int fd,
+			  const era_response_t *response)
+{
+	char **parts = g_strsplit(response->body ? response->body : "{}", "%s", 2);
+	char *body = g_strjoinv(server->value ? server->value : "", parts);
+	char *era = response->era ? g_strdup_printf("Store-Era: %s\r\n", response->era)
+				  : g_strdup("");
+	char *text = g_strdup_printf("HTTP/1.1 %d X\r\n%sConnection: close\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+				     response->status, era, strlen(body), body);
+
+	if (response->status > 0)
+		send(fd, text, strlen(text), MSG_NOSIGNAL);
+	g_free(text);
+	g_free(era);
+	g_free(body);
+	g_strfreev(parts);
+}
+
+static void *serve_eras(void *data)
+{
+	era_server_t *server = data;
+	const era_response_t *response = server->responses;
+	char text[8192];
+	int fd;
+
+	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+		size_t len = read_request_text(fd, text, sizeof(text));
+		if (len == 0 || !response->request) {
+			if (len > 0)
+				check_request(server, text, "no further request");
+			close(fd);
+			continue;
+		}
+		check_request(server, text, response->request);
+		send_response(server, fd, response);
+		response++;
+		shutdown(fd, SHUT_WR);
+		while (recv(fd, text, sizeof(text), 0) > 0)
+			;
+		close(fd);
+	}
+	if (response->request && !server->mismatch)
+		server->mismatch = g_strdup_printf("not sent: %s", response->request);
+	return NULL;
+}
+
+typedef struct era_result {
+	bool done;
+	int error;
+	uint64_t revision;
+} era_result_t;
+
+static void finish_era(era_result_t *result, uint64_t revision, const GError *error)
+{
+	*result = (era_result_t){true, error ? error->code : 0, revision};
+}
+
+static void handle_era_commit(void *ctx, uint64_t revision, const GError *error)
+{
+	finish_era(ctx, revision, error);
+}
+
+static void handle_era_rows(void *ctx, uint64_t revision, const store_row_t *rows,
+			    size_t count, const GError *error)
+{
+	for (size_t i = 0; i < count; i++)
+		assert_int_equal(revision_era(rows[i].revision), revision_era(revision));
+	finish_era(ctx, revision, error);
+}
+
+static void test_eras(void **state)
+{
+	static const store_wait_t wait = {USEC_PER_SEC, USEC_PER_SEC};
+	const era_case_t *c = *state;
+	server_t listener;
+	char *url = listen_on_loopback(&listener);
+	era_server_t server = {.fd = listener.fd, .responses = c->responses};
+	struct tevent_context *ev = tevent_context_init(NULL);
+	curl_loop_t *loop = curl_loop_create(ev, ev, 2);
+	store_t *store = platform_store_create(loop, url, RECORD_SOURCE_ROWS, NULL);
+
+	server.thread = g_thread_new("eras", serve_eras, &server);
+	for (size_t i = 0; i < G_N_ELEMENTS(c->calls) && c->calls[i].kind; i++) {
+		const era_call_t *call = &c->calls[i];
+		store_write_t write = {"record/a", call->revision, "{}"};
+		era_result_t result = {0};
+
+		if (call->kind == CALL_ROWS)
+			store_watch(store, "record/", call->revision, &wait,
+				    handle_era_rows, &result);
+		else
+			store_commit(store, &write, 1, handle_era_commit, &result);
+		while (!result.done && tevent_loop_once(ev) == 0)
+			;
+		assert_int_equal(result.error, call->error);
+		assert_int_equal(result.revision, call->result);
+	}
+	store_destroy(store);
+	curl_loop_destroy(loop);
+	talloc_free(ev);
+	shutdown(server.fd, SHUT_RDWR);
+	g_thread_join(server.thread);
+	close(server.fd);
+	if (server.mismatch)
+		fail_msg("%s", server.mismatch);
+	g_free(server.value);
+	g_free(url);
+}
+
+#define E(era, version) (((uint64_t)(era) << 48) + (version))
+#define ROWS(rows, ver) "{\"rows\":[" rows "],\"has_more\":false,\"ver\":" ver "}"
+#define MORE(rows, ver) "{\"rows\":[" rows "],\"has_more\":true,\"ver\":" ver "}"
+#define COMMITTED_ROW(ver)                                                               \
+	"{\"table\":\"record\",\"key\":\"a\",\"ver\":" ver ",\"value\":\"%s\"}"
+#define LIST_OF_ERA(era)                                                                 \
+	{                                                                                \
+		"GET /rows-get", era, 200, ROWS(ROW("a", "5"), "5")                      \
+	}
+#define OTHER_ERA "\"ver\":281474976710655"
+
+static const era_case_t era_cases[] = {
+	{"a store without eras: versions as they are",
+	 {{CALL_ROWS, 0, 0, 5}, {CALL_ROWS, 5, 0, 6}, {CALL_COMMIT, 6, 0, 7}},
+	 {LIST_OF_ERA(NULL),
+	  {"after=5&", NULL, 200, ROWS("", "6")},
+	  {"\"ver\":6", NULL, 200, "{\"ver\":7}"}}},
+	{"a later era has higher revisions, and sends the version alone",
+	 {{CALL_ROWS, 0, 0, E(2, 5)},
+	  {CALL_ROWS, E(2, 5), 0, E(2, 6)},
+	  {CALL_COMMIT, E(2, 6), 0, E(2, 7)}},
+	 {LIST_OF_ERA("2"),
+	  {"after=5&", "2", 200, ROWS("", "6")},
+	  {"\"ver\":6", "2", 200, "{\"ver\":7}"}}},
+	{"changes since a version of the former era are not the changes since the copy",
+	 {{CALL_ROWS, 0, 0, E(2, 5)}, {CALL_ROWS, E(2, 5), 0, E(3, 4)}},
+	 {LIST_OF_ERA("2"),
+	  {"after=5&", "3", 200, ROWS(ROW("b", "6"), "6")},
+	  {"GET /rows-get", "3", 200, ROWS(ROW("a", "3"), "4")}}},
+	{"a version that the copy does not have: the table is read",
+	 {{CALL_ROWS, 0, 0, E(2, 5)}, {CALL_ROWS, E(2, 5), 0, E(3, 4)}},
+	 {LIST_OF_ERA("2"),
+	  {"after=5&", "3", 410, "{}"},
+	  {"GET /rows-get", "3", 200, ROWS(ROW("a", "3"), "4")}}},
+	{"the first change of the era, from a store that had none",
+	 {{CALL_ROWS, 0, 0, 5}, {CALL_ROWS, 5, 0, E(1, 4)}},
+	 {LIST_OF_ERA(NULL),
+	  {"after=5&", "1", 200, ROWS("", "6")},
+	  {"GET /rows-get", "1", 200, ROWS(ROW("a", "3"), "4")}}},
+	{"a watch from a revision of the former era reads the table",
+	 {{CALL_ROWS, 0, 0, E(2, 5)},
+	  {CALL_ROWS, 0, 0, E(3, 5)},
+	  {CALL_ROWS, E(2, 5), 0, E(3, 5)}},
+	 {LIST_OF_ERA("2"), LIST_OF_ERA("3"), LIST_OF_ERA("3")}},
+	{"a delayed response of the former era is not applied",
+	 {{CALL_ROWS, 0, 0, E(3, 5)}, {CALL_ROWS, 0, EGRET_ERROR_UNAVAILABLE, 0}},
+	 {LIST_OF_ERA("3"), LIST_OF_ERA("2")}},
+	{"nor is one without an era, once the store has one",
+	 {{CALL_ROWS, 0, 0, E(3, 5)}, {CALL_ROWS, 0, EGRET_ERROR_UNAVAILABLE, 0}},
+	 {LIST_OF_ERA("3"), LIST_OF_ERA(NULL)}},
+	{"pages of two eras are no list",
+	 {{CALL_ROWS, 0, 0, E(3, 4)}},
+	 {{"from=&", "2", 200, MORE(ROW("a", "9"), "9")},
+	  {"from=a", "3", 200, ROWS(ROW("b", "2"), "4")},
+	  {"from=&", "3", 200, MORE(ROW("a", "3"), "4")},
+	  {"from=a", "3", 200, ROWS(ROW("b", "2"), "4")}}},
+	{"an era that is not a number",
+	 {{CALL_ROWS, 0, EGRET_ERROR_JSON, 0}},
+	 {LIST_OF_ERA("x")}},
+	{"an era that does not fit",
+	 {{CALL_ROWS, 0, EGRET_ERROR_JSON, 0}},
+	 {LIST_OF_ERA("32768")}},
+	{"a condition of the former era is a conflict, as its version is assigned again",
+	 {{CALL_ROWS, 0, 0, E(2, 5)},
+	  {CALL_ROWS, 0, 0, E(3, 5)},
+	  {CALL_COMMIT, E(2, 5), EGRET_ERROR_CONFLICT, 0}},
+	 {LIST_OF_ERA("2"), LIST_OF_ERA("3"), {OTHER_ERA, "3", 412, "{}"}}},
+	{"a commit that the copy accepts by chance is not reported as done",
+	 {{CALL_ROWS, 0, 0, E(2, 5)},
+	  {CALL_COMMIT, E(2, 5), EGRET_ERROR_UNKNOWN_RESULT, 0}},
+	 {LIST_OF_ERA("2"),
+	  {"\"ver\":5", "3", 200, "{\"ver\":6}"},
+	  {OTHER_ERA, "3", 412, "{}"},
+	  {"GET /rows-get", "3", 200, ROWS(COMMITTED_ROW("6"), "6")}}},
+	{"a commit whose lost response is of the former era and whose rows are gone",
+	 {{CALL_ROWS, 0, 0, E(2, 5)}, {CALL_COMMIT, E(2, 5), EGRET_ERROR_CONFLICT, 0}},
+	 {LIST_OF_ERA("2"),
+	  {"\"ver\":5", "2", 0, NULL},
+	  {"\"ver\":5", "3", 412, "{}"},
+	  {"GET /rows-get", "3", 200, ROWS(ROW("a", "4"), "4")}}},
+	{"an acknowledgement of the former era is not one; the commit is sent again",
+	 {{CALL_ROWS, 0, 0, E(3, 5)}, {CALL_COMMIT, 0, 0, E(3, 9)}},
+	 {LIST_OF_ERA("3"),
+	  {"\"ver\":0", "2", 200, "{\"ver\":6}"},
+	  {"\"ver\":0", "3", 200, "{\"ver\":9}"}}},
+	{"a commit that creates a row may take effect in any era",
+	 {{CALL_ROWS, 0, 0, E(2, 5)}, {CALL_COMMIT, 0, 0, E(3, 6)}},
+	 {LIST_OF_ERA("2"), {"\"ver\":0", "3", 200, "{\"ver\":6}"}}},
+};
+
 int main(void)
 {
-	return RUN_CASES("store", store_cases, test_store) +
+	return RUN_CASES("eras", era_cases, test_eras) +
+	       RUN_CASES("store", store_cases, test_store) +
 	       RUN_CASES("reads", script_cases, test_reads);
 }
