config: a store's copy does not replace newer rows

After a restore the rows of the copy have revisions of the new era, above those that a node holds, although their content may be older: a withdrawn key was accepted again, and an evacuation ended, until the operator wrote once more.

config/restored decides. A complete configuration of a lower version (r11 after r12, compared as numbers) is refused with its records, from the store and from peers. The status of a zone has no version: what the copy says is deferred for 10 s. Batches, reads and evidence of peers of a former era are dropped. A node checks its address row once after a change of the era, within 3 s, and writes it again if it is lost.

--- a/config/config.c
+++ b/config/config.c
@@ -1,15 +1,21 @@
 #include "config/config.h"
 
+#include "common/counters.h"
+#include "common/revision.h"
+#include "config/restored.h"
+
 #include <stdatomic.h>
 #include <string.h>
 
-#define ZONE_ROW_PREFIX "record/availability_zone/"
-
 struct config_log {
 	GHashTable *rows; /* key -> config_row_t */
 	uint64_t revision;
 	uint64_t snapshot; /* revision of the newest snapshot, which supersedes older
 			      records; 0 if none */
+	uint64_t refused;  /* as restored_inputs_t, likewise era_start */
+	uint64_t era_start;
+	usec_t now, hold_until;
+	GHashTable *deferred; /* key -> config_row_t */
 };
 
 struct config {
@@ -36,6 +42,7 @@
 	config_log_t *log = g_new0(config_log_t, 1);
 
 	log->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_destroy);
+	log->deferred = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_destroy);
 	return log;
 }
 
@@ -44,13 +51,14 @@
 	if (!log)
 		return;
 	g_hash_table_destroy(log->rows);
+	g_hash_table_destroy(log->deferred);
 	g_free(log);
 }
 
 static bool is_superseded(const config_log_t *log, const char *key, uint64_t revision)
 {
 	return revision < log->snapshot && strcmp(key, CONFIG_SNAPSHOT_KEY) != 0 &&
-	       !g_str_has_prefix(key, ZONE_ROW_PREFIX);
+	       !g_str_has_prefix(key, CONFIG_ZONE_PREFIX);
 }
 
 static gboolean row_is_superseded(void *key, void *value, void *ctx)
@@ -58,26 +66,91 @@
 	return is_superseded(ctx, key, ((const config_row_t *)value)->revision);
 }
 
+bool config_log_begin(config_log_t *log, uint64_t revision, usec_t now)
+{
+	log->now = now;
+	if (revision_era(revision) < revision_era(log->era_start))
+		return false;
+	if (revision_era(revision) > revision_era(log->era_start)) {
+		log->era_start = revision;
+		log->hold_until = now + RESTORED_ZONE_HOLD;
+		g_hash_table_remove_all(log->deferred);
+	}
+	return true;
+}
+
+static void store_row(GHashTable *rows, const config_row_t *row)
+{
+	config_row_t *copy = g_new0(config_row_t, 1);
+
+	copy->key = g_strdup(row->key);
+	copy->revision = row->revision;
+	copy->value = g_strdup(row->value);
+	g_hash_table_replace(rows, copy->key, copy);
+}
+
+static restored_verdict_t judge(const config_log_t *log, const config_row_t *row)
+{
+	restored_inputs_t inputs = {
+		.era_start = log->era_start,
+		.has_snapshot = log->snapshot > 0,
+		.refused = log->refused,
+		.now = log->now,
+		.hold_until = log->hold_until,
+	};
+
+	return restored_judge(&inputs, g_hash_table_lookup(log->rows, row->key), row);
+}
+
+/* Returns whether the row is to be merged now. */
+static bool accept_restored(config_log_t *log, const config_row_t *row)
+{
+	restored_verdict_t verdict = judge(log, row);
+
+	if (verdict == RESTORED_APPLY) {
+		g_hash_table_remove(log->deferred, row->key);
+		return true;
+	}
+	counter_add(COUNTER_CONFIG_KEPT, 1);
+	if (verdict == RESTORED_DEFER)
+		store_row(log->deferred, row);
+	else if (strcmp(row->key, CONFIG_SNAPSHOT_KEY) == 0)
+		log->refused = row->revision;
+	return false;
+}
+
 bool config_log_merge(config_log_t *log, const char *key, uint64_t revision,
 		      const char *value)
 {
-	config_row_t *existing = g_hash_table_lookup(log->rows, key);
+	const config_row_t *existing = g_hash_table_lookup(log->rows, key);
+	const config_row_t row = {(char *)key, revision, (char *)value};
 
 	if ((existing && existing->revision >= revision) ||
-	    is_superseded(log, key, revision))
+	    is_superseded(log, key, revision) || !accept_restored(log, &row))
 		return false;
 	if (strcmp(key, CONFIG_SNAPSHOT_KEY) == 0) {
 		log->snapshot = revision;
 		g_hash_table_foreach_remove(log->rows, row_is_superseded, log);
 	}
-	config_row_t *row = g_new0(config_row_t, 1);
-	row->key = g_strdup(key);
-	row->revision = revision;
-	row->value = g_strdup(value);
-	g_hash_table_replace(log->rows, row->key, row);
+	store_row(log->rows, &row);
 	return true;
 }
 
+size_t config_log_release(config_log_t *log, usec_t now)
+{
+	size_t count = g_hash_table_size(log->deferred);
+	GHashTableIter iter;
+	void *value;
+
+	if (now < log->hold_until || count == 0)
+		return 0;
+	g_hash_table_iter_init(&iter, log->deferred);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		store_row(log->rows, value);
+	g_hash_table_remove_all(log->deferred);
+	return count;
+}
+
 void config_log_advance(config_log_t *log, uint64_t revision)
 {
 	log->revision = MAX(log->revision, revision);
@@ -93,7 +166,10 @@
 	const config_row_t *left = *(config_row_t *const *)a;
 	const config_row_t *right = *(config_row_t *const *)b;
 
-	return (left->revision > right->revision) - (left->revision < right->revision);
+	if (left->revision == right->revision)
+		return (strcmp(right->key, CONFIG_SNAPSHOT_KEY) == 0) -
+		       (strcmp(left->key, CONFIG_SNAPSHOT_KEY) == 0);
+	return left->revision > right->revision ? 1 : -1;
 }
 
 /* Number of leading rows that are within `limit` bytes and end with a complete revision;
--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -3,6 +3,7 @@
 #include "common/counters.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "common/revision.h"
 #include "config/read_plan.h"
 #include "egretscaled/rates/shares_io.h"
 #include "membership/sync.h"
@@ -15,6 +16,9 @@
 #define NODE_PREFIX "node/"
 #define SEED_INTERVAL (300 * USEC_PER_SEC)
 #define SEED_RETRY_INTERVAL (2 * USEC_PER_SEC)
+/* After a change of the store's era all nodes check their address rows, spread over this
+ * time: two calls of each node of a few hundred stay within the store's rates. */
+#define ERA_SPREAD (3 * USEC_PER_SEC)
 /* The timer fires at least this often, as what the plan depends on changes. */
 #define PLAN_SPAN_MAX USEC_PER_SEC
 
@@ -27,6 +31,9 @@
 	uint32_t seed_failures; /* to read the addresses, in a row */
 	usec_t next_seeds;
 	bool row_written;
+	uint64_t era; /* of the store, as far as its rows show */
+	bool era_known;
+	bool row_to_check; /* the store's copy may hold this node's row */
 };
 
 /* A read of the records in flight. */
@@ -65,17 +72,44 @@
 	};
 }
 
-static void apply_rows(config_poll_t *poll, uint64_t revision, const store_row_t *rows,
+/* The store was restored from a copy, which may lack the row of this node. */
+static void note_era(config_poll_t *poll, uint64_t revision)
+{
+	uint64_t era = revision_era(revision);
+
+	if (poll->era_known && era > poll->era) {
+		poll->row_written = false;
+		poll->row_to_check = true;
+		poll->next_seeds =
+			clock_boot_usec() + (usec_t)(random_unit() * (double)ERA_SPREAD);
+	}
+	poll->era_known = true;
+	poll->era = MAX(poll->era, era);
+}
+
+static uint64_t config_era(node_t *node)
+{
+	pthread_mutex_lock(&node->config_lock);
+	uint64_t revision = config_log_revision(node->config_log);
+	pthread_mutex_unlock(&node->config_lock);
+	return revision_era(revision);
+}
+
+/* Returns false if the rows are of a former era: peers know that there is a newer one. */
+static bool apply_rows(config_poll_t *poll, uint64_t revision, const store_row_t *rows,
 		       size_t count)
 {
+	if (count == 0 && revision_era(revision) == config_era(poll->node))
+		return true;
 	node_config_row_t *config_rows = g_new0(node_config_row_t, count + 1);
 
 	for (size_t i = 0; i < count; i++)
 		config_rows[i] =
 			(node_config_row_t){rows[i].key, rows[i].revision, rows[i].value};
-	if (count > 0)
+	bool applied =
 		node_apply_config(poll->node, config_rows, count, revision, "platform");
 	g_free(config_rows);
+	return applied;
 }
 
 static void log_read(const read_order_t *order, const char *change, uint32_t failures,
@@ -139,9 +173,15 @@
 
 	if (error) {
 		handle_failure(read, &inputs, error);
-	} else {
-		apply_rows(poll, revision, rows, count);
+	} else if (apply_rows(poll, revision, rows, count)) {
+		note_era(poll, revision);
 		handle_success(read, &inputs, revision);
+	} else {
+		GError *former = g_error_new(EGRET_ERROR, EGRET_ERROR_UNAVAILABLE,
+					     "rows of a former era of the store");
+		counter_add(COUNTER_STORE_OLD_RESPONSES, 1);
+		handle_failure(read, &inputs, former);
+		g_error_free(former);
 	}
 	talloc_free(read);
 	schedule(poll);
@@ -172,7 +212,6 @@
 static void handle_seeds(void *ctx, uint64_t revision, const store_row_t *rows,
 			 size_t count, const GError *error)
 {
-	(void)revision;
 	config_poll_t *poll = ctx;
 	node_t *node = poll->node;
 
@@ -183,6 +222,7 @@
 	poll->seed_failures = 0;
 	poll->next_seeds = clock_boot_usec() +
 			   (poll->row_written ? SEED_INTERVAL : SEED_RETRY_INTERVAL);
+	note_era(poll, revision);
 	shares_io_set_node_count(node, (uint32_t)count);
 	atomic_store(&node->has_node_list, true);
 	pthread_mutex_lock(&node->gossip_lock);
@@ -199,8 +239,7 @@
 {
 	config_poll_t *poll = ctx;
 
-	(void)revision;
-	poll->row_written = !error;
+	poll->row_written = !error && revision_era(revision) >= poll->era;
 	/* The rows are read only after this node's row was written: if two nodes start
 	 * together, the one that writes last then finds the other. */
 	store_changes(poll->store, NODE_PREFIX, 0, handle_seeds, poll);
@@ -222,7 +261,10 @@
 	store_write_t write = {.key = key,
 			       .expected_revision = count == 1 ? rows[0].revision : 0,
 			       .value = value};
-	store_commit(poll->store, &write, 1, handle_row_written, poll);
+	if (poll->row_to_check && count == 1 && g_strcmp0(rows[0].value, value) == 0)
+		handle_row_written(poll, rows[0].revision, NULL);
+	else
+		store_commit(poll->store, &write, 1, handle_row_written, poll);
 	json_decref(json);
 	free(value);
 	g_free(key);
@@ -269,6 +311,7 @@
 
 	poll->timer = NULL;
 	exchange_seeds(poll, inputs.now);
+	node_release_config(poll->node);
 	while (read_plan_next(poll->plan, &inputs, &order))
 		start_read(poll, &order);
 	schedule(poll);
--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -3,6 +3,7 @@
 #include "claims/crash_watch.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/revision.h"
 #include "config/freshness.h"
 #include "egretscaled/node/accounts.h"
 
@@ -159,7 +160,8 @@
 	log_rec_t rec;
 
 	log_begin(&rec, LOG_LEVEL_INFO, "config");
-	log_int(&rec, "revision", (int64_t)revision);
+	log_int(&rec, "era", (int64_t)revision_era(revision));
+	log_int(&rec, "revision", (int64_t)revision_version(revision));
 	log_int(&rec, "changed", (int64_t)changed);
 	log_str(&rec, "source", source);
 	log_end(&rec);
@@ -240,27 +242,15 @@
 	pthread_mutex_unlock(&node->gate_lock);
 }
 
-void node_apply_config(node_t *node, const node_config_row_t *rows, size_t count,
-		       uint64_t revision, const char *source)
+/* Puts the merged rows in force; called with config_lock held, which it releases. */
+static void put_in_force(node_t *node, size_t changed, uint64_t revision,
+			 const char *source)
 {
-	size_t changed = 0;
+	config_t *old = node->config;
 
-	pthread_mutex_lock(&node->config_lock);
-	for (size_t i = 0; i < count; i++)
-		changed += config_log_merge(node->config_log, rows[i].key,
-					    rows[i].revision, rows[i].value);
-	bool advanced = revision > config_log_revision(node->config_log);
-	config_log_advance(node->config_log, revision);
-	config_t *old = NULL;
-	config_t *current = NULL;
-	if (changed > 0 || advanced) {
-		old = node->config;
-		node->config = config_build(node->config_log);
-		current = config_ref(node->config);
-	}
+	node->config = config_build(node->config_log);
+	config_t *current = config_ref(node->config);
 	pthread_mutex_unlock(&node->config_lock);
-	if (!current)
-		return;
 	config_unref(old);
 	counter_add(COUNTER_CONFIG_CHANGES, changed);
 	apply_zones(node, current);
@@ -272,6 +262,39 @@
 	pthread_mutex_unlock(&node->gossip_lock);
 }
 
+bool node_apply_config(node_t *node, const node_config_row_t *rows, size_t count,
+		       uint64_t revision, const char *source)
+{
+	size_t changed = 0;
+
+	pthread_mutex_lock(&node->config_lock);
+	if (!config_log_begin(node->config_log, revision, clock_boot_usec())) {
+		pthread_mutex_unlock(&node->config_lock);
+		return false;
+	}
+	for (size_t i = 0; i < count; i++)
+		changed += config_log_merge(node->config_log, rows[i].key,
+					    rows[i].revision, rows[i].value);
+	bool advanced = revision > config_log_revision(node->config_log);
+	config_log_advance(node->config_log, revision);
+	if (changed > 0 || advanced)
+		put_in_force(node, changed, revision, source);
+	else
+		pthread_mutex_unlock(&node->config_lock);
+	return true;
+}
+
+void node_release_config(node_t *node)
+{
+	pthread_mutex_lock(&node->config_lock);
+	size_t changed = config_log_release(node->config_log, clock_boot_usec());
+	if (changed > 0)
+		put_in_force(node, changed, config_log_revision(node->config_log),
+			     "restored");
+	else
+		pthread_mutex_unlock(&node->config_lock);
+}
+
 bool node_confirm_config(node_t *node, usec_t as_of)
 {
 	usec_t step = freshness_step(node_bounds(node)->config_apply_time);
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -14,7 +14,8 @@
  *	higher platform revision wins, so that rows may be reordered, lost, repeated
  *	or merged again after a restart. A node's revision R means that it holds
  *	every change up to R: config_log_advance() is only called after a complete
- *	range was merged.
+ *	range was merged. A row that the platform restored from a copy does not
+ *	replace a newer one (config/restored.h).
  *
  *	config_t is an immutable, reference-counted index of the active records,
  *	built by config_build(). For each record name the newest supported schema
@@ -31,6 +32,7 @@
  * availability zones is set independently of it and stays.
  */
 #define CONFIG_SNAPSHOT_KEY "snapshot"
+#define CONFIG_ZONE_PREFIX "record/availability_zone/"
 
 typedef struct config_log config_log_t;
 typedef struct config config_t;
@@ -44,8 +46,19 @@
 config_log_t *config_log_create(void);
 void config_log_destroy(config_log_t *log);
 
-/* Stores a copy of the row if it is newer than the known one and not superseded by a
- * snapshot. Returns whether it was stored. `value` is NULL for a tombstone. */
+/*
+ * Called before the rows of a batch are merged that is complete up to `revision`. Returns
+ * false if the batch is of an era before the newest one and must not be merged.
+ */
+bool config_log_begin(config_log_t *log, uint64_t revision, usec_t now);
+
+/* Merges the rows that were deferred after a change of the era once their time has come.
+ * Returns their number. */
+size_t config_log_release(config_log_t *log, usec_t now);
+
+/* Stores a copy of the row if it is newer than the known one, not superseded by a
+ * snapshot and not restored from a copy that is older. Returns whether it was stored.
+ * `value` is NULL for a tombstone. */
 bool config_log_merge(config_log_t *log, const char *key, uint64_t revision,
 		      const char *value);
 
@@ -55,9 +68,10 @@
 
 /*
  * Appends to `out` (of const config_row_t *) the rows newer than `after` in order
- * of revision. Stops at `limit` bytes, but appends at least one revision. Returns
- * the revision up to which a receiver has every change after it merges the rows.
- * The rows belong to the log and are valid until its next merge.
+ * of revision, a snapshot before the records of its revision. Stops at `limit` bytes, but
+ * appends at least one revision. Returns the revision up to which a receiver has every
+ * change after it merges the rows. The rows belong to the log and are valid until its
+ * next merge.
  */
 uint64_t config_log_changes(const config_log_t *log, uint64_t after, size_t limit,
 			    GPtrArray *out);
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -137,10 +137,15 @@
 } node_config_row_t;
 
 /* Merges rows into the configuration and puts it in force. With them, the node has every
- * change up to `revision`. Control thread. */
-void node_apply_config(node_t *node, const node_config_row_t *rows, size_t count,
+ * change up to `revision`. Returns false, and merges nothing, if they are of an era of
+ * the store before the newest that the node knows. Control thread. */
+bool node_apply_config(node_t *node, const node_config_row_t *rows, size_t count,
 		       uint64_t revision, const char *source);
 
+/* Puts in force what was deferred after a change of the store's era and is due. Control
+ * thread. */
+void node_release_config(node_t *node);
+
 /* The configuration is known to hold every change acknowledged until `as_of`. Returns
  * whether peers should be sent this evidence now. Control thread. */
 bool node_confirm_config(node_t *node, usec_t as_of);
--- a/membership/gossip.c
+++ b/membership/gossip.c
@@ -1,5 +1,7 @@
 #include "membership/gossip_state.h"
 
+#include "common/revision.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -264,6 +266,10 @@
 	}
 	if (message->config_revision == 0 || message->config_age_ms == 0)
 		return;
+	/* What a peer read in a former era is no evidence on the store of this one. */
+	if (revision_era(message->config_revision) <
+	    revision_era(gossip->ops->config_revision(gossip->ctx)))
+		return;
 	usec_t as_of = now - (usec_t)message->config_age_ms * USEC_PER_MSEC;
 	if (gossip->ops->on_config_confirmed(gossip->ctx, as_of))
 		gossip_push(gossip, now);
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -1,7 +1,9 @@
 /* Validation of records, merging of rows by revision, and lookups. */
 #include "case.h"
 
+#include "common/revision.h"
 #include "config/config.h"
+#include "config/restored.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -380,6 +382,207 @@
 	config_log_destroy(log);
 }
 
+/* --- a store that was restored from a copy ----------------------------------------- */
+
+#define ZONE_KEY CONFIG_ZONE_PREFIX "za@1"
+#define ZONE(status)                                                                     \
+	"{\"kind\":\"availability_zone\",\"name\":\"za\",\"schema_version\":1,"          \
+	"\"status\":\"" status "\"}"
+#define SNAPSHOT(version) CONFIG_SNAPSHOT_KEY, "{\"version\":\"" version "\"}"
+#define ACCOUNT "record/client_account/n@1"
+#define RATE(rate)                                                                       \
+	"{\"kind\":\"client_account\",\"name\":\"n\",\"schema_version\":1,"              \
+	"\"rate\":" rate ",\"burst\":1}"
+#define OUT ZONE_KEY, ZONE("out")
+#define IN ZONE_KEY, ZONE("in")
+#define E(era, version) (((uint64_t)(era) << 48) + (version))
+#define HELD_SEC 9	/* within RESTORED_ZONE_HOLD */
+#define RELEASED_SEC 11 /* after it */
+
+typedef struct restored_row {
+	uint64_t batch; /* complete up to this revision */
+	int64_t sec;	/* when it is merged */
+	uint64_t revision;
+	const char *key; /* NULL at the end */
+	const char *value;
+} restored_row_t;
+
+typedef struct restored_case {
+	const char *name;
+	restored_row_t rows[8];
+	double rate;   /* of the account at the end; 0 for none */
+	bool zone_out; /* at the end */
+	int64_t release_sec;
+} restored_case_t;
+
+static void test_restored(void **state)
+{
+	const restored_case_t *c = *state;
+	config_log_t *log = config_log_create();
+
+	for (const restored_row_t *row = c->rows; row->key; row++) {
+		if (!config_log_begin(log, row->batch, row->sec * USEC_PER_SEC))
+			continue;
+		config_log_merge(log, row->key, row->revision, row->value);
+		config_log_advance(log, row->batch);
+	}
+	config_log_release(log, c->release_sec * USEC_PER_SEC);
+	config_t *config = config_build(log);
+	const client_account_t *account = config_client_account(config, "n");
+	assert_true(c->rate > 0 ? account && account->rate == c->rate : !account);
+	assert_int_equal(config_zone_in_service(config, "za"), !c->zone_out);
+	config_unref(config);
+	config_log_destroy(log);
+}
+
+/* A configuration with one account, as it is read at once. */
+#define CONFIG(batch, sec, revision, version, rate)                                      \
+	{batch, sec, revision, SNAPSHOT(version)},                                       \
+	{                                                                                \
+		batch, sec, revision, ACCOUNT, RATE(rate)                                \
+	}
+
+static const restored_case_t restored_cases[] = {
+	{"a restored configuration of a lower version does not replace the newer one",
+	 {CONFIG(50, 0, 50, "r12", "12"), CONFIG(E(1, 45), 1, E(1, 40), "r11", "11")},
+	 12,
+	 false,
+	 0},
+	{"versions are compared as numbers",
+	 {CONFIG(50, 0, 50, "r10", "10"), CONFIG(E(1, 45), 1, E(1, 40), "r9", "9")},
+	 10,
+	 false,
+	 0},
+	{"a withdrawn account does not come back with it",
+	 {CONFIG(40, 0, 40, "r11", "11"),
+	  {50, 0, 50, SNAPSHOT("r12")},
+	  CONFIG(E(1, 45), 1, E(1, 40), "r11", "11")},
+	 0,
+	 false,
+	 0},
+	{"nor from a peer that has started with the copy, later",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  CONFIG(E(1, 45), 1, E(1, 40), "r11", "11"),
+	  CONFIG(E(1, 46), 60, E(1, 40), "r11", "11")},
+	 0,
+	 false,
+	 0},
+	{"the configuration that the operator writes again replaces it, at a lower "
+	 "version "
+	 "of the store",
+	 {CONFIG(50, 0, 50, "r12", "12"), CONFIG(E(1, 41), 1, E(1, 40), "r11", "11"),
+	  CONFIG(E(1, 42), 2, E(1, 42), "r12", "12"),
+	  CONFIG(E(1, 43), 3, E(1, 43), "r13", "13")},
+	 13,
+	 false,
+	 0},
+	{"a copy that holds a newer configuration than the node",
+	 {CONFIG(30, 0, 30, "r11", "11"), CONFIG(E(1, 45), 1, E(1, 40), "r12", "12")},
+	 12,
+	 false,
+	 0},
+	{"a copy that holds the same configuration, and a later change of it",
+	 {CONFIG(40, 0, 40, "r12", "12"), CONFIG(E(1, 45), 1, E(1, 40), "r12", "12"),
+	  CONFIG(E(1, 46), 2, E(1, 46), "r13", "13")},
+	 13,
+	 false,
+	 0},
+	{"in one era the store's version decides",
+	 {CONFIG(40, 0, 40, "r12", "12"), CONFIG(50, 1, 50, "r11", "11")},
+	 11,
+	 false,
+	 0},
+	{"versions that are not numbers: the store decides",
+	 {CONFIG(50, 0, 50, "beta", "12"), CONFIG(E(1, 45), 1, E(1, 40), "alpha", "11")},
+	 11,
+	 false,
+	 0},
+	{"rows of the former era that arrive late are not merged",
+	 {CONFIG(40, 0, 40, "r12", "12"),
+	  CONFIG(E(1, 45), 1, E(1, 40), "r12", "12"),
+	  CONFIG(60, 2, 60, "r13", "13"),
+	  {60, 2, 60, OUT}},
+	 12,
+	 false,
+	 0},
+	{"an evacuation that the copy lost is kept for the hold time",
+	 {{50, 0, 50, SNAPSHOT("r12")}, {55, 0, 55, OUT}, {E(1, 45), 1, E(1, 45), IN}},
+	 0,
+	 true,
+	 HELD_SEC},
+	{"and while the table is read again",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, OUT},
+	  {E(1, 45), 1, E(1, 45), IN},
+	  {E(1, 47), 3, E(1, 47), IN}},
+	 0,
+	 true,
+	 HELD_SEC},
+	{"afterwards the store decides",
+	 {{50, 0, 50, SNAPSHOT("r12")}, {55, 0, 55, OUT}, {E(1, 45), 1, E(1, 45), IN}},
+	 0,
+	 false,
+	 RELEASED_SEC},
+	{"an evacuation that is written again stays",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, OUT},
+	  {E(1, 45), 1, E(1, 45), IN},
+	  {E(1, 46), 4, E(1, 46), OUT}},
+	 0,
+	 true,
+	 RELEASED_SEC},
+	{"an evacuation that has ended does not begin again with the copy",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {52, 0, 52, OUT},
+	  {55, 0, 55, IN},
+	  {E(1, 54), 1, E(1, 52), OUT}},
+	 0,
+	 false,
+	 HELD_SEC},
+	{"a new evacuation of the new era is in force at once",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, IN},
+	  {E(1, 45), 1, E(1, 45), IN},
+	  {E(1, 46), 2, E(1, 46), OUT}},
+	 0,
+	 true,
+	 HELD_SEC},
+	{"also if it was written before the copy was read",
+	 {{50, 0, 50, SNAPSHOT("r12")}, {51, 0, 51, IN}, {E(1, 56), 1, E(1, 56), OUT}},
+	 0,
+	 true,
+	 HELD_SEC},
+	{"a record without snapshots: the older one of the copy does not replace it",
+	 {{50, 0, 50, ACCOUNT, RATE("5")}, {E(1, 45), 1, E(1, 40), ACCOUNT, RATE("4")}},
+	 5,
+	 false,
+	 0},
+	{"a retired record does not come back",
+	 {{50, 0, 50, ACCOUNT, NULL}, {E(1, 45), 1, E(1, 40), ACCOUNT, RATE("4")}},
+	 0,
+	 false,
+	 0},
+	{"nor when the table is read again",
+	 {{50, 0, 50, ACCOUNT, NULL},
+	  {E(1, 45), 1, E(1, 40), ACCOUNT, RATE("4")},
+	  {E(1, 60), 90, E(1, 40), ACCOUNT, RATE("4")}},
+	 0,
+	 false,
+	 0},
+	{"a record written anew replaces it, at a lower version of the store",
+	 {{50, 0, 50, ACCOUNT, RATE("5")},
+	  {E(1, 45), 1, E(1, 40), ACCOUNT, RATE("4")},
+	  {E(1, 46), 2, E(1, 46), ACCOUNT, RATE("6")}},
+	 6,
+	 false,
+	 0},
+	{"a record that the copy has in a newer version than the node",
+	 {{30, 0, 30, ACCOUNT, RATE("5")}, {E(1, 45), 1, E(1, 40), ACCOUNT, RATE("6")}},
+	 6,
+	 false,
+	 0},
+};
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {cmocka_unit_test(test_merge_keeps_newest)};
@@ -390,6 +593,7 @@
 	failed += RUN_CASES("schema_versions", version_cases, test_versions);
 	failed += RUN_CASES("rows", row_cases, test_row);
 	failed += RUN_CASES("importance_range", range_cases, test_importance_range);
+	failed += RUN_CASES("restored", restored_cases, test_restored);
 	failed += cmocka_run_group_tests(single, NULL, NULL);
 	return failed;
 }
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -464,6 +464,73 @@
 	{"each node passes a crash suspicion on once, 40 nodes, 5 % loss", 40, 0.05},
 };
 
+/* Guards against a configuration that looks current because a peer has read the store
+ * before it was restored from a copy. */
+typedef struct evidence_case {
+	const char *name;
+	uint64_t own; /* revisions */
+	uint64_t sent;
+	bool confirmed;
+	bool pulled;
+} evidence_case_t;
+
+typedef struct evidence {
+	uint64_t own;
+	bool confirmed;
+	bool pulled;
+} evidence_t;
+
+static uint64_t evidence_revision(void *ctx)
+{
+	return ((evidence_t *)ctx)->own;
+}
+
+static bool handle_evidence(void *ctx, usec_t as_of)
+{
+	(void)as_of;
+	((evidence_t *)ctx)->confirmed = true;
+	return false;
+}
+
+static void handle_pull(void *ctx, const char *address, uint64_t revision)
+{
+	(void)address;
+	(void)revision;
+	((evidence_t *)ctx)->pulled = true;
+}
+
+static void test_evidence(void **state)
+{
+	static const gossip_ops_t evidence_ops = {
+		.config_revision = evidence_revision,
+		.on_config_confirmed = handle_evidence,
+		.on_newer_config = handle_pull,
+	};
+	const evidence_case_t *c = *state;
+	evidence_t evidence = {.own = c->own};
+	member_t self = {.address = "127.0.0.1:1000", .node_id = 1};
+	gossip_t *gossip = gossip_create(&self, NULL, &evidence_ops, &evidence, 1);
+	Egret__Gossip message = EGRET__GOSSIP__INIT;
+
+	message.sender = "127.0.0.1:1001";
+	message.config_revision = c->sent;
+	message.config_age_ms = 1;
+	gossip_receive_config(gossip, USEC_PER_SEC, &message);
+	assert_int_equal(evidence.confirmed, c->confirmed);
+	assert_int_equal(evidence.pulled, c->pulled);
+	gossip_destroy(gossip);
+}
+
+#define E(era, version) (((uint64_t)(era) << 48) + (version))
+
+static const evidence_case_t evidence_cases[] = {
+	{"an older revision of the same era", 9, 7, true, false},
+	{"a newer revision", 7, 9, false, true},
+	{"a lower version of a newer era", 9, E(1, 7), false, true},
+	{"a higher version of the former era", E(1, 7), 9, false, false},
+	{"an older revision of a later era", E(1, 9), E(1, 7), true, false},
+};
+
 int main(void)
 {
 	int failed = RUN_CASES("join_crash_restart", join_cases, test_join_crash_restart);
@@ -475,5 +542,6 @@
 			    test_found_without_address_list);
 	failed += RUN_CASES("suspicion_spread", suspicion_cases, test_suspicion_spread);
 	failed += RUN_CASES("merge_order", merge_cases, test_merge_order);
+	failed += RUN_CASES("evidence", evidence_cases, test_evidence);
 	return failed;
 }
