peers: the era of the store from the revision of a datagram

The first revision that a node sees of a new era tells rows of the copy from rows written since. A reply to a pull may have several pages, of which the first states a lower revision than the peer has reached, so that rows of the copy on later pages passed for new ones. A node now takes the revision of the datagram that made it pull. It also rejects what it reads of the former era from then on, also if the read has no rows.

--- a/config/config.c
+++ b/config/config.c
@@ -79,6 +79,11 @@
 	return true;
 }
 
+uint64_t config_log_era(const config_log_t *log)
+{
+	return revision_era(log->era_start);
+}
+
 static void store_row(GHashTable *rows, const config_row_t *row)
 {
 	config_row_t *copy = g_new0(config_row_t, 1);
--- a/egretscaled/control/config_poll.c
+++ b/egretscaled/control/config_poll.c
@@ -90,9 +90,9 @@
 static uint64_t config_era(node_t *node)
 {
 	pthread_mutex_lock(&node->config_lock);
-	uint64_t revision = config_log_revision(node->config_log);
+	uint64_t era = config_log_era(node->config_log);
 	pthread_mutex_unlock(&node->config_lock);
-	return revision_era(revision);
+	return era;
 }
 
 /* Returns false if the rows are of a former era: peers know that there is a newer one. */
--- a/egretscaled/peers/gossip_io.c
+++ b/egretscaled/peers/gossip_io.c
@@ -70,7 +70,11 @@
 {
 	node_t *node = ctx;
 
-	(void)revision;
+	/* A reply to the pull may have several pages, and then states a lower revision
+	 * than the one that the peer has reached. */
+	pthread_mutex_lock(&node->config_lock);
+	config_log_begin(node->config_log, revision, clock_boot_usec());
+	pthread_mutex_unlock(&node->config_lock);
 	pull_request(node, address);
 }
 
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -47,11 +47,15 @@
 void config_log_destroy(config_log_t *log);
 
 /*
- * Called before the rows of a batch are merged that is complete up to `revision`. Returns
- * false if the batch is of an era before the newest one and must not be merged.
+ * Called with each revision that the store or a peer has reached, before the rows up to
+ * it are merged. Returns false if it is of an era before the newest one: its rows must
+ * not be merged.
  */
 bool config_log_begin(config_log_t *log, uint64_t revision, usec_t now);
 
+/* The newest era of the store that is known. */
+uint64_t config_log_era(const config_log_t *log);
+
 /* Merges the rows that were deferred after a change of the era once their time has come.
  * Returns their number. */
 size_t config_log_release(config_log_t *log, usec_t now);
