tests: the store comes back from a copy

The stand-in of the platform learns Store-Era, a copy and its restore (PUT /drill), 410 for versions above its own in an era, and answers of a feed that are sent late. Cases: a change of the configuration with a withdrawn key, an evacuation, a return to service, addresses, a start of all nodes, an answer that is delayed across the restore, and a withdrawn key in the product's own mode.

--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -161,7 +161,7 @@
         status = request("POST", self.platform_address, "/rows-tx", json.dumps(body).encode())[0]
         assert status == 200, status
 
-    def configure(self, keys=("key-a",), rate=500, accounts=(), **routes):
+    def configure(self, keys=("key-a",), rate=500, accounts=(), version="r1", **routes):
         """Writes the configuration. routes: rows that replace those of the same name; a row of
         False removes the route."""
         rows = [["front", "h.example", "/f/", "idempotent", "3s", "1s", 1, None, 2, False, "front"],
@@ -170,7 +170,7 @@
                 ["open", "h.example", "/o/", "idempotent", "3s", "1s", 2, None, 2, True, "back"]]
         rows = [routes.get(row[0], row) for row in rows]
         self.write_row("config", {
-            "version": "r1", "routes": {"columns": ROUTE_COLUMNS, "rows": [r for r in rows if r]},
+            "version": version, "routes": {"columns": ROUTE_COLUMNS, "rows": [r for r in rows if r]},
             "services": {"columns": ["name", "cold_start", "cold_per_s"],
                          "rows": [["front", "3s", 45.0], ["back", "3s", 45.0]]},
             "tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
--- a/tests/e2e/on_platform_config.py
+++ b/tests/e2e/on_platform_config.py
@@ -101,12 +101,14 @@
 
 
 def write_raw_row(d, table, key, text):
-    """Writes a row whose value is `text` as it is; another writer may leave any."""
+    """Writes a row whose value is `text` as it is, as another writer may leave any; None removes
+    the row."""
     row = {"table": table, "part": "", "key": key}
     ver = read_rows(d, table).get(key, {}).get("ver", 0)
-    value = base64.b64encode(text.encode("utf-8", "surrogateescape")).decode()
-    body = {"expected_rev": [{**row, "ver": ver}], "writes": [{**row, "value": value}],
-            "remove": []}
+    value = base64.b64encode((text or "").encode("utf-8", "surrogateescape")).decode()
+    body = {"expected_rev": [{**row, "ver": ver}],
+            "writes": [] if text is None else [{**row, "value": value}],
+            "remove": [row] if text is None else []}
     assert request("POST", d.platform_address, "/rows-tx", json.dumps(body).encode())[0] == 200
 
 
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -29,7 +29,8 @@
     case_on_platform_cut_head, case_on_platform_repeated_refusal, case_on_platform_unidentified)
 from on_platform_config import (  # noqa: E402,F401
     case_on_platform_address_after_outage, case_on_platform_config_after_outage,
-    case_on_platform_evacuation_after_compaction, case_on_platform_evacuation_after_outage)
+    case_on_platform_evacuation_after_compaction, case_on_platform_evacuation_after_outage,
+    write_raw_row)
 from odd_entries import (  # noqa: E402,F401
     case_odd_addresses, case_odd_records, case_on_platform_odd_entries,
     case_on_platform_odd_sequence)
@@ -47,6 +48,10 @@
     case_on_platform_frozen, case_on_platform_join, case_on_platform_leave,
     case_on_platform_limit, case_on_platform_return, case_on_platform_store,
     case_on_platform_weights)
+from on_platform_restored import (  # noqa: E402,F401
+    case_on_platform_restored_addresses, case_on_platform_restored_at_start,
+    case_on_platform_restored_config, case_on_platform_restored_evacuation,
+    case_on_platform_restored_late, case_on_platform_restored_return)
 from on_platform_stops import (  # noqa: E402,F401
     case_on_platform_stop_capacity, case_on_platform_stop_late, case_on_platform_stop_outbound)
 from pipelines import (  # noqa: E402,F401
@@ -361,6 +366,35 @@
             caller.close()
 
 
+def case_key_withdrawn_restored():
+    """A withdrawn key is not accepted again because the store comes back from a copy that still
+    has it, and later changes of the records are in force in time."""
+    with running_deployment() as d:
+        def status(key):
+            return send(d, "/back/x", headers={"Authorization": f"Bearer {key}"})[0]
+        d.platform_drill("begin")
+        wait_until(lambda: status("key-a") == 200, CHANGE_APPLY_SEC, "the key to be accepted")
+        d.platform_drill("copy")
+        for _ in range(20):  # what is written after the restore gets lower versions
+            write_raw_row(d, "other", "row", "{}")
+        d.ctl("retire", "key", "a-1")
+        wait_until(lambda: status("key-a") == 401, CHANGE_APPLY_SEC,
+                   "the withdrawn key to be refused")
+        d.platform_drill("restore")
+        deadline = time.monotonic() + 2 * CHANGE_APPLY_SEC
+        while time.monotonic() < deadline:
+            assert status("key-a") == 401
+            time.sleep(0.1)
+        d.apply([key_record("b-9", "a", "key-b9")])
+        wait_until(lambda: status("key-b9") == 200, CHANGE_APPLY_SEC,
+                   "a key that is added afterwards to be accepted")
+        assert status("key-a") == 401
+        d.ctl("retire", "key", "a-1")
+        d.apply([key_record("a-1", "a", "key-a")])
+        wait_until(lambda: status("key-a") == 200, CHANGE_APPLY_SEC,
+                   "the key to be accepted when it is added again")
+
+
 def case_zone_out_and_in():
     """A zone with status out gets no new requests after 3 s, and gets requests again after
     it returns to service."""
--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -186,6 +186,12 @@
         """Replaces the platform's injected faults; without arguments clears them."""
         http("PUT", self.platform_address, "/fault", json.dumps(fault).encode())
 
+    def platform_drill(self, step):
+        """The store begins to state its era ("begin"), takes a copy ("copy") or comes back from it,
+        in the next era ("restore")."""
+        assert http("PUT", self.platform_address, "/drill",
+                    json.dumps({step: True}).encode())[0] == 200
+
     def platform_stats(self):
         return json.loads(http("GET", self.platform_address, "/stats")[2])
 
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,5 +1,5 @@
 /* Stand-in for the platform's store: tables of versioned rows, and objects, in memory.
- * PUT /fault selects faults to inject. */
+ * PUT /fault selects faults to inject; PUT /drill takes a copy and restores it. */
 #include "common/address.h"
 #include "common/clock.h"
 #include "http/mhd_loop.h"
@@ -34,12 +34,16 @@
 	int slow_ms;		  /* delay of each response */
 	double lost_share;	  /* share of commits applied without a response */
 	json_int_t compacted_ver; /* feeds that start before this version get 410 */
+	int late_feed_ms; /* the response to a feed is sent this long after it was made */
 } faults_t;
 
 static struct {
 	GHashTable *rows;    /* id -> row_t, tombstones included */
 	GHashTable *objects; /* name -> GBytes */
 	json_int_t ver;	     /* of the last commit */
+	json_int_t era;	     /* sent as Store-Era, unless 0; rises with each restore */
+	GHashTable *copy;    /* rows as of the last copy, or NULL */
+	json_int_t copy_ver;
 	faults_t faults;
 	json_int_t reads;
 	json_int_t writes;
@@ -49,6 +53,7 @@
 	mhd_loop_t *loop;
 	struct tevent_context *ev;
 	GRand *rand;
+	struct request *current; /* being dispatched; NULL for control requests */
 } platform;
 
 typedef struct request {
@@ -56,6 +61,9 @@
 	struct MHD_Connection *connection;
 	bool delayed;	   /* slow_ms has been applied */
 	usec_t wait_until; /* end of a feed's wait; 0 before it starts */
+	char *late_text;   /* response to be sent, of late_era, or NULL */
+	unsigned int late_status;
+	json_int_t late_era;
 } request_t;
 
 static void row_destroy(void *data)
@@ -82,16 +90,48 @@
 	return json;
 }
 
+static void add_era(struct MHD_Response *response, json_int_t era)
+{
+	char *value = g_strdup_printf("%" JSON_INTEGER_FORMAT, era);
+
+	if (era > 0)
+		MHD_add_response_header(response, "Store-Era", value);
+	g_free(value);
+}
+
+static enum MHD_Result send_text(struct MHD_Connection *connection, unsigned int status,
+				 json_int_t era, const char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	add_era(response, era);
+	enum MHD_Result result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result suspend_request(request_t *request, usec_t span);
+
 /* Responds with `json` and drops the reference to it. */
 static enum MHD_Result respond(struct MHD_Connection *connection, unsigned int status,
 			       json_t *json)
 {
 	char *text = json_dumps(json, JSON_COMPACT);
-	enum MHD_Result result =
-		mhd_respond_text(connection, status, "application/json", text);
+	request_t *request = platform.current;
+	enum MHD_Result result;
 
-	free(text);
 	json_decref(json);
+	if (request && request->wait_until && platform.faults.late_feed_ms > 0) {
+		request->late_text = text;
+		request->late_status = status;
+		request->late_era = platform.era;
+		return suspend_request(request,
+				       platform.faults.late_feed_ms * USEC_PER_MSEC);
+	}
+	result = send_text(connection, status, platform.era, text);
+	free(text);
 	return result;
 }
 
@@ -245,7 +285,8 @@
 		platform.reads++;
 		request->wait_until = now + wait_ms * USEC_PER_MSEC;
 	}
-	if (after < platform.faults.compacted_ver) {
+	bool not_in_copy = platform.era > 0 && after > platform.ver;
+	if (after < platform.faults.compacted_ver || not_in_copy) {
 		json_decref(rows);
 		return respond(connection, 410, json_object());
 	}
@@ -373,14 +414,15 @@
 	const void *data = g_bytes_get_data(bytes, &len);
 	struct MHD_Response *response =
 		MHD_create_response_from_buffer(len, (void *)data, MHD_RESPMEM_MUST_COPY);
+	add_era(response, platform.era);
 	enum MHD_Result result = MHD_queue_response(connection, 200, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
 /* PUT /fault {"down": bool, "busy": bool, "silent": bool, "read_only": bool,
- * "calls_per_s": n, "slow_ms": n, "lose": share, "forget": bool} replaces all faults;
- * "forget" compacts the history, permanently. */
+ * "calls_per_s": n, "slow_ms": n, "late_feed_ms": n, "lose": share, "forget": bool}
+ * replaces all faults; "forget" compacts the history, permanently. */
 static enum MHD_Result put_fault(struct MHD_Connection *connection,
 				 const request_t *request)
 {
@@ -395,6 +437,8 @@
 		json_integer_value(json_object_get(json, "calls_per_s"));
 	platform.faults.slow_ms =
 		(int)json_integer_value(json_object_get(json, "slow_ms"));
+	platform.faults.late_feed_ms =
+		(int)json_integer_value(json_object_get(json, "late_feed_ms"));
 	platform.faults.lost_share = json_number_value(json_object_get(json, "lose"));
 	if (json_is_true(json_object_get(json, "forget")))
 		platform.faults.compacted_ver = platform.ver;
@@ -402,6 +446,58 @@
 	return respond(connection, 200, json_object());
 }
 
+static GHashTable *copy_rows(GHashTable *rows)
+{
+	GHashTable *copy =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_destroy);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const row_t *from = value;
+		row_t *row = g_new0(row_t, 1);
+		*row = (row_t){g_strdup(from->id),    g_strdup(from->table),
+			       g_strdup(from->part),  g_strdup(from->key),
+			       g_strdup(from->value), from->ver};
+		g_hash_table_replace(copy, row->id, row);
+	}
+	return copy;
+}
+
+/* Begins the next era with the rows and the version of the copy. */
+static void restore_copy(void)
+{
+	g_hash_table_destroy(platform.rows);
+	platform.rows = copy_rows(platform.copy);
+	platform.ver = platform.copy_ver;
+	platform.era++;
+}
+
+/* PUT /drill {"begin": true} begins era 1, {"copy": true} takes a copy of the rows and
+ * {"restore": true} restores it; objects stay as they are. */
+static enum MHD_Result put_drill(struct MHD_Connection *connection,
+				 const request_t *request)
+{
+	json_t *json =
+		json_loadb((char *)request->body->data, request->body->len, 0, NULL);
+
+	if (json_is_true(json_object_get(json, "begin")))
+		platform.era = MAX(platform.era, 1);
+	if (json_is_true(json_object_get(json, "copy"))) {
+		g_clear_pointer(&platform.copy, g_hash_table_destroy);
+		platform.copy = copy_rows(platform.rows);
+		platform.copy_ver = platform.ver;
+	}
+	bool restore = json_is_true(json_object_get(json, "restore"));
+	json_decref(json);
+	if (restore && !platform.copy)
+		return respond(connection, 409, json_object());
+	if (restore)
+		restore_copy();
+	return respond(connection, 200, json_object());
+}
+
 /* Counts a request and checks calls_per_s. A feed that waits for changes counts once. */
 static bool exceeds_rate(const request_t *request)
 {
@@ -428,6 +524,8 @@
 					 platform.ver));
 	if (strcmp(url, "/fault") == 0)
 		return put_fault(connection, request);
+	if (strcmp(url, "/drill") == 0)
+		return put_drill(connection, request);
 	if (platform.faults.down)
 		return MHD_NO;
 	if (platform.faults.silent) {
@@ -478,12 +576,17 @@
 		*data_len = 0;
 		return MHD_YES;
 	}
-	bool control = strcmp(url, "/fault") == 0 || strcmp(url, "/stats") == 0;
+	if (request->late_text)
+		return send_text(connection, request->late_status, request->late_era,
+				 request->late_text);
+	bool control = strcmp(url, "/fault") == 0 || strcmp(url, "/stats") == 0 ||
+		       strcmp(url, "/drill") == 0;
 	int delay = control ? 0 : platform.faults.slow_ms;
 	if (delay > 0 && !request->delayed) {
 		request->delayed = true;
 		return suspend_request(request, delay * USEC_PER_MSEC);
 	}
+	platform.current = control ? NULL : request;
 	return dispatch(request, url, method);
 }
 
@@ -495,6 +598,7 @@
 	if (!request)
 		return;
 	g_byte_array_free(request->body, TRUE);
+	free(request->late_text);
 	g_free(request);
 	*state = NULL;
 }
