Merge the store's era

A store that comes back from an older copy gives out its versions again. The status row of a roll-out is read and written again after a change of the era; an order is identified by its row's version without the era, so that a restored order does not start over.

--- a/egretscaled/control/rollout_status.c
+++ b/egretscaled/control/rollout_status.c
@@ -20,6 +20,7 @@
 #define SETTLE_MIN (USEC_PER_SEC / 2)
 #define SETTLE_MAX (5 * USEC_PER_SEC)
 #define KEY_PREFIX "status/rollout/"
+#define ERA_SPREAD (3 * USEC_PER_SEC)
 
 /* What is known of the row of one order. */
 typedef struct status_row {
@@ -39,6 +40,7 @@
 	struct tevent_context *ev;
 	struct tevent_timer *timer;
 	GHashTable *rows; /* service -> status_row_t */
+	uint64_t era;	  /* of the store */
 };
 
 /* Rows live as long as the module, since callbacks of the store refer to them. */
@@ -221,7 +223,9 @@
 		read_row(row);
 		return;
 	}
-	if (status->state == row->state || status->recorded ||
+	/* A recorded state without a row was lost with the store's copy. */
+	bool lost = row->state == ROLLOUT_NONE;
+	if (status->state == row->state || (status->recorded && !lost) ||
 	    row->state > ROLLOUT_IN_PROGRESS || !is_settled(status))
 		return;
 	if (row->wanted != status->state) {
@@ -238,6 +242,27 @@
 	g_array_append_val((GArray *)ctx, *status);
 }
 
+/* After a change of the store's era all rows are read again, spread over ERA_SPREAD. */
+static void check_era(rollout_status_io_t *io, usec_t now)
+{
+	node_t *node = io->node;
+	GHashTableIter iter;
+	void *value;
+
+	pthread_mutex_lock(&node->config_lock);
+	uint64_t era = config_log_era(node->config_log);
+	pthread_mutex_unlock(&node->config_lock);
+	if (era == io->era)
+		return;
+	io->era = era;
+	g_hash_table_iter_init(&iter, io->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		status_row_t *row = value;
+		row->read = false;
+		row->next_at = now + (usec_t)(node_random_id() % (uint64_t)ERA_SPREAD);
+	}
+}
+
 static void schedule_tick(rollout_status_io_t *io);
 
 static void handle_tick(struct tevent_context *ev, struct tevent_timer *te,
@@ -251,6 +276,7 @@
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(rollout_status_t));
 	usec_t now = clock_boot_usec();
 
+	check_era(io, now);
 	pthread_mutex_lock(&node->router_lock);
 	rollout_foreach(node->rollout, now, collect_status, list);
 	pthread_mutex_unlock(&node->router_lock);
--- a/egretscaled/node/rollout.c
+++ b/egretscaled/node/rollout.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/revision.h"
 
 #include <string.h>
 
@@ -65,7 +66,9 @@
 	order_list_t *list = ctx;
 	rollout_order_t order = {
 		.duration = record->rollout.duration_ms * USEC_PER_MSEC,
-		.id = record->revision,
+		/* Without the era: the row of an order that is restored from a copy of
+		 * the store is the same order. */
+		.id = revision_version(record->revision),
 	};
 
 	g_strlcpy(order.service, record->name, sizeof(order.service));
