tests/e2e: crowds of clients outside the limits

Clients that send unfinished heads of short fields, nothing, or requests a byte at a time can take the memory, the places or the descriptors of a node. The cases send such crowds to each listener in both dialects. Bounds: three quarters of a machine of 160 MB, a quarter of it after the crowd has left, 240 of 256 descriptors; ordinary requests are answered while the crowd is connected.

At the other listeners: 256 descriptors, requests not answered at outbound, admin, control and readiness; 200 at peer in the product's own mode, 503 on the platform. After descriptors ran out, the admin and readiness listeners did not answer again.

--- /dev/null
+++ b/tests/e2e/outside_limits.py
@@ -0,0 +1,288 @@
+"""End-to-end cases of clients outside the limits: crowds of connections that send unfinished or slow
+requests, or nothing. They check that the nodes live, that their memory and open descriptors stay
+under a bound, and that an ordinary request is answered while the crowd is connected. They check no
+times and no share of served requests."""
+
+import contextlib
+import http.client
+import json
+import os
+import resource
+import socket
+import threading
+
+from deployment import ServingDeployment, key_record
+from on_platform import ADDRESSES, PlatformDeployment, wait_for
+
+MACHINE_BYTES = 160 << 20  # memory of the smallest machine (docs/design/hard-load.md)
+# A quarter of the machine is left for its system and the target.
+RSS_MAX_BYTES = MACHINE_BYTES * 3 // 4
+# What a node may hold once the crowd has left: the target and the next crowd need the rest.
+RSS_AFTER_MAX_BYTES = MACHINE_BYTES // 4
+DESCRIPTORS = 256  # resource limit of the nodes
+# Left for connections to the store, to targets and to peers.
+DESCRIPTORS_RESERVED = 16
+HEADS = 180  # unfinished heads of short fields; 160 MB in the product before the limits
+HEAD_FIELDS = b"a:\r\n" * 8000
+CROWD = 300  # more than the node has descriptors
+TRICKLE_PERIOD_SEC = 0.5
+ANSWER_TIMEOUT_SEC = 10  # of the ordinary request
+LEFT_TIMEOUT_SEC = 30  # until memory has been returned after a crowd
+
+
+def resident_bytes(pid):
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+def open_descriptors(pid):
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+class LimitedDeployment(ServingDeployment):
+    """A deployment in the product's own mode whose nodes have DESCRIPTORS descriptors."""
+
+    def spawn(self, name, command, **options):
+        if os.path.basename(command[0]) == "egretscaled":
+            options["preexec_fn"] = lambda: resource.setrlimit(
+                resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+        return super().spawn(name, command, **options)
+
+
+class Site:
+    """A node under test. `addresses`: its listeners by name; `checks`: ordinary requests by the
+    listener at which they are sent, as (method, path, headers, body, source address)."""
+
+    def __init__(self, process, addresses, checks, slow_body):
+        self.process, self.addresses, self.checks = process, addresses, checks
+        self.slow_body = slow_body  # request up to the first byte of a body of 100000 bytes
+
+    def answer(self, listener):
+        """Sends one ordinary request on a new connection; returns the status, or what failed."""
+        method, path, headers, body, source = self.checks[listener]
+        host, port = self.addresses[listener].split(":")
+        connection = http.client.HTTPConnection(
+            host, int(port), timeout=ANSWER_TIMEOUT_SEC,
+            source_address=(source, 0) if source else None)
+        try:
+            connection.request(method, path, body, headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException) as error:
+            return repr(error)
+        finally:
+            connection.close()
+
+
+@contextlib.contextmanager
+def own_site():
+    layout = {"zones": ["za"], "services": [
+        {"name": "back", "instances": 1, "slots": 20, "service_ms": 5}]}
+    fields = {"schema_version": 1, "service": "back", "importance": 5, "timeout_ms": 20000}
+    records = [{"kind": "client_account", "name": "a", "schema_version": 1, "rate": 1000,
+                "burst": 500}, key_record("a-1", "a", "key-a"),
+               {"kind": "route", "name": "write", "prefix": "/write", **fields}]
+    key = {"Authorization": "Bearer key-a"}
+    with LimitedDeployment(layout, records) as d:
+        node = d.nodes[0]
+        site = Site(node.process, node.address, {
+            "caller": ("POST", "/write/x", key, b"", None),
+            "outbound": ("POST", "/write/x", {}, b"", None),
+            "admin": ("GET", "/metrics", {}, None, None)},
+            b"POST /write/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
+            b"Content-Length: 100000\r\n\r\n")
+        wait_for("a request to be served", lambda: site.answer("caller") == 200, 20)
+        yield site
+
+
+@contextlib.contextmanager
+def platform_site():
+    with PlatformDeployment() as d:
+        headers = {"Host": "h.example", "Request-Attempt-Id": "id-1", "Deadline-Ms": "2000",
+                   "Authorization": "Bearer key-a"}
+        target = d.targets[0]
+        target.sequence = 1000
+        report = json.dumps({
+            "service": target.service, "address": target.address, "zone": "za", "version": "v1",
+            "slots": 20, "state": "ready", "cold_remaining": "0ms", "born": target.started_ms,
+            "sequence": target.sequence}).encode()
+        addresses = {name: d.listen_address(0, name)
+                     for name in ("peer", "outbound", "readiness", "control")}
+        site = Site(d.daemons[0], {**addresses, "caller": addresses["outbound"]}, {
+            "caller": ("POST", "/f/deep/x", headers, b"", None),
+            "readiness": ("GET", "/ready", {}, None, None),
+            "control": ("PUT", "/instances/i-1", {}, report, ADDRESSES[0])},
+            b"POST /f/deep/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: slow\r\n"
+            b"Deadline-Ms: 3000\r\nAuthorization: Bearer key-a\r\nContent-Length: 100000\r\n\r\n")
+        # Keeps the targets ready while the crowd is there.
+        ends = threading.Event()
+
+        def report_on():
+            while not ends.wait(1):
+                with contextlib.suppress(OSError):
+                    d.report_all()
+        thread = threading.Thread(target=report_on)
+        thread.start()
+        try:
+            yield site
+        finally:
+            ends.set()
+            thread.join()
+
+
+class Crowd:
+    """Connections to one listener. Each sends `first`, then a byte of `repeated` each
+    TRICKLE_PERIOD_SEC. Those that the node closes stay closed."""
+
+    def __init__(self, address, count, first, repeated):
+        host, port = address.split(":")
+        self.first, self.repeated = first, repeated
+        self.connections, self.ends = [], threading.Event()
+        for _ in range(count):
+            connection = socket.socket()
+            connection.setblocking(False)
+            connection.connect_ex((host, int(port)))
+            self.connections.append(connection)
+        self.round = threading.Event()  # each connection has sent `first` and some of `repeated`
+        self.thread = threading.Thread(target=self.send)
+
+    def send(self):
+        unsent = {connection: self.first for connection in self.connections}
+        for n in range(1 << 30):
+            for connection in self.connections:
+                data = unsent[connection] or self.repeated[n % max(len(self.repeated), 1):][:1]
+                try:
+                    unsent[connection] = data[connection.send(data):] if data else b""
+                except OSError:
+                    pass  # no room, or closed by the node
+            if n > 4:
+                self.round.set()
+            if self.ends.wait(TRICKLE_PERIOD_SEC if n > 4 else 0.1):
+                return
+
+    def __enter__(self):
+        self.thread.start()
+        assert self.round.wait(30)
+        return self
+
+    def __exit__(self, *unused):
+        self.ends.set()
+        self.thread.join()
+        for connection in self.connections:
+            connection.close()
+
+
+class Peaks:
+    """Measures the highest memory and number of descriptors of a process."""
+
+    def __init__(self, process):
+        self.process, self.rss, self.descriptors = process, 0, 0
+        self.ends = threading.Event()
+        self.thread = threading.Thread(target=self.measure)
+
+    def measure(self):
+        while not self.ends.wait(0.02) and self.process.poll() is None:
+            self.rss = max(self.rss, resident_bytes(self.process.pid))
+            self.descriptors = max(self.descriptors, open_descriptors(self.process.pid))
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *unused):
+        self.ends.set()
+        self.thread.join()
+
+
+def check_crowd(site, name, listener, count, first, repeated, asked):
+    """Returns what is wrong while the crowd is connected. asked: the listeners that are to answer
+    an ordinary request."""
+    with Peaks(site.process) as peaks, \
+            Crowd(site.addresses[listener], count, first, repeated):
+        answers = {other: site.answer(other) for other in asked}
+    descriptors_max = DESCRIPTORS - DESCRIPTORS_RESERVED
+    print(f"  {name} at {listener}: {peaks.rss >> 20} MB, {peaks.descriptors} descriptors, "
+          f"{answers}", flush=True)
+    found = {
+        "the node ended": site.process.poll() is not None,
+        f"{peaks.rss >> 20} MB resident": peaks.rss > RSS_MAX_BYTES,
+        f"{peaks.descriptors} descriptors": peaks.descriptors > descriptors_max,
+        f"answers {answers}": set(answers.values()) != {200},
+    }
+    return [f"{name} at {listener}: {what}" for what, wrong in found.items() if wrong]
+
+
+def check_listeners(open_site, listeners):
+    """Sends each kind of crowd to each listener of a site."""
+    failures = []
+    with open_site() as site:
+        kinds = [("nothing", b"", b""), ("a head", b"", b"GET /x HTTP/1.1\r\nX-A: " + b"y" * 999),
+                 ("empty lines", b"", b"\r\n"), ("a body", site.slow_body, b"z")]
+        for listener in listeners:
+            for name, first, repeated in kinds:
+                if listener == "peer" and name == "a body":
+                    continue  # peers send no requests
+                asked = [n for n in (listener, "caller") if n in site.checks]
+                failures += check_crowd(site, name, listener, CROWD, first, repeated,
+                                        list(dict.fromkeys(asked)))
+                if site.process.poll() is not None:
+                    break
+    assert not failures, "\n".join(failures)
+
+
+def check_heads(open_site, listener):
+    """Sends unfinished heads of many short fields to a listener of a site."""
+    with open_site() as site:
+        first = b"GET /x HTTP/1.1\r\n" + HEAD_FIELDS
+        failures = check_crowd(site, "short fields", listener, HEADS, first, b"", ["caller"])
+        with Peaks(site.process) as peaks:
+            answers = {site.answer("caller") for _ in range(20)}
+        if answers != {200} or peaks.rss > RSS_MAX_BYTES:
+            failures.append(f"afterwards: answers {answers}, {peaks.rss >> 20} MB")
+        try:
+            wait_for("memory to be returned", lambda: resident_bytes(site.process.pid) <=
+                     RSS_AFTER_MAX_BYTES, LEFT_TIMEOUT_SEC)
+        except AssertionError:
+            failures.append(f"{resident_bytes(site.process.pid) >> 20} MB after the crowd")
+    assert not failures, "\n".join(failures)
+
+
+def case_outside_heads():
+    """Unfinished heads of many short fields, each of which takes far more memory than its bytes,
+    keep a node within its machine, also after requests, and their memory is returned."""
+    check_heads(own_site, "caller")
+
+
+def case_outside_heads_target():
+    """The same at the listener for the target's outbound calls."""
+    check_heads(own_site, "outbound")
+
+
+def case_on_platform_outside_heads():
+    """The same on the platform."""
+    check_heads(platform_site, "caller")
+
+
+def case_on_platform_outside_heads_report():
+    """The same at the platform's listener for target reports."""
+    check_heads(platform_site, "control")
+
+
+def case_outside_callers():
+    """Crowds that take all places of the callers' listener."""
+    check_listeners(own_site, ["caller"])
+
+
+def case_outside_ports():
+    """Crowds at the listeners for peers, for the target and for operators do not take the
+    descriptors that serve callers."""
+    check_listeners(own_site, ["peer", "outbound", "admin"])
+
+
+def case_on_platform_outside_callers():
+    """Crowds that take all places of the listener for requests."""
+    check_listeners(platform_site, ["caller"])
+
+
+def case_on_platform_outside_ports():
+    """Crowds at the platform's listeners for peers, reports and readiness."""
+    check_listeners(platform_site, ["peer", "control", "readiness"])
