tests/e2e: an ordinary request at the target's listener

The ordinary request at the listener for outbound calls had no context and got 400 without a crowd too. It is a target's report now, which gets 200, and the site checks before each crowd that all ordinary requests are answered. Crowds and bounds are as before.

--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -84,13 +84,17 @@
     key = {"Authorization": "Bearer key-a"}
     with LimitedDeployment(layout, records) as d:
         node = d.nodes[0]
+        report = json.dumps({"service": "back", "address": node.address["target"], "slots": 20,
+                             "cold_slots": 20}).encode()
         site = Site(node.process, node.address, {
             "caller": ("POST", "/write/x", key, b"", None),
-            "outbound": ("POST", "/write/x", {}, b"", None),
+            "outbound": ("PUT", "/v1/target", {}, report, None),
             "admin": ("GET", "/metrics", {}, None, None)},
             b"POST /write/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-a\r\n"
             b"Content-Length: 100000\r\n\r\n")
         wait_for("a request to be served", lambda: site.answer("caller") == 200, 20)
+        answers = {listener: site.answer(listener) for listener in site.checks}
+        assert set(answers.values()) == {200}, f"without a crowd: {answers}"
         yield site
 
 
