http, wire: close idle and unfinished connections when places or memory are short

Cause: connections that sent nothing or unfinished requests kept their places, the listeners for targets, peers and operators had no bound below the descriptors of the process, and heads had no time limit. At its limit libmicrohttpd stopped polling the listener until another event.

http/places decides which connection is closed for another one, or for memory, and whether a head fits the budget. It is used by http_server, mhd_loop and the port for peers. Heads have a time limit from their first byte.

--- a/egretscaled/control/admin.c
+++ b/egretscaled/control/admin.c
@@ -12,6 +12,8 @@
 #include <unistd.h>
 
 #define ADMIN_IDLE_TIMEOUT_SEC 30
+/* Connections of operators, metrics collectors and readiness checks. */
+#define OPERATORS_MAX(descriptors) MAX((descriptors) / 64, 4)
 
 static void append_gauge(GString *out, const char *name, const char *help, double value)
 {
@@ -263,6 +265,9 @@
 	mhd_loop_options_t options = {
 		.address = node->settings->admin_listen,
 		.idle_timeout_sec = ADMIN_IDLE_TIMEOUT_SEC,
+		.connections_max = OPERATORS_MAX(node->settings->descriptors_max),
+		.address_share_percent = node->settings->address_share,
+		.name = "admin",
 	};
 
 	return mhd_loop_create(parent, ev, &options, handle_request, handle_completed,
@@ -275,6 +280,9 @@
 	mhd_loop_options_t options = {
 		.address = node->settings->readiness_listen,
 		.idle_timeout_sec = ADMIN_IDLE_TIMEOUT_SEC,
+		.connections_max = OPERATORS_MAX(node->settings->descriptors_max),
+		.address_share_percent = node->settings->address_share,
+		.name = "readiness",
 	};
 
 	return mhd_loop_create(parent, ev, &options, handle_readiness, handle_completed,
--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -18,6 +18,17 @@
 #define PIPELINE_DEPTH_DEFAULT 8
 #define PIPELINE_TOTAL_MAX 65536
 #define PIPELINE_TOTAL_DEFAULT 256
+/* The defaults exceed what clients within the limits of a deployment use: a head of
+ * 16,384 bytes with 4,096 fields, complete within 3 s. */
+#define HEAD_TIMEOUT_MAX_SEC 3600
+#define HEAD_TIMEOUT_DEFAULT_SEC 10
+#define HEAD_FIELDS_MIN 16
+#define HEAD_FIELDS_MAX 8192
+#define HEAD_FIELDS_DEFAULT 4096
+/* A fifth of the smallest machine, which has 160 MB. */
+#define CONNECTION_MEMORY_DEFAULT_MIB 32
+#define CONNECTION_MEMORY_MAX_MIB 4096
+#define ADDRESS_SHARE_DEFAULT_PERCENT 50
 /* Limit used if it cannot be read, and the highest one used if it is unlimited. */
 #define DESCRIPTORS_DEFAULT 1024
 #define DESCRIPTORS_LIMIT_MAX 40000
@@ -56,6 +67,10 @@
 	KEY_WORKERS,
 	KEY_PIPELINE_DEPTH,
 	KEY_PIPELINE_TOTAL,
+	KEY_HEAD_TIMEOUT,
+	KEY_HEAD_FIELDS,
+	KEY_CONNECTION_MEMORY,
+	KEY_ADDRESS_SHARE,
 	KEY_LOG_LEVEL,
 	KEY_LOG_FORMAT,
 	KEY_END,
@@ -84,6 +99,14 @@
 	 "requests in progress on one connection (default 8)", 0},
 	{"pipeline-total", KEY_PIPELINE_TOTAL, "N", 0,
 	 "requests read ahead on all connections (default 256)", 0},
+	{"head-timeout", KEY_HEAD_TIMEOUT, "SECONDS", 0,
+	 "for the head of a request, from its first byte (default 10)", 0},
+	{"head-fields", KEY_HEAD_FIELDS, "N", 0,
+	 "header fields of a request (default 4096)", 0},
+	{"connection-memory", KEY_CONNECTION_MEMORY, "MIB", 0,
+	 "memory of heads and unfinished requests (default 32)", 0},
+	{"address-share", KEY_ADDRESS_SHARE, "PERCENT", 0,
+	 "of the connections, for one address if they are short (default 50)", 0},
 	{"log-level", KEY_LOG_LEVEL, "LEVEL", 0, "error, warn, info or debug", 0},
 	{"log-format", KEY_LOG_FORMAT, "FORMAT", 0, "text or json", 0},
 	{NULL, 0, NULL, 0, NULL, 0},
@@ -204,6 +227,21 @@
 		settings->pipeline_total =
 			parse_number(key, value, 0, PIPELINE_TOTAL_MAX);
 		break;
+	case KEY_HEAD_TIMEOUT:
+		settings->head_timeout_sec =
+			parse_number(key, value, 1, HEAD_TIMEOUT_MAX_SEC);
+		break;
+	case KEY_HEAD_FIELDS:
+		settings->head_fields =
+			parse_number(key, value, HEAD_FIELDS_MIN, HEAD_FIELDS_MAX);
+		break;
+	case KEY_CONNECTION_MEMORY:
+		settings->connection_memory =
+			parse_number(key, value, 1, CONNECTION_MEMORY_MAX_MIB);
+		break;
+	case KEY_ADDRESS_SHARE:
+		settings->address_share = parse_number(key, value, 1, 100);
+		break;
 	case KEY_LOG_LEVEL:
 		if (!log_level_parse(value, &settings->log_level))
 			exit_invalid_value(key, value, "error, warn, info or debug");
@@ -322,6 +360,10 @@
 	parse.settings->workers = 1;
 	parse.settings->pipeline_depth = PIPELINE_DEPTH_DEFAULT;
 	parse.settings->pipeline_total = PIPELINE_TOTAL_DEFAULT;
+	parse.settings->head_timeout_sec = HEAD_TIMEOUT_DEFAULT_SEC;
+	parse.settings->head_fields = HEAD_FIELDS_DEFAULT;
+	parse.settings->connection_memory = CONNECTION_MEMORY_DEFAULT_MIB;
+	parse.settings->address_share = ADDRESS_SHARE_DEFAULT_PERCENT;
 	parse.settings->descriptors_max = raise_descriptor_limit();
 	parse.settings->log_level = LOG_LEVEL_INFO;
 	argp_parse(&argp, argc, argv, 0, NULL, &parse);
--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -12,11 +12,20 @@
 #include <unistd.h>
 
 #define CALLER_IDLE_TIMEOUT (120 * USEC_PER_SEC)
-#define TARGET_CONNECTIONS_MAX 20000
 /* Connections of callers, of a worker's part of the descriptors: open at once, and kept
  * open after a response. The rest is for targets, peers, the store and files. */
 #define CALLERS_MAX(descriptors) MAX((descriptors) / 4 * 3, 1)
 #define CALLERS_KEPT(descriptors) MAX((descriptors) / 8 * 3, 1)
+/* Connections of the target: reports alone, or, in the product's own mode, with its
+ * outbound calls, of which each of its slots may make some at a time. */
+#define REPORTS_MAX(descriptors) MAX((descriptors) / 16, 8)
+#define OUTBOUND_MAX(descriptors) MAX((descriptors) / 8, 16)
+/* Connections at the port for peers that are not authenticated yet. All nodes may connect
+ * at the same time, for a moment each. */
+#define PENDING_PEERS_MAX(descriptors) MAX((descriptors) / 32, 8)
+/* The parts of --connection-memory for callers and for the target. */
+#define CALLERS_MEMORY(bytes) ((bytes) / 4 * 3)
+#define TARGET_MEMORY(bytes) ((bytes) / 4)
 #define CACHED_CONNECTIONS 2000L
 #define ACCEPT_BATCH 32
 #define SWEEP_PERIOD USEC_PER_SEC
@@ -116,6 +125,11 @@
 	for (int i = 0; i < ACCEPT_BATCH; i++) {
 		int fd = accept4(worker->peer_listener_fd, NULL, NULL,
 				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0 && (errno == EMFILE || errno == ENFILE)) {
+			/* Until the next sweep, or the loop would spin. */
+			tevent_fd_set_flags(worker->peer_listener, 0);
+			return;
+		}
 		if (fd < 0)
 			return;
 		worker->ops->on_peer_connection(worker, fd);
@@ -134,12 +148,27 @@
 	return true;
 }
 
+static size_t connection_memory(const settings_t *settings)
+{
+	return ((size_t)settings->connection_memory << 20) / settings->workers;
+}
+
 static http_server_options_t http_options(const settings_t *settings)
 {
+	uint32_t descriptors = settings->descriptors_max / settings->workers;
+	uint32_t connections_max = settings->dialect->outbound_on_caller_listener
+					   ? REPORTS_MAX(descriptors)
+					   : OUTBOUND_MAX(descriptors);
+
 	return (http_server_options_t){
 		.idle_timeout = CALLER_IDLE_TIMEOUT,
-		.connections_max = TARGET_CONNECTIONS_MAX,
-		.connections_kept = TARGET_CONNECTIONS_MAX,
+		.connections_max = connections_max,
+		.connections_kept = connections_max,
+		.name = "target",
+		.address_share_percent = 100, /* it has one address */
+		.memory_max = TARGET_MEMORY(connection_memory(settings)),
+		.head_timeout = settings->head_timeout_sec * USEC_PER_SEC,
+		.fields_max = settings->head_fields,
 		.pipeline = {.requests_max = settings->pipeline_depth,
 			     .bytes_max = BODY_WINDOW_BYTES},
 		.ahead_max = settings->pipeline_total / settings->workers,
@@ -161,6 +190,9 @@
 	options.tls_key = key;
 	options.connections_max = CALLERS_MAX(descriptors);
 	options.connections_kept = CALLERS_KEPT(descriptors);
+	options.name = "caller";
+	options.address_share_percent = node->settings->address_share;
+	options.memory_max = CALLERS_MEMORY(connection_memory(node->settings));
 	http_server_t *server =
 		http_server_create(worker->ev, worker->ev, &options,
 				   worker->ops->caller_http, worker, error);
@@ -207,6 +239,7 @@
 
 static void sweep_servers(worker_t *worker, usec_t now)
 {
+	tevent_fd_set_flags(worker->peer_listener, TEVENT_FD_READ);
 	http_server_sweep(worker->caller_server, now);
 	if (worker->target_server)
 		http_server_sweep(worker->target_server, now);
@@ -285,6 +318,12 @@
 	worker->curl = curl_loop_create(worker->ev, worker->ev, CACHED_CONNECTIONS);
 	worker->store = node_store_create(node, worker->curl);
 	worker->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	worker->pending_peers = places_create(&(places_limits_t){
+		.places_max = PENDING_PEERS_MAX(node->settings->descriptors_max /
+						node->settings->workers),
+		.address_share_percent = node->settings->address_share,
+	});
+	worker->peer_closing.listener = "peer";
 	worker->ops->create(worker);
 	pthread_mutex_init(&worker->inbox_lock, NULL);
 	g_queue_init(&worker->inbox);
@@ -360,6 +399,7 @@
 	http_server_destroy(worker->target_server);
 	http_server_destroy(worker->report_server);
 	worker->ops->destroy(worker);
+	places_destroy(worker->pending_peers);
 	g_hash_table_destroy(worker->requests);
 	store_destroy(worker->store);
 	curl_loop_destroy(worker->curl);
--- a/egretscaled/peers/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -8,11 +8,15 @@
 #include "egretscaled/peers/stream.h"
 #include "wire/frame_link.h"
 
+#include <sys/socket.h>
+
 typedef struct ingress_link {
 	worker_t *worker;
 	frame_link_t *link;
 	GHashTable *calls; /* attempt -> ingress_call_t */
 	bool closed;
+	bool pending; /* is in worker->pending_peers */
+	place_t place;
 } ingress_link_t;
 
 typedef struct ingress_call {
@@ -273,26 +277,66 @@
 	g_hash_table_remove(worker->ingress_links, ctx);
 }
 
+static void end_pending(ingress_link_t *il)
+{
+	if (il->pending)
+		places_remove(il->worker->pending_peers, &il->place);
+	il->pending = false;
+}
+
+static void handle_open(void *ctx)
+{
+	end_pending(ctx);
+}
+
 static void handle_closed(void *ctx, const GError *error)
 {
 	ingress_link_t *il = ctx;
 
 	if (error->code != EGRET_ERROR_IO)
 		log_failure("serve a peer link", error);
+	end_pending(il);
 	end_all_calls(il);
 	il->closed = true;
 	worker_defer(il->worker, free_link, il);
 }
 
 static const frame_link_ops_t link_ops = {
+	.on_open = handle_open,
 	.on_frame = handle_frame,
 	.on_closed = handle_closed,
 };
 
+/* Closes the oldest connection that is not authenticated if there are too many. */
+static void make_place(worker_t *worker, usec_t now)
+{
+	place_t *place = places_choose(worker->pending_peers);
+
+	if (!place || !places_are_full(worker->pending_peers))
+		return;
+	closing_note(&worker->peer_closing, CLOSING_PLACE, worker->pending_peers, place,
+		     now);
+	g_hash_table_remove(worker->ingress_links,
+			    (char *)place - offsetof(ingress_link_t, place));
+}
+
+static uint32_t peer_address(int fd)
+{
+	struct sockaddr_in address = {0};
+	socklen_t len = sizeof(address);
+
+	getpeername(fd, (struct sockaddr *)&address, &len);
+	return address.sin_addr.s_addr;
+}
+
 void ingress_accept(worker_t *worker, int fd)
 {
 	ingress_link_t *il = g_new0(ingress_link_t, 1);
+	usec_t now = clock_boot_usec();
 
+	make_place(worker, now);
+	il->pending = true;
+	places_add(worker->pending_peers, &il->place, peer_address(fd), now);
 	il->worker = worker;
 	il->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	il->link = frame_link_accept(NULL, worker->ev, worker->node->auth, fd, &link_ops,
@@ -328,6 +372,7 @@
 
 	if (!il->closed && atomic_load(&il->worker->node->draining))
 		log_cut_calls(il);
+	end_pending(il);
 	end_all_calls(il);
 	frame_link_destroy(il->link);
 	g_hash_table_destroy(il->calls);
--- a/egretscaled/request/http_front.c
+++ b/egretscaled/request/http_front.c
@@ -303,15 +303,21 @@
 		outbound_begin(request);
 }
 
+static Egret__Reason reason_of_error(unsigned int error)
+{
+	if (error == HTTP_STATUS_NO_MEMORY)
+		return EGRET__REASON__REASON_SHED;
+	return error == HTTP_STATUS_HEAD_TOO_LARGE ? EGRET__REASON__REASON_TOO_LARGE
+						   : EGRET__REASON__REASON_BAD_REQUEST;
+}
+
 static bool check_request(http_request_t *request)
 {
 	unsigned int error = http_exchange_error(request->exchange);
 
 	if (error) {
 		http_request_refuse(request, EGRET__OUTCOME__OUTCOME_NOT_RUN,
-				    error == HTTP_STATUS_HEAD_TOO_LARGE
-					    ? EGRET__REASON__REASON_TOO_LARGE
-					    : EGRET__REASON__REASON_BAD_REQUEST);
+				    reason_of_error(error));
 		return false;
 	}
 	if (request->listener == HTTP_LISTENER_REPORTS) {
--- a/http/http_connection.c
+++ b/http/http_connection.c
@@ -1,5 +1,6 @@
 #include "http/http_connection.h"
 
+#include "http/body.h"
 #include "http/headers.h"
 
 #include <errno.h>
@@ -40,12 +41,19 @@
 	connection->server->ops->on_body(exchange->request, data, len);
 }
 
+/* The request keeps a copy of most of the head. */
+static size_t head_memory(const request_head_t *head)
+{
+	return 2 * (headers_memory(head->headers) + strlen(head->path));
+}
+
 static void add_exchange(http_connection_t *connection, request_head_t *head,
 			 unsigned int error)
 {
 	const http_server_t *server = connection->server;
 	http_exchange_t *exchange = http_exchange_create(connection, head, error);
 
+	exchange->head_memory = head_memory(head);
 	pipeline_add(connection->pipeline, &exchange->entry);
 	exchange->request = server->ops->on_request(server->ctx, exchange);
 }
@@ -66,6 +74,21 @@
 	add_exchange(connection, head, error);
 }
 
+static void handle_head(http_connection_t *connection)
+{
+	http_server_t *server = connection->server;
+	request_head_t *head = request_reader_take_head(connection->reader);
+
+	if (places_fit_head(server->places, head_memory(head))) {
+		add_exchange(connection, head, 0);
+		return;
+	}
+	request_head_destroy(head);
+	closing_note(&server->closing_log, CLOSING_HEAD_REFUSED, server->places,
+		     &connection->place, clock_boot_usec());
+	handle_unreadable(connection, HTTP_STATUS_NO_MEMORY);
+}
+
 static void handle_end(http_connection_t *connection)
 {
 	http_exchange_t *exchange = receiving_exchange(connection);
@@ -80,7 +103,7 @@
 	case READER_MORE:
 		break;
 	case READER_HEAD:
-		add_exchange(connection, request_reader_take_head(connection->reader), 0);
+		handle_head(connection);
 		break;
 	case READER_END:
 		handle_end(connection);
@@ -350,6 +373,45 @@
 		connection->failed = true;
 }
 
+static place_state_t place_state(const http_connection_t *connection)
+{
+	const http_exchange_t *first = first_exchange(connection);
+
+	if (connection->lingers)
+		return PLACE_IDLE;
+	if (!first)
+		return request_reader_in_head(connection->reader) ? PLACE_HEAD
+								  : PLACE_IDLE;
+	return first == receiving_exchange(connection) && !first->entry.started &&
+			       !first->entry.responded
+		       ? PLACE_BODY
+		       : PLACE_BUSY;
+}
+
+static size_t held_bytes(const http_connection_t *connection)
+{
+	const pipeline_entry_t *entry = pipeline_first(connection->pipeline);
+	size_t bytes = request_reader_memory(connection->reader) +
+		       connection->unread->len + connection->out->len;
+
+	for (; entry; entry = TAILQ_NEXT(entry, link)) {
+		bytes += ((const http_exchange_t *)entry)->head_memory;
+		/* Bodies of requests that run are in the windows of their calls. */
+		if (!entry->started)
+			bytes += MIN(entry->body_bytes, BODY_WINDOW_BYTES);
+	}
+	return bytes;
+}
+
+static void update_place(http_connection_t *connection)
+{
+	size_t bytes = held_bytes(connection);
+
+	connection->bytes_max = MAX(connection->bytes_max, bytes);
+	places_update(connection->server->places, &connection->place,
+		      place_state(connection), bytes, clock_boot_usec());
+}
+
 static void unschedule(http_connection_t *connection)
 {
 	if (!connection->is_scheduled)
@@ -380,7 +442,11 @@
 		return;
 	}
 	unschedule(connection);
+	update_place(connection);
 	poll_events(connection);
+	/* A connection that is no longer busy may be closed for a new one. */
+	if (connection->place.state != PLACE_BUSY)
+		http_server_handle_room(connection->server);
 }
 
 void http_connection_handle_events(http_connection_t *connection, uint32_t events)
@@ -429,6 +495,9 @@
 	if (server->credentials)
 		connection->tls = tls_session_create(server->credentials, fd);
 	connection->reader = request_reader_create(handle_body, connection);
+	if (server->options.fields_max > 0)
+		request_reader_limit_fields(connection->reader,
+					    server->options.fields_max);
 	connection->pipeline =
 		pipeline_create(&server->options.pipeline, &server->budget);
 	connection->unread = g_byte_array_new();
@@ -438,7 +507,8 @@
 	struct epoll_event event = {.events = connection->polled, .data.ptr = connection};
 	epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, fd, &event);
 	TAILQ_INSERT_TAIL(&server->connections, connection, link);
-	server->connection_count++;
+	places_add(server->places, &connection->place, client->sin_addr.s_addr,
+		   connection->last_active);
 	connection->crowded = http_server_is_crowded(server);
 	return connection;
 }
@@ -450,7 +520,8 @@
 	end_exchanges(connection);
 	unschedule(connection);
 	TAILQ_REMOVE(&server->connections, connection, link);
-	server->connection_count--;
+	places_remove(server->places, &connection->place);
+	server->freed_bytes += connection->bytes_max;
 	tls_session_destroy(connection->tls);
 	close(connection->fd);
 	pipeline_destroy(connection->pipeline);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -67,7 +67,16 @@
 	X(IDLE_CONNECTIONS_SHUT, "idle_connections_shut",                                \
 	  "idle connections that the server closed or sent bytes on")                    \
 	X(CUT_AT_STOP, "cut_at_stop",                                                    \
-	  "requests cancelled at the end of the drain timeout")
+	  "requests cancelled at the end of the drain timeout")                          \
+	X(CLOSED_FOR_PLACE, "connections_closed_for_place",                              \
+	  "idle or unfinished connections closed for new ones")                          \
+	X(CLOSED_FOR_MEMORY, "connections_closed_for_memory",                            \
+	  "unfinished connections closed for the memory that they held")                 \
+	X(CLOSED_HEAD_TIMEOUT, "connections_closed_head_timeout",                        \
+	  "connections closed since a head was not complete in time")                    \
+	X(HEADS_REFUSED, "heads_refused",                                                \
+	  "requests refused since their heads did not fit the memory budget")            \
+	X(MEMORY_TRIMS, "memory_trims", "times that freed memory was returned")
 
 typedef enum counter_id {
 #define COUNTER_ENUM(id, name, help) COUNTER_##id,
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -63,9 +63,13 @@
 	char *caller_key;
 	uint32_t drain_timeout_sec;
 	uint32_t workers;
-	uint32_t pipeline_depth;  /* requests in progress on one connection */
-	uint32_t pipeline_total;  /* requests read ahead on all connections */
-	uint32_t descriptors_max; /* of the process */
+	uint32_t pipeline_depth;    /* requests in progress on one connection */
+	uint32_t pipeline_total;    /* requests read ahead on all connections */
+	uint32_t descriptors_max;   /* of the process */
+	uint32_t head_timeout_sec;  /* for a request's head, from its first byte */
+	uint32_t head_fields;	    /* of a request's head */
+	uint32_t connection_memory; /* MiB, of unfinished requests and heads */
+	uint32_t address_share;	    /* percent of places; see http/places.h */
 	log_level_t log_level;
 	log_format_t log_format;
 } settings_t;
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -3,6 +3,7 @@
 
 #include "egretscaled/node/call.h"
 #include "egretscaled/node/node.h"
+#include "http/closing.h"
 #include "http/curl_loop.h"
 #include "http/http_server.h"
 #include "store/store.h"
@@ -66,11 +67,13 @@
 	http_server_t *report_server; /* NULL if reports use target_server */
 	GHashTable *peers;	      /* address -> peer_client_t */
 	GHashTable *ingress_links;    /* set of ingress_link_t */
-	GHashTable *borrowers;	      /* account -> account_entry_t */
-	GHashTable *token_waiters;    /* context of the request -> waiter_t */
-	GHashTable *token_requests;   /* id of the token request -> waiter_t */
-	GHashTable *requests;	      /* request number -> http_request_t */
-	struct claim_batch *claims;   /* claims for the next commit */
+	places_t *pending_peers;      /* of ingress links in their handshake */
+	closing_log_t peer_closing;
+	GHashTable *borrowers;	    /* account -> account_entry_t */
+	GHashTable *token_waiters;  /* context of the request -> waiter_t */
+	GHashTable *token_requests; /* id of the token request -> waiter_t */
+	GHashTable *requests;	    /* request number -> http_request_t */
+	struct claim_batch *claims; /* claims for the next commit */
 	struct target_loss *target_loss;
 	struct tevent_timer *tick;
 	usec_t next_sweep; /* boot clock */
--- a/include/http/http_connection.h
+++ b/include/http/http_connection.h
@@ -1,6 +1,7 @@
 #ifndef EGRET_HTTP_HTTP_CONNECTION_H
 #define EGRET_HTTP_HTTP_CONNECTION_H
 
+#include "http/closing.h"
 #include "http/http_server.h"
 #include "http/tls.h"
 
@@ -33,8 +34,13 @@
 	bool run_scheduled;
 	TAILQ_HEAD(, http_connection) connections;
 	TAILQ_HEAD(, http_connection) scheduled;
-	unsigned int connection_count;
-	char *buffer; /* of HTTP_READ_BYTES, for one read */
+	places_t *places;
+	closing_log_t closing_log;
+	size_t freed_bytes; /* at most, by connections closed since the last trim */
+	usec_t next_trim;
+	usec_t last_sweep;
+	usec_t next_accept_line; /* of accept() failures */
+	char *buffer;		 /* of HTTP_READ_BYTES, for one read */
 };
 
 #define HTTP_READ_BYTES (16u << 10)
@@ -44,6 +50,8 @@
 	TAILQ_ENTRY(http_connection) scheduled_link;
 	bool is_scheduled;
 	http_server_t *server;
+	place_t place;
+	size_t bytes_max; /* highest place.bytes */
 	int fd;
 	struct sockaddr_in client;
 	tls_session_t *tls;
@@ -67,6 +75,7 @@
 	pipeline_entry_t entry; /* has to be first */
 	http_connection_t *connection;
 	request_head_t *head;
+	size_t head_memory; /* of this head and of the request's copy */
 	unsigned int error;
 	void *request;
 	bool woken;
@@ -93,6 +102,10 @@
 /* Runs the connection after the current event. */
 void http_connection_schedule(http_connection_t *connection);
 
+/* Closes connections until the rest fits the memory budget. Destroys connections, so that
+ * none may be in use. */
+void http_server_bound_memory(http_server_t *server);
+
 /* Whether the connection was idle or lingered for too long. */
 bool http_connection_is_expired(const http_connection_t *connection, usec_t now);
 
--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -23,11 +23,15 @@
  *	of the requests. Bodies are read and sent as fast as the callbacks take and
  *	give them.
  *
+ *	If a place or memory is needed, http/places.h decides which idle or unfinished
+ *	connection is closed. A connection whose head takes too long is closed too.
+ *
  *	A client that closes its side of the connection, even only for sending, is
  *	gone: its exchanges end.
  *
  * ERRORS
- *	A request that is not HTTP/1 or whose head is too large becomes an exchange
+ *	A request that is not HTTP/1, whose head is too large, or whose head does not fit
+ *	into the memory of all connections becomes an exchange
  *	with http_exchange_error() and an empty head; its response closes the
  *	connection.
  *
@@ -43,6 +47,7 @@
 
 #define HTTP_STATUS_MALFORMED 400
 #define HTTP_STATUS_HEAD_TOO_LARGE 431
+#define HTTP_STATUS_NO_MEMORY 503
 
 /* Results of read_response(), besides a number of bytes. */
 #define HTTP_RESPONSE_WAITS 0 /* until http_exchange_wake() */
@@ -75,10 +80,17 @@
 	const char *tls_cert; /* PEM text, or NULL for plain HTTP */
 	const char *tls_key;
 	usec_t idle_timeout;	       /* until an idle connection is closed */
-	unsigned int connections_max;  /* open at once; others wait in the backlog */
+	unsigned int connections_max;  /* open at once; others wait in the backlog if
+					  none can be closed */
 	unsigned int connections_kept; /* above this number the server is crowded */
 	pipeline_limits_t pipeline;
 	uint32_t ahead_max; /* requests read ahead on all connections */
+	const char *name;   /* of the listener, for the log; static */
+	/* See http/places.h. */
+	uint32_t address_share_percent;
+	size_t memory_max;
+	usec_t head_timeout;
+	uint32_t fields_max; /* of a head */
 } http_server_options_t;
 
 /* Starts to listen. Returns NULL with EGRET_ERROR_IO set if the address cannot be bound,
@@ -98,7 +110,8 @@
 /* Accepts what is in the backlog, then no more. Open connections continue. */
 void http_server_quiesce(http_server_t *server);
 
-/* Closes connections that have been idle for too long; to be called every second. */
+/* Closes connections that have been idle, or have sent a head, for too long, and returns
+ * freed memory to the system; to be called every second. */
 void http_server_sweep(http_server_t *server, usec_t now);
 
 /* Whether more connections are open than options.connections_kept. Their number falls if
@@ -107,7 +120,7 @@
 
 const request_head_t *http_exchange_head(const http_exchange_t *exchange);
 
-/* 0, HTTP_STATUS_MALFORMED or HTTP_STATUS_HEAD_TOO_LARGE. */
+/* 0, HTTP_STATUS_MALFORMED, HTTP_STATUS_HEAD_TOO_LARGE or HTTP_STATUS_NO_MEMORY. */
 unsigned int http_exchange_error(const http_exchange_t *exchange);
 
 const struct sockaddr_in *http_exchange_client(const http_exchange_t *exchange);
--- a/include/http/mhd_loop.h
+++ b/include/http/mhd_loop.h
@@ -28,6 +28,12 @@
 typedef struct mhd_loop_options {
 	struct sockaddr_in address;
 	unsigned int idle_timeout_sec; /* until an idle connection is closed; 0: never */
+	/* Open connections; 0: no limit. Beyond it one is closed as http/places.h
+	 * decides. With a limit, idle_timeout_sec also holds for a request that does not
+	 * end. */
+	unsigned int connections_max;
+	unsigned int address_share_percent;
+	const char *name; /* of the listener, for the log; static */
 } mhd_loop_options_t;
 
 typedef void (*mhd_hangup_fn)(void *ctx);
