--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -24,6 +24,8 @@
 DESCRIPTORS_RESERVED = 16
 HEADS = 180  # unfinished heads of short fields; 160 MB in the product before the limits
 HEAD_FIELDS = b"a:\r\n" * 8000
+# Fields of a head of 16,384 bytes, the most that ordinary clients send.
+COMPLETE_HEAD_FIELDS = 4000
 CROWD = 300  # more than the node has descriptors
 TRICKLE_PERIOD_SEC = 0.5
 ANSWER_TIMEOUT_SEC = 10  # of the ordinary request
@@ -250,6 +252,25 @@
     assert not failures, "\n".join(failures)
 
 
+def check_complete_heads(open_site):
+    """Sends complete heads of as many fields as an ordinary client may send, with a slow body."""
+    with open_site() as site:
+        first = site.slow_body[:-2] + b"a:\r\n" * COMPLETE_HEAD_FIELDS + b"\r\n"
+        failures = check_crowd(site, "complete heads", "caller", HEADS, first, b"z", ["caller"])
+    assert not failures, "\n".join(failures)
+
+
+def case_outside_complete_heads():
+    """Complete heads of many short fields, which are also copied for their requests, keep a node
+    within its machine while their bodies are unfinished."""
+    check_complete_heads(own_site)
+
+
+def case_on_platform_outside_complete_heads():
+    """The same on the platform."""
+    check_complete_heads(platform_site)
+
+
 def case_outside_heads():
     """Unfinished heads of many short fields, each of which takes far more memory than its bytes,
     keep a node within its machine, also after requests, and their memory is returned."""
