tests/e2e: heads that arrive a byte at a time are closed in time

Before: heads and empty lines at the listeners for callers, the target and operators were still read after 50 s; failed.

--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -28,6 +28,8 @@
 COMPLETE_HEAD_FIELDS = 4000
 CROWD = 300  # more than the node has descriptors
 TRICKLE_PERIOD_SEC = 0.5
+# Far more than --head-timeout (10 s) and the time of the operators' listeners (30 s).
+HEAD_CLOSED_SEC = 50
 ANSWER_TIMEOUT_SEC = 10  # of the ordinary request
 LEFT_TIMEOUT_SEC = 30  # until memory has been returned after a crowd
 
@@ -292,6 +294,41 @@
     check_heads(platform_site, "control")
 
 
+def send_slowly(address, first, byte, failures):
+    """Sends `first`, then a byte each second until the node closes the connection."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(first)
+        connection.settimeout(1)
+        for _ in range(HEAD_CLOSED_SEC):
+            try:
+                connection.sendall(byte)
+                if not connection.recv(65536):
+                    return
+            except socket.timeout:
+                pass
+            except OSError:
+                return
+    failures.append(f"{address}: {byte} is still read after {HEAD_CLOSED_SEC} s")
+
+
+def case_outside_slow_heads():
+    """A head that arrives a byte each second, or empty lines without end, end with the connection
+    although no place is needed: bytes must not extend the time for a head."""
+    failures = []
+    with own_site() as site:
+        threads = [threading.Thread(target=send_slowly, args=(
+            site.addresses[listener], first, byte, failures))
+            for listener in ("caller", "outbound", "admin", "peer")
+            for first, byte in ((b"GET /x HTTP/1.1\r\nX-A: ", b"y"), (b"", b"\n"))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert site.answer("caller") == 200
+    assert not failures, "\n".join(failures)
+
+
 def case_outside_callers():
     """Crowds that take all places of the callers' listener."""
     check_listeners(own_site, ["caller"])
