--- a/tests/e2e/on_platform_responses.py
+++ b/tests/e2e/on_platform_responses.py
@@ -99,6 +99,50 @@
     assert not failures, "\n".join(failures)
 
 
+class ResendDeployment(PlatformDeployment):
+    """Its settings state the bound without which rejected calls are not sent again."""
+
+    def settings(self, i):
+        settings = super().settings(i)
+        settings["bounds"].update({"retry_budget_ratio": 0.2, "budget_window": "10s"})
+        return settings
+
+
+def case_on_platform_resend():
+    """Guards against requests that fail since a target rejected them once (the route allows no other
+    instance), and against resends beyond the budget: at most 0.2 of the requests, and one that a new
+    budget allows."""
+    seen, rejected_always = {}, {"on": False}
+
+    def respond(request):
+        request_id = request["headers"]["request-attempt-id"]
+        seen[request_id] = seen.get(request_id, 0) + 1
+        if rejected_always["on"] or seen[request_id] == 1:
+            return (f"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Attempt-Id: {request_id}\r\n"
+                    "Content-Length: 0\r\n\r\n").encode(), True
+        return (f"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {request_id}\r\nResponse-Seal: seal\r\n"
+                "Content-Length: 2\r\n\r\nok").encode(), True
+
+    with ResendDeployment() as d:
+        d.configure(deep=["deep", "h.example", "/f/deep/", "non_idempotent", "3s", "1s", 0, None, 1,
+                          False, "back"])
+        method, path = ONCE
+        target = replace_target(d, 1, respond)
+        d.report_all()
+        status = d.send(path, method, {"Request-Attempt-Id": "once"})[0]
+        assert (status, seen["once"]) == (200, 2), f"rejected once: {status}, {seen}"
+        rejected_always["on"] = True
+        requests = 60
+        for n in range(requests):
+            if n % 10 == 0:
+                d.report_all()
+            status = d.send(path, method, {"Request-Attempt-Id": f"always-{n}"})[0]
+            assert status == 503, f"rejected always: {status}"
+        repeats = sum(count - 1 for count in seen.values())
+        assert repeats <= 0.2 * (requests + 1) + 1, f"{repeats} repeats of {requests + 1} requests"
+        target.close()
+
+
 # (name, status and header lines of a response)
 UNIDENTIFIED = [
     ("a success without an id", "200 OK", ""),
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -27,7 +27,7 @@
     case_on_platform_hurried_stop, case_on_platform_ports, case_on_platform_stop)
 from on_platform_responses import (  # noqa: E402,F401
     case_on_platform_cut_head, case_on_platform_odd_statuses, case_on_platform_repeated_refusal,
-    case_on_platform_unidentified)
+    case_on_platform_resend, case_on_platform_unidentified)
 from on_platform_config import (  # noqa: E402,F401
     case_on_platform_address_after_outage, case_on_platform_config_after_outage,
     case_on_platform_evacuation_after_compaction, case_on_platform_evacuation_after_outage,
