--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -71,6 +71,7 @@
 	KEY_PIPELINE_TOTAL,
 	KEY_BALANCE,
 	KEY_CANARY_SHARE,
+	KEY_COMPLETION_LIMIT,
 	KEY_HEAD_TIMEOUT,
 	KEY_HEAD_FIELDS,
 	KEY_CONNECTION_MEMORY,
@@ -111,6 +112,10 @@
 	 "part of a service's requests for a new version during a roll-out (default 0: "
 	 "no roll-outs)",
 	 0},
+	{"completion-limit", KEY_COMPLETION_LIMIT, "SWITCH", 0,
+	 "refuse requests whose calls are not likely to complete (on or off; default "
+	 "off)",
+	 0},
 	{"head-timeout", KEY_HEAD_TIMEOUT, "SECONDS", 0,
 	 "for the head of a request, from its first byte (default 10)", 0},
 	{"head-fields", KEY_HEAD_FIELDS, "N", 0,
@@ -258,6 +263,11 @@
 	case KEY_CANARY_SHARE:
 		settings->bounds.canary_share = parse_fraction(key, value);
 		break;
+	case KEY_COMPLETION_LIMIT:
+		if (strcmp(value, "on") != 0 && strcmp(value, "off") != 0)
+			exit_invalid_value(key, value, "on or off");
+		settings->completion_limit = strcmp(value, "on") == 0;
+		break;
 	case KEY_HEAD_TIMEOUT:
 		settings->head_timeout_sec =
 			parse_number(key, value, 1, HEAD_TIMEOUT_MAX_SEC);
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -268,9 +268,11 @@
 	inputs->pressure = MAX(own, downstream);
 	inputs->completable =
 		1.0 - backpressure_missing(node->backpressure, request->route, now);
-	bool shed = !pressure_admits(inputs->pressure, importance, &range, draw) ||
-		    !completion_limit_admit(node->completion_limit, request->route,
-					    inputs->completable, importance, &range, now);
+	bool shed =
+		!pressure_admits(inputs->pressure, importance, &range, draw) ||
+		(node->settings->completion_limit &&
+		 !completion_limit_admit(node->completion_limit, request->route,
+					 inputs->completable, importance, &range, now));
 	pthread_mutex_unlock(&node->router_lock);
 	return shed;
 }
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -78,6 +78,7 @@
 	uint32_t head_fields;	    /* of a request's head */
 	uint32_t connection_memory; /* MiB, of unfinished requests and heads */
 	uint32_t address_share;	    /* percent of places; see http/places.h */
+	bool completion_limit;	    /* see admission/completion_limit.h */
 	router_balance_t balance;   /* without the flag: by time on the platform only */
 	log_level_t log_level;
 	log_format_t log_format;
