admission: admit the requests of rare routes during a disturbance

A route whose requests are rarer than the history of two windows had a rate of 0. Once its first token was used, all its requests were refused for as long as calls were incomplete, even at a completable share of 0.9. Such a route now counts as one request in each window.

test_rare_route: of 10 requests, one each 30 s at a share of 0.9, 1 was admitted before and 10 are now.

--- a/admission/completion_limit.c
+++ b/admission/completion_limit.c
@@ -96,7 +96,10 @@
 	if (!route)
 		return true;
 	if (share < 1.0) {
-		double rate = share * call_history_rate(route->admitted, now);
+		/* Requests that are rarer than the history count as one in each window.
+		 */
+		double least = (double)USEC_PER_SEC / (double)MAX(limit->window, 1);
+		double rate = share * MAX(call_history_rate(route->admitted, now), least);
 		if (!take_token(route, rate, now))
 			return false;
 	}
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -275,11 +275,30 @@
 	call_history_destroy(history);
 }
 
+#define SLOW_PERIOD (30 * USEC_PER_SEC)
+
+/* Guards against a route that is refused as long as a disturbance lasts, since its
+ * requests are rarer than the history. */
+static void test_rare_route(void **state)
+{
+	(void)state;
+	completion_limit_t *limit = completion_limit_create(WINDOW);
+	usec_t now = START;
+	int admitted = 0;
+
+	for (int i = 0; i < 10; i++, now += SLOW_PERIOD)
+		admitted +=
+			completion_limit_admit(limit, "r", 0.9, 5, &same_importance, now);
+	assert_int_equal(admitted, 10);
+	completion_limit_destroy(limit);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_history),
+		cmocka_unit_test(test_rare_route),
 	};
 
 	return RUN_CASES("completed requests", load_cases, test_completed_requests) +
