retry: bound the debt of the budget for resends

Retries on the other budget are taken from this one without a lower limit. If their ratio is higher than that of the resends, the debt grew for as long as that lasted, and no resend was possible for a comparable time afterwards. The debt is now at most the budget of one window.

test_old_retries: after 10 minutes with retries of each fourth call and 12 s without any, no resend was allowed before; one is allowed now.

--- a/retry/resends.c
+++ b/retry/resends.c
@@ -16,6 +16,7 @@
 
 struct resends {
 	double ratio;
+	usec_t window;
 	call_history_t *calls; /* by the time of their first send */
 	double tokens;
 	usec_t refilled_at;
@@ -30,6 +31,7 @@
 	resends_t *resends = g_new0(resends_t, 1);
 
 	resends->ratio = ratio;
+	resends->window = window;
 	resends->calls = call_history_create(window);
 	resends->tokens = BURST_MIN;
 	return resends;
@@ -89,10 +91,15 @@
 	return true;
 }
 
+/* Retries that exceed the budget are held against it for at most one window: the bound
+ * says nothing about those before. */
 void resends_record_retry(resends_t *resends, usec_t now)
 {
+	double debt_max =
+		allowed_rate(resends, now) * (double)resends->window / USEC_PER_SEC;
+
 	refill(resends, now);
-	resends->tokens -= 1.0;
+	resends->tokens = MAX(resends->tokens - 1.0, -MAX(debt_max, BURST_MIN));
 }
 
 /* The share of sends that were rejected lately. */
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -293,12 +293,33 @@
 	completion_limit_destroy(limit);
 }
 
+/* Guards against repeats on the other budget that are held against resends long after the
+ * window that both are counted in. */
+static void test_old_retries(void **state)
+{
+	(void)state;
+	resends_t *resends = resends_create(RATIO, WINDOW);
+	usec_t now = START;
+
+	/* Each fourth call is repeated: more than RATIO. */
+	for (int i = 0; i < 60000; i++, now += 10 * USEC_PER_MSEC) {
+		resends_record_call(resends, now);
+		if (i % 4 == 0)
+			resends_record_retry(resends, now);
+	}
+	for (int i = 0; i < 1200; i++, now += 10 * USEC_PER_MSEC)
+		resends_record_call(resends, now);
+	assert_true(resends_take(resends, now));
+	resends_destroy(resends);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_history),
 		cmocka_unit_test(test_rare_route),
+		cmocka_unit_test(test_old_retries),
 	};
 
 	return RUN_CASES("completed requests", load_cases, test_completed_requests) +
