routing: do not resend to what has replaced an instance

A resend chose its instance by address alone. If another process, version or service took the address during the backoff, the call went there. The earlier choice's time of becoming usable now has to match, and the service too.

test_pick_again: four of six cases failed with the old rule (another process, version and service); all pass now.

--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -70,7 +70,8 @@
 	pthread_mutex_lock(&node->router_lock);
 	if (request->sends_again) {
 		request->sends_again = false;
-		router_pick_again(node->router, request->instance, choice);
+		router_pick_again(node->router, request->service, request->instance,
+				  request->instance_since, choice);
 		pthread_mutex_unlock(&node->router_lock);
 		return;
 	}
@@ -148,11 +149,11 @@
 	request->attempt_count++;
 	request->routed = true;
 	g_strlcpy(request->instance, choice.address, sizeof(request->instance));
+	request->instance_since = choice.since;
 	if (worker->node->rollout) {
 		g_strlcpy(request->version, choice.version, sizeof(request->version));
 		g_strlcpy(request->instance_zone, choice.zone,
 			  sizeof(request->instance_zone));
-		request->instance_since = choice.since;
 		request->sent_at = clock_boot_usec();
 	}
 	/* Retries are only lent where the target's calls name their parent; others could
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -98,10 +98,10 @@
 	uint32_t resends;		   /* to an instance that had rejected the call */
 	bool sends_again;		   /* the next attempt is a resend */
 	char instance[ADDRESS_TEXT_BYTES]; /* of the current attempt */
+	usec_t instance_since;		   /* see router_choice_t.since */
 	/* Of that instance; set only where roll-outs are on. */
 	char version[MEMBER_TEXT_BYTES];
 	char instance_zone[MEMBER_TEXT_BYTES];
-	usec_t instance_since;
 	usec_t sent_at;
 	struct tevent_timer *retry_timer;
 	struct tevent_timer *deadline_timer;
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -140,9 +140,12 @@
 void router_pick(router_t *router, const router_request_t *request, usec_t now,
 		 router_choice_t *out);
 
-/* Chooses the instance with this address if it still accepts calls, and counts the call
- * as in flight on it; otherwise out->address is empty. */
-void router_pick_again(router_t *router, const char *address, router_choice_t *out);
+/* Chooses the instance with this address again if it still accepts calls for the service,
+ * and counts the call as in flight on it; otherwise out->address is empty. `since` is
+ * that of the earlier choice: another process or version at the address is another
+ * instance. */
+void router_pick_again(router_t *router, const char *service, const char *address,
+		       usec_t since, router_choice_t *out);
 
 /* Ends a call on the instance. `report` is the load in the response, or NULL. */
 void router_done(router_t *router, const char *address, router_outcome_t outcome,
--- a/routing/router.c
+++ b/routing/router.c
@@ -458,13 +458,15 @@
 	out->node_id = instance->member.node_id;
 }
 
-void router_pick_again(router_t *router, const char *address, router_choice_t *out)
+void router_pick_again(router_t *router, const char *service, const char *address,
+		       usec_t since, router_choice_t *out)
 {
 	instance_t *instance = g_hash_table_lookup(router->instances, address);
 
 	memset(out, 0, sizeof(*out));
 	out->reason = ROUTER_NO_INSTANCE;
-	if (!instance || instance->silent || !zone_in_service(router, instance))
+	if (!instance || instance->silent || !zone_in_service(router, instance) ||
+	    instance->since != since || strcmp(instance->member.service, service) != 0)
 		return;
 	out->reason = ROUTER_AGAIN;
 	fill_choice(instance, out);
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -234,6 +234,54 @@
 	{"allows: no instance", {"v1", "v1"}, "v2", false},
 };
 
+/* --- the same instance again ------------------------------------------------ */
+
+typedef struct again_case {
+	const char *name;
+	uint64_t node_id; /* of the member at the address afterwards; 0: that of before */
+	const char *service;
+	const char *version;
+	Egret__TargetState target;
+	router_reason_t reason;
+} again_case_t;
+
+/* Guards against a call that is sent again to what has replaced the instance that
+ * rejected it: the process at an address may change while the call waits. */
+static void test_pick_again(void **state)
+{
+	const again_case_t *c = *state;
+	router_t *router = router_create("a", 7);
+	member_t member = make_member(0, "a", UP);
+	router_request_t request = {.service = SERVICE};
+	router_choice_t first;
+	router_choice_t again;
+
+	router_update(router, &member, START);
+	router_pick(router, &request, START, &first);
+	assert_int_equal(first.reason, ROUTER_OWN_ZONE);
+	router_done(router, first.address, ROUTER_REFUSED, NULL, START);
+	member.node_id = c->node_id ? c->node_id : member.node_id;
+	member.target = c->target;
+	g_strlcpy(member.service, c->service, sizeof(member.service));
+	g_strlcpy(member.version, c->version, sizeof(member.version));
+	router_update(router, &member, START + 1);
+	router_pick_again(router, SERVICE, first.address, first.since, &again);
+	assert_int_equal(again.reason, c->reason);
+	assert_string_equal(again.address,
+			    c->reason == ROUTER_AGAIN ? first.address : "");
+	router_destroy(router);
+}
+
+static const again_case_t again_cases[] = {
+	{"again: unchanged", 0, SERVICE, "", UP, ROUTER_AGAIN},
+	{"again: another process", 77, SERVICE, "", UP, ROUTER_NO_INSTANCE},
+	{"again: another version", 0, SERVICE, "v2", UP, ROUTER_NO_INSTANCE},
+	{"again: another service", 77, "other", "", UP, ROUTER_NO_INSTANCE},
+	{"again: the same process for another service", 0, "other", "", UP,
+	 ROUTER_NO_INSTANCE},
+	{"again: draining", 0, SERVICE, "", DRAINING, ROUTER_NO_INSTANCE},
+};
+
 /* Free slots of a version that gets no requests would hide the pressure of the other. */
 typedef struct idle_case {
 	const char *name;
@@ -695,6 +743,7 @@
 	failed += RUN_CASES("known_calls", known_call_cases, test_known_call_under_load);
 	failed += RUN_CASES("learned_calls", load_cases, test_calls_learned_under_load);
 	failed += RUN_CASES("idle", idle_cases, test_idle);
+	failed += RUN_CASES("pick_again", again_cases, test_pick_again);
 	failed += RUN_CASES("allows", allow_cases, test_allows) +
 		  RUN_CASES("router_ramp", ramp_cases, test_ramp);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
