http: close slow heads also with a time limit of 1 or 2 s

A pause is now at least 1.5 s long; limits from 3 s on are unaffected.

test_http_server: the cases of 1 s and 2 s failed before; all seven pass now.

--- a/http/http_server.c
+++ b/http/http_server.c
@@ -19,6 +19,8 @@
 /* malloc_trim() walks the whole heap, so it is called only when much was freed. */
 #define TRIM_PERIOD (5 * USEC_PER_SEC)
 #define TRIM_MIN_BYTES (1u << 20)
+/* Sweeps are a second apart, a little more under load: that is not a pause. */
+#define PAUSE_MIN (1500 * USEC_PER_MSEC)
 
 bool http_server_is_crowded(const http_server_t *server)
 {
@@ -287,7 +289,8 @@
  * may not have been read yet, so it does so from the next sweep on. */
 static void close_expired_heads(http_server_t *server, usec_t now)
 {
-	bool paused = now - server->last_sweep >= server->options.head_timeout / 2;
+	bool paused = now - server->last_sweep >=
+		      MAX(server->options.head_timeout / 2, PAUSE_MIN);
 	place_t *place;
 
 	server->last_sweep = now;
--- /dev/null
+++ b/tests/unit/test_http_server.c
@@ -0,0 +1,124 @@
+/* Tests of the server's limits with connections over loopback; sweeps in virtual time. */
+#include "case.h"
+
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Turns of the event loop in which a connection and its first bytes are handled. */
+#define TURNS 20
+#define TURN_MS 10
+
+static void *handle_request(void *ctx, http_exchange_t *exchange)
+{
+	(void)exchange;
+	return ctx;
+}
+
+static void handle_closed(void *request)
+{
+	(void)request;
+}
+
+static const http_server_ops_t ops = {
+	.on_request = handle_request,
+	.on_closed = handle_closed,
+};
+
+static void handle_turn(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval when, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)when;
+	*(bool *)private_data = true;
+}
+
+static void run_turns(struct tevent_context *ev)
+{
+	for (int i = 0; i < TURNS; i++) {
+		bool ended = false;
+		tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, TURN_MS * 1000),
+				 handle_turn, &ended);
+		while (!ended)
+			tevent_loop_once(ev);
+	}
+}
+
+/* A listener's port that was free a moment ago. */
+static struct sockaddr_in free_address(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(bind(fd, (struct sockaddr *)&address, len), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &len), 0);
+	close(fd);
+	return address;
+}
+
+typedef struct head_case {
+	const char *name;
+	usec_t head_timeout;
+	usec_t period; /* of the sweeps */
+	int sweeps;    /* until the head must be closed, or must still be open */
+	bool closed;
+} head_case_t;
+
+/* Guards against unfinished heads that stay open, since the usual time between two sweeps
+ * is taken for a pause of the process. */
+static void test_head_timeout(void **state)
+{
+	const head_case_t *c = *state;
+	struct tevent_context *ev = tevent_context_init(NULL);
+	http_server_options_t options = {
+		.address = free_address(),
+		.idle_timeout = 120 * USEC_PER_SEC,
+		.connections_max = 8,
+		.connections_kept = 8,
+		.pipeline = {.requests_max = 4, .bytes_max = 65536},
+		.name = "test",
+		.address_share_percent = 100,
+		.head_timeout = c->head_timeout,
+	};
+	http_server_t *server = http_server_create(ev, ev, &options, &ops, NULL, NULL);
+	assert_non_null(server);
+	usec_t now = clock_boot_usec();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&options.address, sizeof(options.address)),
+		0);
+	http_server_sweep(server, now);
+	assert_int_equal(send(fd, "GET", 3, 0), 3);
+	run_turns(ev);
+	now = clock_boot_usec();
+	for (int i = 0; i < c->sweeps; i++, now += c->period)
+		http_server_sweep(server, now);
+	struct pollfd pollfd = {.fd = fd, .events = POLLIN};
+	assert_int_equal(poll(&pollfd, 1, TURN_MS), c->closed);
+	close(fd);
+	http_server_destroy(server);
+	talloc_free(ev);
+}
+
+#define TICK (USEC_PER_SEC + 20 * USEC_PER_MSEC) /* a sweep is up to a tick late */
+
+static const head_case_t head_cases[] = {
+	{"head: 10 s", 10 * USEC_PER_SEC, TICK, 12, true},
+	{"head: 10 s, not yet", 10 * USEC_PER_SEC, TICK, 9, false},
+	{"head: 3 s", 3 * USEC_PER_SEC, TICK, 5, true},
+	{"head: 2 s", 2 * USEC_PER_SEC, TICK, 4, true},
+	{"head: 1 s", 1 * USEC_PER_SEC, TICK, 3, true},
+	{"head: 2 s, not yet", 2 * USEC_PER_SEC, TICK, 1, false},
+	{"head: after a pause", 2 * USEC_PER_SEC, 4 * USEC_PER_SEC, 2, false},
+};
+
+int main(void)
+{
+	return RUN_CASES("head timeout", head_cases, test_head_timeout);
+}
