http: read a connection once in each run

A run of a connection went on reading as long as reads were full and responses could be sent. A client that sends requests faster than they are refused kept its worker for about 0.2 s at a time, so that a few such clients made all other callers wait for a second and more. A run now reads once, 16 KB at most; epoll reports the rest. Connections with TLS are not bounded: epoll does not report what their session has read already.

test_turn: 64 KB of a body were read in one turn before, 16 KB now.

--- a/http/http_connection.c
+++ b/http/http_connection.c
@@ -168,14 +168,23 @@
 		       : recv(connection->fd, buffer, HTTP_READ_BYTES, 0);
 }
 
+/* Whether the socket is to be read in this run. It is read once, since a client may send
+ * faster than it is served, which would keep the other connections waiting; epoll reports
+ * the rest. It does not report what a TLS session has read already. */
+static bool may_receive(const http_connection_t *connection)
+{
+	return connection->readable && (connection->tls || !connection->has_received);
+}
+
 /* Returns whether more may be there to read. */
 static bool read_input(http_connection_t *connection)
 {
 	if (parse_unread(connection))
 		return true;
-	if (connection->unread->len > 0 || !connection->readable ||
+	if (connection->unread->len > 0 || !may_receive(connection) ||
 	    !wants_input(connection))
 		return false;
+	connection->has_received = true;
 	ssize_t n = receive(connection);
 	/* Behind a short read, epoll reports what arrives later. */
 	connection->readable = n == HTTP_READ_BYTES || (n > 0 && connection->tls);
@@ -424,6 +433,7 @@
 {
 	bool progress = true;
 
+	connection->has_received = false;
 	while (progress && !connection->failed && !connection->lingers) {
 		progress = wake_exchanges(connection);
 		progress = read_input(connection) || progress;
--- a/include/http/http_connection.h
+++ b/include/http/http_connection.h
@@ -62,6 +62,7 @@
 	size_t out_sent;
 	uint32_t polled;   /* events */
 	bool readable;	   /* more may be there to receive */
+	bool has_received; /* in the current run */
 	bool crowded;	   /* was opened while the server was crowded */
 	bool input_failed; /* the end of a request is unknown; no more is read */
 	bool client_gone;
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +13,27 @@
 #define TURNS 20
 #define TURN_MS 10
 
+static size_t body_bytes;
+
+static size_t body_room(void *request)
+{
+	(void)request;
+	return SIZE_MAX;
+}
+
+static void handle_body(void *request, const char *data, size_t len)
+{
+	(void)request;
+	(void)data;
+	body_bytes += len;
+}
+
+static bool closes(void *request)
+{
+	(void)request;
+	return false;
+}
+
 static void *handle_request(void *ctx, http_exchange_t *exchange)
 {
 	(void)exchange;
@@ -25,6 +47,9 @@
 
 static const http_server_ops_t ops = {
 	.on_request = handle_request,
+	.body_room = body_room,
+	.on_body = handle_body,
+	.closes = closes,
 	.on_closed = handle_closed,
 };
 
@@ -62,6 +87,67 @@
 	return address;
 }
 
+static http_server_t *start_server(struct tevent_context *ev, usec_t head_timeout,
+				   struct sockaddr_in *address)
+{
+	http_server_options_t options = {
+		.address = free_address(),
+		.idle_timeout = 120 * USEC_PER_SEC,
+		.connections_max = 8,
+		.connections_kept = 8,
+		.pipeline = {.requests_max = 4, .bytes_max = 65536},
+		.name = "test",
+		.address_share_percent = 100,
+		.head_timeout = head_timeout,
+	};
+	http_server_t *server = http_server_create(ev, ev, &options, &ops, NULL, NULL);
+
+	assert_non_null(server);
+	*address = options.address;
+	return server;
+}
+
+static int connect_to(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(connect(fd, (const struct sockaddr *)address, sizeof(*address)),
+			 0);
+	return fd;
+}
+
+#define HEAD "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+#define SENT_MIN (64u << 10)
+#define TURN_BYTES_MAX (16u << 10)
+
+/* Guards against one connection whose client sends faster than it is served, and that
+ * keeps the others waiting since it is read until nothing is left. */
+static void test_turn(void **state)
+{
+	(void)state;
+	static char part[SENT_MIN];
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct sockaddr_in address;
+	http_server_t *server = start_server(ev, 0, &address);
+	int fd = connect_to(&address);
+	size_t most = 0;
+	size_t all = 0;
+
+	assert_int_equal(send(fd, HEAD, strlen(HEAD), 0), strlen(HEAD));
+	run_turns(ev);
+	assert_int_equal(send(fd, part, sizeof(part), 0), sizeof(part));
+	while (all < sizeof(part)) {
+		body_bytes = 0;
+		tevent_loop_once(ev);
+		most = MAX(most, body_bytes);
+		all += body_bytes;
+	}
+	assert_true(most <= TURN_BYTES_MAX);
+	close(fd);
+	http_server_destroy(server);
+	talloc_free(ev);
+}
+
 typedef struct head_case {
 	const char *name;
 	usec_t head_timeout;
@@ -76,23 +162,10 @@
 {
 	const head_case_t *c = *state;
 	struct tevent_context *ev = tevent_context_init(NULL);
-	http_server_options_t options = {
-		.address = free_address(),
-		.idle_timeout = 120 * USEC_PER_SEC,
-		.connections_max = 8,
-		.connections_kept = 8,
-		.pipeline = {.requests_max = 4, .bytes_max = 65536},
-		.name = "test",
-		.address_share_percent = 100,
-		.head_timeout = c->head_timeout,
-	};
-	http_server_t *server = http_server_create(ev, ev, &options, &ops, NULL, NULL);
-	assert_non_null(server);
+	struct sockaddr_in address;
+	http_server_t *server = start_server(ev, c->head_timeout, &address);
 	usec_t now = clock_boot_usec();
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(
-		connect(fd, (struct sockaddr *)&options.address, sizeof(options.address)),
-		0);
+	int fd = connect_to(&address);
 	http_server_sweep(server, now);
 	assert_int_equal(send(fd, "GET", 3, 0), 3);
 	run_turns(ev);
@@ -120,5 +193,8 @@
 
 int main(void)
 {
-	return RUN_CASES("head timeout", head_cases, test_head_timeout);
+	const struct CMUnitTest single[] = {cmocka_unit_test(test_turn)};
+
+	return RUN_CASES("head timeout", head_cases, test_head_timeout) +
+	       cmocka_run_group_tests(single, NULL, NULL);
 }
