routing: no shed level for a service whose instances are all idle

During a roll-out, instances of the version that gets no requests are left out of the shed level. If that were all instances, the level was 0, which has every request refused upstream and retries suppressed. It is now the level of a service without instances.

test_idle: the case of all instances had level 0 before; all four pass now.

--- a/routing/router.c
+++ b/routing/router.c
@@ -547,13 +547,17 @@
 {
 	GPtrArray *list = g_hash_table_lookup(router->services, service);
 	priority_t best = 0;
+	bool is_known = false;
 
-	if (!list || list->len == 0)
-		return PRIORITY_LEVEL_ALL;
-	for (guint i = 0; i < list->len; i++)
-		if (!((const instance_t *)list->pdata[i])->idle)
-			best = MAX(best, effective_level(list->pdata[i], now));
-	return best;
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+
+		if (instance->idle)
+			continue;
+		is_known = true;
+		best = MAX(best, effective_level(instance, now));
+	}
+	return is_known ? best : PRIORITY_LEVEL_ALL;
 }
 
 double router_service_pressure(router_t *router, const char *service, usec_t now)
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -288,6 +288,7 @@
 	const char *idle; /* version; NULL if none */
 	bool same;
 	double pressure;
+	priority_t level;
 } idle_case_t;
 
 static void test_idle(void **state)
@@ -305,15 +306,18 @@
 	}
 	router_set_idle(router, SERVICE, "v1", true);
 	router_set_idle(router, SERVICE, c->idle, c->same);
+	assert_int_equal(router_service_level(router, SERVICE, START), c->level);
 	double pressure = router_service_pressure(router, SERVICE, START);
 	assert_true(pressure > c->pressure - 0.01 && pressure < c->pressure + 0.01);
 	router_destroy(router);
 }
 
 static const idle_case_t idle_cases[] = {
-	{"idle: none", NULL, false, 1},
-	{"idle: the new version", "v2", true, 2},
-	{"idle: all but the new version", "v2", false, 0},
+	{"idle: none", NULL, false, 1, ALL},
+	{"idle: the new version", "v2", true, 2, ALL},
+	{"idle: all but the new version", "v2", false, 0, ALL},
+	/* Level 0 would have all requests refused upstream. */
+	{"idle: all instances", "v3", false, 0, ALL},
 };
 
 typedef struct ramp_case {
