request: do not count resends where they are off

Without a bound for resends, each rejected call was counted in resends_capped, as if the budget had been used up.

resends_off: resends_capped was 1 before after one rejected request, and is 0 now.

--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -479,7 +479,8 @@
 	usec_t wait =
 		retry_backoff(MIN(request->resends, RESEND_BACKOFF_STEP_MAX), uniform);
 
-	if (!is_rejection(reply) || reply->makes_calls || !can_resend_body(request) ||
+	if (node_bounds(node)->resend_ratio <= 0 || !is_rejection(reply) ||
+	    reply->makes_calls || !can_resend_body(request) ||
 	    request->resends >= RESENDS_MAX || wait >= request->context.deadline - now)
 		return false;
 	pthread_mutex_lock(&node->router_lock);
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -615,6 +615,18 @@
     assert len(refused) >= 20 and len(ran) >= 10, results
 
 
+def case_resends_off():
+    """Without a bound for resends, a call that its target rejects is not resent, and is not counted
+    as one whose resend the budget did not allow."""
+    refusal = b"HTTP/1.1 503 X\r\nEgret-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    with running_deployment(ONE_INSTANCE) as d:
+        use_raw_target(d, lambda r: (refusal if "/refuse" in r["path"] else answer, True))
+        assert send(d, "/write/refuse", 0, method="POST")[0] == 503
+        counts = {name: value for name, value in d.nodes[0].metrics().items() if "resends" in name}
+    assert counts and not any(counts.values()), counts
+
+
 def case_refused_after_unknown():
     """A request that one instance may have run is not reported as not-run because the next
     instance refuses it."""
