admission: keep the rate from before a completion limit

The limit was a share of the history of admissions, which falls with the limit itself: at a constant share of 0.5, 50 requests per second fell to 13 after 20 s, 5 after 40 s and 1 after 80 s. The rate from before the limit is now kept until the share is 1 again.

test_long_disturbance: of 500 requests in the last 10 s of 60 s at 0.5, 28 were admitted before and 250 are now.

--- a/admission/completion_limit.c
+++ b/admission/completion_limit.c
@@ -12,6 +12,7 @@
 
 typedef struct route_limit {
 	call_history_t *admitted;
+	double rate_before; /* of admissions before the present limit; 0 without one */
 	double tokens;
 	usec_t refilled_at;
 } route_limit_t;
@@ -99,9 +100,14 @@
 		/* Requests that are rarer than the history count as one in each window.
 		 */
 		double least = (double)USEC_PER_SEC / (double)MAX(limit->window, 1);
-		double rate = share * MAX(call_history_rate(route->admitted, now), least);
-		if (!take_token(route, rate, now))
+		double rate = MAX(call_history_rate(route->admitted, now), least);
+		/* The history falls with what is admitted; the limit must not follow. */
+		if (route->rate_before <= 0)
+			route->rate_before = rate;
+		if (!take_token(route, share * route->rate_before, now))
 			return false;
+	} else {
+		route->rate_before = 0;
 	}
 	call_history_record(route->admitted, now);
 	return true;
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -293,6 +293,32 @@
 	completion_limit_destroy(limit);
 }
 
+#define LONG_SEC 60
+#define ARRIVALS 50 /* per second */
+
+/* Guards against a limit that is applied to its own effect: admissions then fall towards
+ * nothing while the completable share stays the same. */
+static void test_long_disturbance(void **state)
+{
+	(void)state;
+	completion_limit_t *limit = completion_limit_create(WINDOW);
+	usec_t now = START;
+	int admitted = 0;
+
+	for (int i = 0; i < (20 + LONG_SEC) * ARRIVALS;
+	     i++, now += USEC_PER_SEC / ARRIVALS) {
+		double completable = i < 20 * ARRIVALS ? 1.0 : 0.5;
+		bool is_last = i >= (10 + LONG_SEC) * ARRIVALS;
+		bool admits = completion_limit_admit(limit, "r", completable, 5,
+						     &same_importance, now);
+		admitted += is_last && admits;
+	}
+	print_message("admitted %d of %d\n", admitted, 10 * ARRIVALS);
+	assert_true(admitted >= 10 * ARRIVALS * 0.4);
+	assert_true(admitted <= 10 * ARRIVALS * 0.6);
+	completion_limit_destroy(limit);
+}
+
 /* Guards against repeats on the other budget that are held against resends long after the
  * window that both are counted in. */
 static void test_old_retries(void **state)
@@ -319,6 +345,7 @@
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_history),
 		cmocka_unit_test(test_rare_route),
+		cmocka_unit_test(test_long_disturbance),
 		cmocka_unit_test(test_old_retries),
 	};
 
