--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -70,7 +70,8 @@
 	pthread_mutex_lock(&node->router_lock);
 	if (request->sends_again) {
 		request->sends_again = false;
-		router_pick_again(node->router, request->instance, choice);
+		router_pick_again(node->router, request->service, request->instance,
+				  request->instance_since, choice);
 		pthread_mutex_unlock(&node->router_lock);
 		return;
 	}
@@ -148,11 +149,11 @@
 	request->attempt_count++;
 	request->routed = true;
 	g_strlcpy(request->instance, choice.address, sizeof(request->instance));
+	request->instance_since = choice.since;
 	if (worker->node->rollout) {
 		g_strlcpy(request->version, choice.version, sizeof(request->version));
 		g_strlcpy(request->instance_zone, choice.zone,
 			  sizeof(request->instance_zone));
-		request->instance_since = choice.since;
 		request->sent_at = clock_boot_usec();
 	}
 	/* Retries are only lent where the target's calls name their parent; others could
@@ -478,7 +479,8 @@
 	usec_t wait =
 		retry_backoff(MIN(request->resends, RESEND_BACKOFF_STEP_MAX), uniform);
 
-	if (!is_rejection(reply) || reply->makes_calls || !can_resend_body(request) ||
+	if (node_bounds(node)->resend_ratio <= 0 || !is_rejection(reply) ||
+	    reply->makes_calls || !can_resend_body(request) ||
 	    request->resends >= RESENDS_MAX || wait >= request->context.deadline - now)
 		return false;
 	pthread_mutex_lock(&node->router_lock);
--- a/routing/router.c
+++ b/routing/router.c
@@ -458,13 +458,15 @@
 	out->node_id = instance->member.node_id;
 }
 
-void router_pick_again(router_t *router, const char *address, router_choice_t *out)
+void router_pick_again(router_t *router, const char *service, const char *address,
+		       usec_t since, router_choice_t *out)
 {
 	instance_t *instance = g_hash_table_lookup(router->instances, address);
 
 	memset(out, 0, sizeof(*out));
 	out->reason = ROUTER_NO_INSTANCE;
-	if (!instance || instance->silent || !zone_in_service(router, instance))
+	if (!instance || instance->silent || !zone_in_service(router, instance) ||
+	    instance->since != since || strcmp(instance->member.service, service) != 0)
 		return;
 	out->reason = ROUTER_AGAIN;
 	fill_choice(instance, out);
@@ -545,13 +547,17 @@
 {
 	GPtrArray *list = g_hash_table_lookup(router->services, service);
 	priority_t best = 0;
+	bool is_known = false;
 
-	if (!list || list->len == 0)
-		return PRIORITY_LEVEL_ALL;
-	for (guint i = 0; i < list->len; i++)
-		if (!((const instance_t *)list->pdata[i])->idle)
-			best = MAX(best, effective_level(list->pdata[i], now));
-	return best;
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+
+		if (instance->idle)
+			continue;
+		is_known = true;
+		best = MAX(best, effective_level(instance, now));
+	}
+	return is_known ? best : PRIORITY_LEVEL_ALL;
 }
 
 double router_service_pressure(router_t *router, const char *service, usec_t now)
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -275,11 +275,78 @@
 	call_history_destroy(history);
 }
 
+#define SLOW_PERIOD (30 * USEC_PER_SEC)
+
+/* Guards against a route that is refused as long as a disturbance lasts, since its
+ * requests are rarer than the history. */
+static void test_rare_route(void **state)
+{
+	(void)state;
+	completion_limit_t *limit = completion_limit_create(WINDOW);
+	usec_t now = START;
+	int admitted = 0;
+
+	for (int i = 0; i < 10; i++, now += SLOW_PERIOD)
+		admitted +=
+			completion_limit_admit(limit, "r", 0.9, 5, &same_importance, now);
+	assert_int_equal(admitted, 10);
+	completion_limit_destroy(limit);
+}
+
+#define LONG_SEC 60
+#define ARRIVALS 50 /* per second */
+
+/* Guards against a limit that is applied to its own effect: admissions then fall towards
+ * nothing while the completable share stays the same. */
+static void test_long_disturbance(void **state)
+{
+	(void)state;
+	completion_limit_t *limit = completion_limit_create(WINDOW);
+	usec_t now = START;
+	int admitted = 0;
+
+	for (int i = 0; i < (20 + LONG_SEC) * ARRIVALS;
+	     i++, now += USEC_PER_SEC / ARRIVALS) {
+		double completable = i < 20 * ARRIVALS ? 1.0 : 0.5;
+		bool is_last = i >= (10 + LONG_SEC) * ARRIVALS;
+		bool admits = completion_limit_admit(limit, "r", completable, 5,
+						     &same_importance, now);
+		admitted += is_last && admits;
+	}
+	print_message("admitted %d of %d\n", admitted, 10 * ARRIVALS);
+	assert_true(admitted >= 10 * ARRIVALS * 0.4);
+	assert_true(admitted <= 10 * ARRIVALS * 0.6);
+	completion_limit_destroy(limit);
+}
+
+/* Guards against repeats on the other budget that are held against resends long after the
+ * window that both are counted in. */
+static void test_old_retries(void **state)
+{
+	(void)state;
+	resends_t *resends = resends_create(RATIO, WINDOW);
+	usec_t now = START;
+
+	/* Each fourth call is repeated: more than RATIO. */
+	for (int i = 0; i < 60000; i++, now += 10 * USEC_PER_MSEC) {
+		resends_record_call(resends, now);
+		if (i % 4 == 0)
+			resends_record_retry(resends, now);
+	}
+	for (int i = 0; i < 1200; i++, now += 10 * USEC_PER_MSEC)
+		resends_record_call(resends, now);
+	assert_true(resends_take(resends, now));
+	resends_destroy(resends);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_history),
+		cmocka_unit_test(test_rare_route),
+		cmocka_unit_test(test_long_disturbance),
+		cmocka_unit_test(test_old_retries),
 	};
 
 	return RUN_CASES("completed requests", load_cases, test_completed_requests) +
