tests: check the breaks of responses in parallel

Cause: on_platform_crashing_request_broken ran its 11 deployments (44 rows) one after the other.

Change: each deployment runs in a child process of the test, four at a time. The addresses of the nodes depend on the process id, so that children do not share them. The rows, their order within a deployment, the sends, the checks and the bounds are unchanged. A child that fails or ends early fails the case, with the rows that it printed and its standard error.

--- a/tests/e2e/on_platform_crashes.py
+++ b/tests/e2e/on_platform_crashes.py
@@ -1,7 +1,11 @@
 """End-to-end cases of a request that crashes each target that begins to run it."""
 
 import collections
+import concurrent.futures
 import http.client
+import os
+import subprocess
+import sys
 import threading
 import time
 
@@ -193,6 +197,7 @@
 # The nodes that get the requests in turn: without a target of the service, or with one. The targets
 # that they choose are of the same node or of another one.
 ENTRIES = [("through another node", (0,)), ("through the nodes of the targets", (1, 2))]
+PARALLEL_BREAKS = 4  # deployments at a time; one after the other, the rows take four minutes
 
 
 def break_off(broken):
@@ -249,24 +254,41 @@
     return f"{len(crashes)} crashes, {len(late)} of them late, statuses {statuses}"
 
 
+def check_break(broken):
+    """Checks all routes and entries in a deployment of its own; prints what is wrong."""
+    with PlatformDeployment() as d:
+        targets = use_fragile_targets(d, break_off(broken))
+        for target in targets:
+            target.resets = broken.resets
+        try:
+            for method, path in BROKEN_ROUTES:
+                for name, nodes in ENTRIES:
+                    found = check_broken(d, targets, broken, method,
+                                         path.replace("crash", f"{nodes[0]}-crash"), nodes)
+                    if found:
+                        print(f"{broken.name}, {method}, {name}: {found}", flush=True)
+        finally:
+            for target in targets:
+                target.close()
+
+
+def run_check_break(index):
+    """Runs check_break in a process, which has addresses of its own (ADDRESSES); returns what is
+    wrong."""
+    child = subprocess.run(
+        [sys.executable, os.path.abspath(__file__), str(index)], capture_output=True, text=True,
+        check=False, env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)})
+    if child.returncode == 0 and not child.stdout:
+        return []
+    return [f"{child.stdout}{BREAKS[index].name}: exit status {child.returncode}\n{child.stderr}"]
+
+
 def case_on_platform_crashing_request_broken():
     """A request whose target crashes within the response is refused after few crashes, wherever
     the response breaks off: a part of a response must not count as its completion."""
-    failures = []
-    for broken in BREAKS:
-        with PlatformDeployment() as d:
-            targets = use_fragile_targets(d, break_off(broken))
-            for target in targets:
-                target.resets = broken.resets
-            try:
-                for method, path in BROKEN_ROUTES:
-                    for name, nodes in ENTRIES:
-                        found = check_broken(d, targets, broken, method,
-                                             path.replace("crash", f"{nodes[0]}-crash"), nodes)
-                        failures += [f"{broken.name}, {method}, {name}: {found}"] if found else []
-            finally:
-                for target in targets:
-                    target.close()
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_BREAKS) as pool:
+        results = pool.map(run_check_break, range(len(BREAKS)))
+        failures = [failure for found in results for failure in found]
     assert not failures, "\n".join(failures)
 
 
@@ -310,3 +332,7 @@
                 assert len(cut) == n + 1, f"request {n} was not sent to the target"
         finally:
             target.close()
+
+
+if __name__ == "__main__":
+    check_break(BREAKS[int(sys.argv[1])])
