rollout: write the status again where the copy has an earlier state

After a change of the store's era, a recorded state was written again only if the copy lacked the status row. With the row of a roll-out in progress, which a copy some seconds old usually has, the row stayed in_progress for good, and the platform never saw the end of a completed roll-out.

A row that was read again after a change of the era is written again if its state is an earlier one.

--- a/egretscaled/control/rollout_status.c
+++ b/egretscaled/control/rollout_status.c
@@ -28,6 +28,7 @@
 	rollout_order_t order;
 	uint64_t revision;	/* of the row; 0 without one */
 	bool read;		/* the row was read since the order is known */
+	bool restored;		/* the era changed since: what was written may be lost */
 	rollout_state_t state;	/* in the row, of this order */
 	rollout_state_t wanted; /* the write of this state is planned or in flight */
 	usec_t next_at;
@@ -57,6 +58,7 @@
 				  strcmp(row->order.to, order->to) != 0)) {
 		row->order = *order;
 		row->read = false;
+		row->restored = false;
 		row->state = ROLLOUT_NONE;
 		row->wanted = ROLLOUT_NONE;
 		row->next_at = 0;
@@ -223,8 +225,8 @@
 		read_row(row);
 		return;
 	}
-	/* A recorded state without a row was lost with the store's copy. */
-	bool lost = row->state == ROLLOUT_NONE;
+	/* A recorded state that is not in the row was lost with the store's copy. */
+	bool lost = row->state == ROLLOUT_NONE || row->restored;
 	if (status->state == row->state || (status->recorded && !lost) ||
 	    row->state > ROLLOUT_IN_PROGRESS || !is_settled(status))
 		return;
@@ -259,6 +261,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		status_row_t *row = value;
 		row->read = false;
+		row->restored = true;
 		row->next_at = now + (usec_t)(node_random_id() % (uint64_t)ERA_SPREAD);
 	}
 }
--- a/tests/e2e/on_platform_rollouts.py
+++ b/tests/e2e/on_platform_rollouts.py
@@ -200,3 +200,45 @@
         time.sleep(1)
         assert all(b > a + 10 for a, b in zip(count, d.received())), (count, d.received())
         assert d.status() is None
+
+
+def begin_drill(d):
+    """Nodes have seen the era of the store, and its next writes get higher versions than those
+    after the restore."""
+    d.platform_drill("begin")
+    time.sleep(2)
+
+
+def check_restored_status(copied):
+    """The store comes back from a copy, in which the status row of a completed roll-out has an
+    earlier state or is absent: the row is written again with its last state, and no request goes
+    back to the old version."""
+    with RolloutDeployment() as d, Load(d):
+        begin_drill(d)
+        d.order()
+        if copied:
+            wait_for("the roll-out to have a status", lambda: d.status() == copied, 5)
+        d.platform_drill("copy")
+        wait_for("the roll-out to be completed", lambda: d.status() == "completed", DURATION_SEC)
+        time.sleep(0.5)  # requests that were sent before the verdict
+        before = d.received()
+        d.platform_drill("restore")
+        assert d.status() == copied
+        seen = []
+        wait_for("the status to be written again",
+                 lambda: seen.append(d.status()) or seen[-1] == "completed", 8)
+        assert set(seen) <= {copied, "completed"}, seen
+        time.sleep(2)
+        after = d.received()
+        assert d.status() == "completed"
+        assert after[0] == before[0] and after[1] > before[1], (before, after)
+
+
+def case_on_platform_rollout_restored_status():
+    """Without the row, the platform would see no state of the roll-out."""
+    check_restored_status(None)
+
+
+def case_on_platform_rollout_restored_progress():
+    """With the row of a roll-out in progress, the platform would wait for its end."""
+    check_restored_status("in_progress")
