config: keep roll-out orders that the copy of the store lost for the hold time

The row of an order lies beside the operator's configuration, and the copy's state of it was applied at once: a lost order was taken as withdrawn, and an earlier one or one that had been withdrawn started again. A version that had been rolled back then got its full part of the requests until the operator wrote the order again.

Such rows are deferred for RESTORED_ZONE_HOLD, as the status of a zone is. An order that is newer by its store version is in force at once. The absence of a row has no version of its own, and an order with another version is another order, also if its text is equal.

--- a/config/config.c
+++ b/config/config.c
@@ -7,8 +7,6 @@
 #include <stdatomic.h>
 #include <string.h>
 
-#define ROLLOUT_ROW_PREFIX "record/rollout/"
-
 struct config_log {
 	GHashTable *rows; /* key -> config_row_t */
 	uint64_t revision;
@@ -61,7 +59,7 @@
 {
 	return revision < log->snapshot && strcmp(key, CONFIG_SNAPSHOT_KEY) != 0 &&
 	       !g_str_has_prefix(key, CONFIG_ZONE_PREFIX) &&
-	       !g_str_has_prefix(key, ROLLOUT_ROW_PREFIX);
+	       !g_str_has_prefix(key, CONFIG_ROLLOUT_PREFIX);
 }
 
 static gboolean row_is_superseded(void *key, void *value, void *ctx)
--- a/config/restored.c
+++ b/config/restored.c
@@ -59,18 +59,38 @@
 	       (row->revision > inputs->era_start || has_newer_version(held, row));
 }
 
+/* Whether a roll-out order was certainly written after the held row. The absence of a row
+ * has no version of its own, and an order is identified by its version. */
+static bool is_newer_order(const restored_inputs_t *inputs, const config_row_t *held,
+			   const config_row_t *row)
+{
+	return row->value &&
+	       (row->revision > inputs->era_start || has_newer_version(held, row));
+}
+
+static bool is_same_row(const config_row_t *held, const config_row_t *row,
+			bool is_rollout)
+{
+	if (g_strcmp0(held->value, row->value) != 0)
+		return false;
+	return !is_rollout || !row->value ||
+	       revision_version(held->revision) == revision_version(row->revision);
+}
+
 restored_verdict_t restored_judge(const restored_inputs_t *inputs,
 				  const config_row_t *held, const config_row_t *row)
 {
 	bool is_zone = g_str_has_prefix(row->key, CONFIG_ZONE_PREFIX);
+	bool is_rollout = g_str_has_prefix(row->key, CONFIG_ROLLOUT_PREFIX);
 
 	if (strcmp(row->key, CONFIG_SNAPSHOT_KEY) == 0)
 		return is_of_former_era(held, row) && is_older_snapshot(held, row)
 			       ? RESTORED_KEEP
 			       : RESTORED_APPLY;
-	if (inputs->has_snapshot && !is_zone && row->revision == inputs->refused)
+	if (inputs->has_snapshot && !is_zone && !is_rollout &&
+	    row->revision == inputs->refused)
 		return RESTORED_KEEP;
-	if (!is_of_former_era(held, row) || g_strcmp0(held->value, row->value) == 0)
+	if (!is_of_former_era(held, row) || is_same_row(held, row, is_rollout))
 		return RESTORED_APPLY;
 	if (!inputs->has_snapshot)
 		return is_older_record(inputs, held, row) ? RESTORED_KEEP
@@ -78,5 +98,8 @@
 	if (is_zone && inputs->now < inputs->hold_until &&
 	    !is_newer_evacuation(inputs, held, row))
 		return RESTORED_DEFER;
+	if (is_rollout && inputs->now < inputs->hold_until &&
+	    !is_newer_order(inputs, held, row))
+		return RESTORED_DEFER;
 	return RESTORED_APPLY;
 }
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -33,6 +33,7 @@
  */
 #define CONFIG_SNAPSHOT_KEY "snapshot"
 #define CONFIG_ZONE_PREFIX "record/availability_zone/"
+#define CONFIG_ROLLOUT_PREFIX "record/rollout/"
 
 typedef struct config_log config_log_t;
 typedef struct config config_t;
--- a/include/config/restored.h
+++ b/include/config/restored.h
@@ -22,7 +22,11 @@
  *	- The status of a zone beside a snapshot has no version. It is deferred for
  *	  RESTORED_ZONE_HOLD, unless it takes the zone out of service and is newer.
  *
- *	A row that equals the held one replaces it.
+ *	- A roll-out order beside a snapshot, or its absence, is deferred likewise,
+ *	  unless it is an order that is newer by its store version.
+ *
+ *	A row that equals the held one replaces it; an order of another store version
+ *	is another order.
  *
  * THREADS
  *	None of its own. No I/O and no clock.
--- a/tests/e2e/on_platform_rollouts.py
+++ b/tests/e2e/on_platform_rollouts.py
@@ -242,3 +242,21 @@
 def case_on_platform_rollout_restored_progress():
     """With the row of a roll-out in progress, the platform would wait for its end."""
     check_restored_status("in_progress")
+
+
+def case_on_platform_rollout_restored_order():
+    """The store comes back from a copy without the order of a roll-out that was rolled back: the
+    rejected version gets no requests while the operator has not yet written the order again."""
+    with RolloutDeployment() as d, Load(d):
+        d.targets[NEW].response = (500, {})
+        begin_drill(d)
+        d.platform_drill("copy")
+        d.order()
+        wait_for("the roll-out to be rolled back", lambda: d.status() == "rolled_back",
+                 DURATION_SEC)
+        time.sleep(0.5)  # requests that were sent before the verdict
+        before = d.received()
+        d.platform_drill("restore")
+        time.sleep(5)
+        after = d.received()
+        assert after[1] == before[1] and after[0] > before[0], (before, after)
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -407,6 +407,10 @@
 	"\"rate\":" rate ",\"burst\":1}"
 #define OUT ZONE_KEY, ZONE("out")
 #define IN ZONE_KEY, ZONE("in")
+#define ORDER_KEY CONFIG_ROLLOUT_PREFIX "n@1"
+#define ORDER(to)                                                                        \
+	ORDER_KEY, "{\"kind\":\"rollout\",\"name\":\"n\",\"schema_version\":1,"          \
+		   "\"service\":\"n\",\"to_version\":\"" to "\",\"duration_ms\":12000}"
 #define E(era, version) (((uint64_t)(era) << 48) + (version))
 #define HELD_SEC 9	/* within RESTORED_ZONE_HOLD */
 #define RELEASED_SEC 11 /* after it */
@@ -427,24 +431,60 @@
 	int64_t release_sec;
 } restored_case_t;
 
-static void test_restored(void **state)
+typedef struct restored_order_case {
+	const char *name;
+	restored_row_t rows[8];
+	int64_t release_sec;
+	const char *to;	  /* of the order at the end; NULL for none */
+	uint64_t version; /* of that order */
+} restored_order_case_t;
+
+static void take_record(void *ctx, const record_t *record)
+{
+	*(const record_t **)ctx = record;
+}
+
+/* Returns what is in force after the rows were merged. */
+static config_t *restored_config(const restored_row_t *row, int64_t release_sec)
 {
-	const restored_case_t *c = *state;
 	config_log_t *log = config_log_create();
 
-	for (const restored_row_t *row = c->rows; row->key; row++) {
+	for (; row->key; row++) {
 		if (!config_log_begin(log, row->batch, row->sec * USEC_PER_SEC))
 			continue;
 		config_log_merge(log, row->key, row->revision, row->value);
 		config_log_advance(log, row->batch);
 	}
-	config_log_release(log, c->release_sec * USEC_PER_SEC);
+	config_log_release(log, release_sec * USEC_PER_SEC);
 	config_t *config = config_build(log);
+	config_log_destroy(log);
+	return config;
+}
+
+static void test_restored(void **state)
+{
+	const restored_case_t *c = *state;
+	config_t *config = restored_config(c->rows, c->release_sec);
 	const client_account_t *account = config_client_account(config, "n");
+
 	assert_true(c->rate > 0 ? account && account->rate == c->rate : !account);
 	assert_int_equal(config_zone_in_service(config, "za"), !c->zone_out);
 	config_unref(config);
-	config_log_destroy(log);
+}
+
+static void test_restored_order(void **state)
+{
+	const restored_order_case_t *c = *state;
+	config_t *config = restored_config(c->rows, c->release_sec);
+	const record_t *order = NULL;
+
+	config_foreach(config, RECORD_ROLLOUT, take_record, &order);
+	assert_int_equal(order != NULL, c->to != NULL);
+	if (c->to) {
+		assert_string_equal(order->rollout.to_version, c->to);
+		assert_int_equal(revision_version(order->revision), c->version);
+	}
+	config_unref(config);
 }
 
 /* A configuration with one account, as it is read at once. */
@@ -602,6 +642,55 @@
 	 0},
 };
 
+static const restored_order_case_t restored_order_cases[] = {
+	{"a roll-out order that the copy lost is kept for the hold time",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, ORDER("v2")},
+	  {E(1, 45), 1, E(1, 45), ORDER_KEY, NULL}},
+	 HELD_SEC,
+	 "v2",
+	 55},
+	{"also while the table is read again at higher versions",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, ORDER("v2")},
+	  {E(1, 45), 1, E(1, 45), ORDER_KEY, NULL},
+	  {E(1, 60), 3, E(1, 60), ORDER_KEY, NULL}},
+	 HELD_SEC,
+	 "v2",
+	 55},
+	{"afterwards it is withdrawn",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, ORDER("v2")},
+	  {E(1, 45), 1, E(1, 45), ORDER_KEY, NULL}},
+	 RELEASED_SEC,
+	 NULL,
+	 0},
+	{"an order that is written again is in force at once",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {55, 0, 55, ORDER("v2")},
+	  {E(1, 45), 1, E(1, 45), ORDER_KEY, NULL},
+	  {E(1, 46), 2, E(1, 46), ORDER("v3")}},
+	 HELD_SEC,
+	 "v3",
+	 46},
+	{"an earlier order does not start again with the copy, even of the same text",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {52, 0, 52, ORDER("v2")},
+	  {55, 0, 55, ORDER("v2")},
+	  {E(1, 53), 1, E(1, 52), ORDER("v2")}},
+	 HELD_SEC,
+	 "v2",
+	 55},
+	{"nor does a withdrawn one",
+	 {{50, 0, 50, SNAPSHOT("r12")},
+	  {52, 0, 52, ORDER("v2")},
+	  {55, 0, 55, ORDER_KEY, NULL},
+	  {E(1, 53), 1, E(1, 52), ORDER("v2")}},
+	 HELD_SEC,
+	 NULL,
+	 0},
+};
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {cmocka_unit_test(test_merge_keeps_newest)};
@@ -613,6 +702,7 @@
 	failed += RUN_CASES("rows", row_cases, test_row);
 	failed += RUN_CASES("importance_range", range_cases, test_importance_range);
 	failed += RUN_CASES("restored", restored_cases, test_restored);
+	failed += RUN_CASES("restored-order", restored_order_cases, test_restored_order);
 	failed += cmocka_run_group_tests(single, NULL, NULL);
 	return failed;
 }
