--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -480,7 +480,7 @@
 
 	config_foreach(config, RECORD_ROLLOUT, take_record, &order);
 	assert_int_equal(order != NULL, c->to != NULL);
-	if (c->to) {
+	if (order && c->to) {
 		assert_string_equal(order->rollout.to_version, c->to);
 		assert_int_equal(revision_version(order->revision), c->version);
 	}
