--- a/include/platform/config.h
+++ b/include/platform/config.h
@@ -9,10 +9,10 @@
  *
  * DESCRIPTION
  *	The row `config` holds the complete configuration. It is converted to a
- *	snapshot row (config/config.h) with the configuration's version and one row for
- *	each record, all at the revision of the row. A row `evacuate/ZONE` takes the zone
- *out of service and is converted to an availability_zone record. A malformed `config` row
- *fails with EGRET_ERROR_JSON and yields no records.
+ *	snapshot row (config/config.h) with the configuration's version and one row
+ *	for each record, all at the revision of the row. A row `evacuate/ZONE` takes
+ *	the zone out of service and is converted to an availability_zone record. A
+ *	malformed `config` row fails with EGRET_ERROR_JSON and yields no records.
  */
 
 #define PLATFORM_CONFIG_TABLE "op"
--- a/include/rollout/rollout.h
+++ b/include/rollout/rollout.h
@@ -43,10 +43,10 @@
  *	platform's store takes precedence, then rolled back, which is safe because the
  *	old instances run until `completed` is recorded.
  *
- *	The share is concentrated on as few of the new instances as carry the load of an
- *	old one with it; rollout_select() names them. They change
+ *	The share is concentrated on as few of the new instances as carry the load of
+ *	an old one with it; rollout_select() names them. They change
  *	ROLLOUT_ROTATIONS times in the duration or each second, so that faults of an
- *instance can be told from faults of the version.
+ *	instance can be told from faults of the version.
  *
  *	A new order gets no requests on the new version until rollout_allow(): a node
  *	that has restarted must learn of an earlier verdict first.
