--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -731,6 +731,70 @@
 	}
 }
 
+/* --- usual calls, missing share -------------------------------------------------- */
+
+typedef struct usual_case {
+	const char *name;
+	int requests;
+	int calls;
+	bool usual;
+} usual_case_t;
+
+static const usual_case_t usual_cases[] = {
+	{"nothing yet", 0, 0, false},
+	{"no calls", 100, 0, false},
+	{"calls of another process of the vm", 100, 5, false},
+	{"a call for each request", 100, 100, true},
+	{"a call for each second request, counts halved", 600, 300, true},
+};
+
+/* Guards against targets that get no resends since a client beside them looks like them.
+ */
+static void test_usual_calls(void **state)
+{
+	const usual_case_t *c = *state;
+	route_calls_t *calls = route_calls_create();
+
+	for (int i = 0; i < MAX(c->requests, c->calls); i++) {
+		if (i < c->requests) {
+			route_calls_begin(calls, "r");
+			route_calls_end(calls, "r");
+		}
+		if (i < c->calls)
+			route_calls_record(calls, "c", SERVICE, START);
+	}
+	assert_int_equal(route_calls_are_usual(calls), c->usual);
+	route_calls_destroy(calls);
+}
+
+typedef struct missing_case {
+	const char *name;
+	double first, second;
+	usec_t age;
+	double expected;
+} missing_case_t;
+
+static const missing_case_t missing_cases[] = {
+	{"the newest report counts", 0.8, 0.2, 0, 0.2},
+	{"held", 0.8, 0.8, 300 * USEC_PER_MSEC, 0.8},
+	{"fades", 0.8, 0.8, 650 * USEC_PER_MSEC, 0.4},
+	{"gone", 0.8, 0.8, USEC_PER_SEC, 0},
+	{"never reported", 0, 0, 0, 0},
+};
+
+/* Guards against a report that is smoothed at each hop, or that outlives its cause. */
+static void test_missing(void **state)
+{
+	const missing_case_t *c = *state;
+	backpressure_t *backpressure = backpressure_create();
+
+	backpressure_record_missing(backpressure, "r", c->first, START);
+	backpressure_record_missing(backpressure, "r", c->second, START);
+	double found = backpressure_missing(backpressure, "r", START + c->age);
+	assert_true(found > c->expected - 0.001 && found < c->expected + 0.001);
+	backpressure_destroy(backpressure);
+}
+
 int main(void)
 {
 	const struct CMUnitTest single[] = {cmocka_unit_test(test_silent),
@@ -750,6 +814,8 @@
 	failed += RUN_CASES("pick_again", again_cases, test_pick_again);
 	failed += RUN_CASES("allows", allow_cases, test_allows) +
 		  RUN_CASES("router_ramp", ramp_cases, test_ramp);
+	failed += RUN_CASES("usual_calls", usual_cases, test_usual_calls);
+	failed += RUN_CASES("missing", missing_cases, test_missing);
 	failed += RUN_CASES("report_age", age_cases, test_report_age);
 	failed += RUN_CASES("retry_chain", chain_cases, test_chain);
 	failed += RUN_CASES("retry_ratio", ratio_cases, test_ratio);
