accounts: ask another holder before a node takes itself for cut off

Cause: a node that asked one token holder, and heard nothing from any other node for 0.1 s, took itself for cut off and refused every request of the account.

Change: after a first silent holder, a further candidate is asked before the node uses its own bucket. Only if a second one does not reply either, or there is none, the node counts as cut off.

--- a/accounts/zone_rates.c
+++ b/accounts/zone_rates.c
@@ -76,6 +76,8 @@
 	usec_t contact_at; /* of any other node */
 	bool has_report;   /* of another zone */
 	bool cut_off;
+	/* Own holder that did not reply although nothing else arrived, or empty. */
+	char suspect[ADDRESS_TEXT_BYTES];
 	GHashTable *own_members;  /* addresses of the live members of the own zone */
 	GHashTable *unreached_at; /* address -> usec_t of the last unanswered question */
 	GHashTable *silent_until; /* address -> usec_t */
@@ -250,6 +252,7 @@
 		changed = true;
 	rates->contact_at = now;
 	rates->cut_off = false;
+	*rates->suspect = '\0';
 	if (changed)
 		update_part(rates, now);
 }
@@ -297,6 +300,11 @@
 	return until && now < *until;
 }
 
+static bool is_passed_over(const char *address, const char *passed_over)
+{
+	return passed_over && strcmp(address, passed_over) == 0;
+}
+
 static const char *find_holder(const zone_rates_t *rates, uint32_t zone,
 			       uint32_t partition, const char *passed_over, usec_t now)
 {
@@ -304,7 +312,23 @@
 
 	for (int i = 0; i < CANDIDATES && *list[i].address; i++) {
 		if (!is_silent(rates, list[i].address, now) &&
-		    (!passed_over || strcmp(list[i].address, passed_over) != 0))
+		    !is_passed_over(list[i].address, passed_over))
+			return list[i].address;
+	}
+	return NULL;
+}
+
+/* A candidate besides this node whose reply shows that this node is not cut off. */
+static const char *find_other_holder(const zone_rates_t *rates, uint32_t partition,
+				     const char *passed_over, usec_t now)
+{
+	const candidate_t *list = rates->zones[rates->own_zone].candidates[partition];
+
+	for (int i = 0; i < CANDIDATES && *list[i].address; i++) {
+		if (strcmp(list[i].address, rates->address) != 0 &&
+		    strcmp(list[i].address, rates->suspect) != 0 &&
+		    !is_silent(rates, list[i].address, now) &&
+		    !is_passed_over(list[i].address, passed_over))
 			return list[i].address;
 	}
 	return NULL;
@@ -319,7 +343,23 @@
 const char *zone_rates_holder(const zone_rates_t *rates, uint32_t zone,
 			      const char *account, const char *passed_over, usec_t now)
 {
-	return find_holder(rates, zone, account_partition(account), passed_over, now);
+	uint32_t partition = account_partition(account);
+	const char *other = NULL;
+
+	if (*rates->suspect && zone == rates->own_zone)
+		other = find_other_holder(rates, partition, passed_over, now);
+	return other ? other : find_holder(rates, zone, partition, passed_over, now);
+}
+
+/* One holder that does not reply may be frozen. This node counts as cut off if a second
+ * one does not reply either, or if there is no other to ask. */
+static void suspect_cut(zone_rates_t *rates, const char *address)
+{
+	if (strcmp(rates->suspect, address) == 0)
+		return;
+	bool second = *rates->suspect != '\0';
+	g_strlcpy(rates->suspect, address, sizeof(rates->suspect));
+	rates->cut_off |= second || rates->zones[rates->own_zone].live < 3;
 }
 
 void zone_rates_set_silent(zone_rates_t *rates, const char *address, usec_t now)
@@ -329,7 +369,7 @@
 	if (strcmp(address, rates->address) == 0)
 		return;
 	if (now - rates->contact_at >= CUT_OFF_TIME)
-		rates->cut_off = true;
+		suspect_cut(rates, address);
 	if (!answered || now - *answered >= ANSWER_TIME) {
 		set_time(rates->silent_until, address, now + SILENCE_TIME);
 		set_time(rates->unreached_at, address, now);
