rollout: serve an order for the version that all instances already have

Cause: an order sends requests to instances of other versions first. If there were none, because the version was rolled out before, the service answered 503 until 0.75 of the duration.

Change: a node that knows only instances of the ordered version when it learns of the order, those of dead members included, sends to them as before the order, and compares nothing unless another node has counted responses of another version. The share applies once such an instance appears.

--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -36,6 +36,7 @@
 	usec_t learned_at; /* by this node */
 	bool allowed;
 	bool has_new;
+	bool sole;
 	rollout_state_t state;
 	usec_t state_at;
 	bool recorded;
@@ -161,6 +162,14 @@
 		order->has_new = has_new;
 }
 
+void rollout_set_sole(rollout_t *rollout, const char *service, bool sole)
+{
+	order_t *order = find_order(rollout, service);
+
+	if (order)
+		order->sole = sole;
+}
+
 rollout_choice_t rollout_choose(const rollout_t *rollout, const char *service)
 {
 	const order_t *order = find_order(rollout, service);
@@ -169,6 +178,8 @@
 		return ROLLOUT_ANY;
 	if (order->state == ROLLOUT_COMPLETED)
 		return ROLLOUT_NEW;
+	if (order->sole && order->state == ROLLOUT_IN_PROGRESS)
+		return ROLLOUT_NEW;
 	if (order->state == ROLLOUT_ROLLED_BACK || !order->allowed || !order->has_new)
 		return ROLLOUT_OLD;
 	double bound = rollout->share * (double)order->ended;
@@ -221,7 +232,7 @@
 
 	for (uint32_t i = 0; i < count; i++)
 		used[i] = true;
-	if (count == 0 || !order || order->state != ROLLOUT_IN_PROGRESS ||
+	if (count == 0 || !order || order->state != ROLLOUT_IN_PROGRESS || order->sole ||
 	    wanted >= count)
 		return;
 	place_t *places = g_new0(place_t, count);
@@ -508,10 +519,33 @@
 	g_array_free(counts.cells, TRUE);
 }
 
+static uint64_t count_responses(const counts_t *counts, bool is_new)
+{
+	uint64_t responses = 0;
+
+	for (guint i = 0; i < counts->cells->len; i++) {
+		const rollout_cell_t *cell =
+			&g_array_index(counts->cells, rollout_cell_t, i);
+		if (cell->is_new == is_new)
+			responses += cell->responses;
+	}
+	return responses;
+}
+
 static void compare(order_t *order, usec_t now)
 {
 	counts_t sum = sum_counts(order);
 
+	/* There is nothing to compare with and no instance to go back to. */
+	if (order->sole && count_responses(&sum, false) == 0) {
+		order->overall = COMPARE_GOOD;
+		order->found = (compare_result_t){
+			.verdict = COMPARE_GOOD,
+			.responses_new = count_responses(&sum, true),
+		};
+		g_array_free(sum.cells, TRUE);
+		return;
+	}
 	rotate_windows(order, &sum, now);
 	compare_since(order, &sum, NULL, true);
 	compare_since(order, &sum, &order->window[0], true);
--- a/tests/e2e/on_platform_rollouts.py
+++ b/tests/e2e/on_platform_rollouts.py
@@ -31,7 +31,7 @@
         super().__enter__()
         try:
             self.start_third_node()
-            self.stopped, self.version = threading.Event(), "v2"
+            self.stopped, self.version, self.old_version = threading.Event(), "v2", "v1"
             assert self.targets[NEW].report(version="v2") == 200
             threading.Thread(target=self.report_versions, daemon=True).start()
             for target in self.targets[OLD:]:
@@ -49,7 +49,7 @@
         while not self.stopped.wait(0.5):
             try:
                 for i, target in enumerate(self.targets):
-                    target.report(version=self.version if i == NEW else "v1")
+                    target.report(version=self.version if i == NEW else self.old_version)
             except OSError:
                 return
 
@@ -108,6 +108,22 @@
         assert set(load.statuses) == {200}, set(load.statuses)
 
 
+def case_on_platform_rollout_same():
+    """An order for the version that all instances already have stops no request: there is no
+    instance of another version that could get them."""
+    with RolloutDeployment() as d:
+        d.old_version = "v2"
+        time.sleep(1.5)  # until both targets have reported and all nodes know of it
+        with Load(d) as load:
+            d.order()
+            wait_for("the roll-out to be completed", lambda: d.status() == "completed",
+                     DURATION_SEC)
+            count = d.received()
+            wait_for("both instances to get requests",
+                     lambda: all(b > a + 20 for a, b in zip(count, d.received())), 5)
+        assert set(load.statuses) == {200}, {s: load.statuses.count(s) for s in load.statuses}
+
+
 def case_on_platform_rollout_bad():
     """A version that fails is rolled back in time, gets at most its share, and nothing after the
     rollback. Another order for it starts over, and without an order both versions get requests."""
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -52,8 +52,8 @@
 from on_platform_rollouts import (  # noqa: E402,F401
     case_on_platform_rollout_bad, case_on_platform_rollout_good, case_on_platform_rollout_off,
     case_on_platform_rollout_restored_order, case_on_platform_rollout_restored_progress,
-    case_on_platform_rollout_restored_status, case_on_platform_rollout_store,
-    case_on_platform_rollout_unknown)
+    case_on_platform_rollout_restored_status, case_on_platform_rollout_same,
+    case_on_platform_rollout_store, case_on_platform_rollout_unknown)
 from on_platform_restored import (  # noqa: E402,F401
     case_on_platform_restored_addresses, case_on_platform_restored_at_start,
     case_on_platform_restored_config, case_on_platform_restored_evacuation,
--- a/tests/unit/test_holder_silence.c
+++ b/tests/unit/test_holder_silence.c
@@ -1,5 +1,5 @@
-/* A holder that has frozen, seen by a node that hears from no other one: the node must find
- * out whether it is cut off itself before it refuses requests. */
+/* A holder that has frozen, seen by a node that hears from no other one: the node must
+ * find out whether it is cut off itself before it refuses requests. */
 #include "case.h"
 
 #include "accounts/keeper.h"
@@ -35,7 +35,8 @@
 	for (uint32_t i = 0; i < live; i++) {
 		member_t *member = &zone->members[i];
 		memset(member, 0, sizeof(*member));
-		g_snprintf(member->address, sizeof(member->address), "127.0.0.%u:70", i + 1);
+		g_snprintf(member->address, sizeof(member->address), "127.0.0.%u:70",
+			   i + 1);
 		g_strlcpy(member->zone, "za", sizeof(member->zone));
 		member->state = EGRET__MEMBER_STATE__MEMBER_ALIVE;
 		LIST_INSERT_HEAD(&list, member, link);
@@ -61,8 +62,7 @@
 static bool admit(zone_fixture_t *zone, uint32_t entry, uint32_t frozen, bool others,
 		  const char *account)
 {
-	account_limits_t limits =
-		account_limits(500, 500, &(rate_bound_t){5, 0.1, 20.0});
+	account_limits_t limits = account_limits(500, 500, &(rate_bound_t){5, 0.1, 20.0});
 	zone_rates_t *rates = zone->rates[entry];
 	usec_t now = START + QUIET_TIME;
 	token_action_t question = {0};
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -274,6 +274,81 @@
 
 static const restart_case_t restart_cases[] = {{"earlier verdict"}};
 
+/* An order for the version that all instances have must not stop the service, whatever
+ * its responses are, as there is no instance of another version. */
+typedef struct sole_case {
+	const char *name;
+	rollout_outcome_t outcome; /* of the ordered version's responses */
+	uint32_t old_responses;	   /* that another node reports */
+	bool appears;		   /* an instance of another version, during the order */
+	rollout_choice_t choice;
+	rollout_state_t result;
+} sole_case_t;
+
+static void count_verdict(void *ctx, const rollout_status_t *status)
+{
+	(void)ctx;
+	assert_string_equal(status->order.service, "s");
+}
+
+static void test_sole(void **state)
+{
+	const sole_case_t *c = *state;
+	rollout_order_t order = {"s", "v2", 10 * SEC, 7};
+	rollout_t *rollout = rollout_create(CANARY_SHARE, ROLLBACK, 1);
+	rollout_report_t *report = g_new0(rollout_report_t, 1);
+	const rollout_instance_t instances[] = {{"a", "za"}, {"b", "za"}, {"c", "za"}};
+	bool used[G_N_ELEMENTS(instances)];
+
+	rollout_set_order(rollout, &order, SEC);
+	rollout_set_sole(rollout, "s", true);
+	rollout_set_available(rollout, "s", true);
+	/* Before an earlier verdict is known, too: the row is not readable in an outage.
+	 */
+	assert_int_equal(rollout_choose(rollout, "s"), ROLLOUT_NEW);
+	rollout_select(rollout, "s", instances, G_N_ELEMENTS(instances), 2 * SEC, used);
+	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
+		assert_true(used[i]);
+	rollout_allow(rollout, "s");
+	for (int i = 0; i < 300; i++) {
+		rollout_result_t result = {
+			"s",   "v2",	   "r",	    "za",   instances[i % 3].address,
+			false, c->outcome, 2 * SEC, 10 * MS};
+		rollout_handle_send(rollout, "s", "v2");
+		rollout_handle_result(rollout, &result);
+	}
+	if (c->old_responses) {
+		*report = (rollout_report_t){
+			.order_id = 7,
+			.node = 2,
+			.state = ROLLOUT_IN_PROGRESS,
+			.cell_count = 1,
+			.cells = {{.responses = c->old_responses}},
+		};
+		g_strlcpy(report->service, "s", sizeof(report->service));
+		g_strlcpy(report->to, "v2", sizeof(report->to));
+		rollout_merge(rollout, report, 3 * SEC);
+	}
+	if (c->appears)
+		rollout_set_sole(rollout, "s", false);
+	assert_int_equal(rollout_choose(rollout, "s"), c->choice);
+	for (usec_t now = 3 * SEC; now <= 10 * SEC; now += SEC / 2)
+		rollout_tick(rollout, 1, now, count_verdict, NULL);
+	assert_int_equal(rollout_state(rollout, "s"), c->result);
+	g_free(report);
+	rollout_destroy(rollout);
+}
+
+static const sole_case_t sole_cases[] = {
+	{"good", ROLLOUT_GOOD, 0, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
+	{"failing", ROLLOUT_FAILED, 0, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
+	{"failing, another node knows the old version", ROLLOUT_FAILED, 500, false,
+	 ROLLOUT_NEW, ROLLOUT_ROLLED_BACK},
+	/* What went to the ordered version before counts against its share. */
+	{"another version appears", ROLLOUT_GOOD, 0, true, ROLLOUT_OLD,
+	 ROLLOUT_COMPLETED},
+};
+
 /* Verdicts that parts of a partition reached separately become one, in either order. */
 typedef struct conflict_case {
 	const char *name;
@@ -425,6 +500,7 @@
 	failed += RUN_CASES("replace", replace_cases, test_replace);
 	failed += RUN_CASES("mutation", mutation_cases, test_mutation);
 	failed += RUN_CASES("restart", restart_cases, test_restart);
+	failed += RUN_CASES("sole", sole_cases, test_sole);
 	failed += RUN_CASES("conflict", conflict_cases, test_conflict);
 	failed += RUN_CASES("contact", contact_cases, test_contact);
 	failed += RUN_CASES("compare", compare_cases, test_compare);
