--- a/include/rollout/rollout.h
+++ b/include/rollout/rollout.h
@@ -169,8 +169,8 @@
 
 /* Whether every instance that was known when this node learned of the order has the new
  * version, and no other version has appeared since; false for a new order. Requests then
- * go on as before the order. If no node has counted a response of another version, nothing
- * is compared and the order is completed in its time. */
+ * go on as before the order. If no node has counted a response of another version,
+ * nothing is compared and the order is completed in its time. */
 void rollout_set_sole(rollout_t *rollout, const char *service, bool sole);
 
 /* The version that the next request to the service gets. Whoever then sends to an
