--- a/tests/unit/test_holder_silence.c
+++ b/tests/unit/test_holder_silence.c
@@ -23,15 +23,15 @@
 
 typedef struct zone_fixture {
 	member_t members[NODES];
+	struct member_list list;
 	zone_rates_t *rates[NODES];
 } zone_fixture_t;
 
 static void create_nodes(zone_fixture_t *zone, uint32_t live)
 {
 	const char *const zones[] = {"za", NULL};
-	struct member_list list;
 
-	LIST_INIT(&list);
+	LIST_INIT(&zone->list);
 	for (uint32_t i = 0; i < live; i++) {
 		member_t *member = &zone->members[i];
 		memset(member, 0, sizeof(*member));
@@ -39,13 +39,13 @@
 			   i + 1);
 		g_strlcpy(member->zone, "za", sizeof(member->zone));
 		member->state = EGRET__MEMBER_STATE__MEMBER_ALIVE;
-		LIST_INSERT_HEAD(&list, member, link);
+		LIST_INSERT_HEAD(&zone->list, member, link);
 	}
 	for (uint32_t i = 0; i < live; i++) {
 		zone->rates[i] =
 			zone_rates_create(zone->members[i].address, "za", zones, 0);
 		zone_rates_set_node_count(zone->rates[i], live);
-		zone_rates_set_members(zone->rates[i], &list, START);
+		zone_rates_set_members(zone->rates[i], &zone->list, START);
 	}
 }
 
