admission: let the completion limit compare before it applies

Cause: the limit by completable calls refuses more requests than would be lost if requests make few calls or demand has risen; the numbers that decide this are not known at the entry.

The default stays off.

--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#define STATUS_ERROR 500
 /* Time after which a refused client may retry. */
 #define RETRY_AFTER (150 * USEC_PER_MSEC)
 /* A request that was shed may be sent again after a random part of its objective between
@@ -32,6 +33,23 @@
 		counter_add(COUNTER_UNKNOWN, 1);
 }
 
+/* A completed request of a client tells admission what completes; see
+ * admission/completion_limit.h. */
+static void record_completed(const http_request_t *request)
+{
+	node_t *node = request->worker->node;
+
+	if (!node->settings->completion_limit || request->from_target ||
+	    !request->route || request->listener != HTTP_LISTENER_CALLERS ||
+	    request->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED ||
+	    request->status >= STATUS_ERROR)
+		return;
+	pthread_mutex_lock(&node->router_lock);
+	completion_limit_record_completed(node->completion_limit, request->route,
+					  clock_boot_usec());
+	pthread_mutex_unlock(&node->router_lock);
+}
+
 static void log_outcome(const http_request_t *request)
 {
 	log_rec_t rec;
@@ -86,6 +104,7 @@
 	TALLOC_FREE(request->deadline_timer);
 	http_request_report_to_parent(request);
 	count_outcome(request);
+	record_completed(request);
 	log_outcome(request);
 	if (request->claim)
 		request->claim_ops->on_outcome(request);
