admission: circuit breakers for routes whose calls have no instance

Cause: while a service that a route's requests call has no instance, each request runs, fails and is lost, although it could have been refused unrun and sent again later.

A route with requests that do without the call stays open to all.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -99,6 +99,7 @@
 			rollout_create(settings->bounds.canary_share,
 				       settings->bounds.rollback_time, node->node_id);
 	node->backpressure = backpressure_create();
+	node->route_breaker = route_breaker_create();
 	node->completion_limit = completion_limit_create(settings->bounds.retry_window,
 							 settings->completion_limit_mode);
 	node->outbound_calls = route_calls_create();
@@ -128,6 +129,7 @@
 	rollout_destroy(node->rollout);
 	backpressure_destroy(node->backpressure);
 	completion_limit_destroy(node->completion_limit);
+	route_breaker_destroy(node->route_breaker);
 	route_calls_destroy(node->outbound_calls);
 	g_hash_table_destroy(node->retry_budgets);
 	g_hash_table_destroy(node->resends);
--- a/egretscaled/node/pressure.c
+++ b/egretscaled/node/pressure.c
@@ -40,7 +40,9 @@
 {
 	completable_search_t *search = ctx;
 	node_t *node = search->node;
-	double own = node_completable_share(node, service, search->now);
+	double own = router_has_instance(node->router, service)
+			     ? node_completable_share(node, service, search->now)
+			     : 0.0;
 	double downstream =
 		1.0 - backpressure_missing(node->backpressure, call_route, search->now);
 
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -247,6 +247,7 @@
 typedef struct shed_inputs {
 	double pressure;    /* of the route's service or of those downstream of it */
 	double completable; /* share of the route's calls that can complete */
+	bool breaker_open;  /* see admission/route_breaker.h */
 } shed_inputs_t;
 
 /* Outbound calls are exempt, since the requests that they belong to were admitted
@@ -268,7 +269,9 @@
 	inputs->pressure = MAX(own, downstream);
 	inputs->completable =
 		1.0 - backpressure_missing(node->backpressure, request->route, now);
+	inputs->breaker_open = route_breaker_is_open(node->route_breaker, request->route);
 	bool shed =
+		!route_breaker_admit(node->route_breaker, request->route, now) ||
 		!pressure_admits(inputs->pressure, importance, &range, draw) ||
 		(node->settings->completion_limit &&
 		 !completion_limit_admit(node->completion_limit, request->route,
@@ -302,6 +305,7 @@
 	log_int(&rec, "level", level);
 	log_int(&rec, "pressure_milli", (int64_t)(inputs.pressure * 1000));
 	log_int(&rec, "completable_milli", (int64_t)(inputs.completable * 1000));
+	log_int(&rec, "breaker_open", inputs.breaker_open);
 	log_end(&rec);
 	return true;
 }
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -33,21 +33,43 @@
 		counter_add(COUNTER_UNKNOWN, 1);
 }
 
-/* A completed request of a client tells admission what completes; see
- * admission/completion_limit.h. */
-static void record_completed(const http_request_t *request)
+static void log_breaker(const http_request_t *request, bool open)
+{
+	log_rec_t rec;
+
+	if (open)
+		counter_add(COUNTER_BREAKERS_OPENED, 1);
+	log_begin(&rec, LOG_LEVEL_INFO, "breaker");
+	log_str(&rec, "change", open ? "opened" : "closed");
+	log_str(&rec, "route", request->route);
+	log_str(&rec, "request", request->context.request_id);
+	log_int(&rec, "status", request->status);
+	log_end(&rec);
+}
+
+/* Responses to clients tell admission what completes. */
+static void record_response(const http_request_t *request)
 {
 	node_t *node = request->worker->node;
+	bool failed = request->status >= STATUS_ERROR;
+	usec_t now = clock_boot_usec();
 
-	if (!node->settings->completion_limit || request->from_target ||
-	    !request->route || request->listener != HTTP_LISTENER_CALLERS ||
-	    request->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED ||
-	    request->status >= STATUS_ERROR)
+	if (!node->settings->dialect->outbound_on_caller_listener ||
+	    request->from_target || !request->route ||
+	    request->listener != HTTP_LISTENER_CALLERS ||
+	    request->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED)
 		return;
 	pthread_mutex_lock(&node->router_lock);
-	completion_limit_record_completed(node->completion_limit, request->route,
-					  clock_boot_usec());
+	if (node->settings->completion_limit && !failed)
+		completion_limit_record_completed(node->completion_limit, request->route,
+						  now);
+	bool changed = route_breaker_record(
+		node->route_breaker, request->route, failed,
+		1.0 - backpressure_missing(node->backpressure, request->route, now));
+	bool open = route_breaker_is_open(node->route_breaker, request->route);
 	pthread_mutex_unlock(&node->router_lock);
+	if (changed)
+		log_breaker(request, open);
 }
 
 static void log_outcome(const http_request_t *request)
@@ -104,7 +126,7 @@
 	TALLOC_FREE(request->deadline_timer);
 	http_request_report_to_parent(request);
 	count_outcome(request);
-	record_completed(request);
+	record_response(request);
 	log_outcome(request);
 	if (request->claim)
 		request->claim_ops->on_outcome(request);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -36,6 +36,7 @@
 	X(REFUSED_KEY, "refused_key", "requests with an unknown or withdrawn key")       \
 	X(REFUSED_RATE, "refused_rate", "requests over the client account's rate")       \
 	X(REFUSED_SHED, "refused_shed", "requests shed at the entry")                    \
+	X(BREAKERS_OPENED, "breakers_opened", "circuit breakers of routes that opened")  \
 	X(ONWARD, "onward_calls", "onward calls taken from the own target")              \
 	X(CALLS_OUT, "calls_out", "calls sent to instances")                             \
 	X(CALLS_IN, "calls_in", "calls taken from other nodes")                          \
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -3,6 +3,7 @@
 
 #include "accounts/zone_rates.h"
 #include "admission/completion_limit.h"
+#include "admission/route_breaker.h"
 #include "admission/gate.h"
 #include "admission/stop.h"
 #include "claims/attempts.h"
@@ -102,6 +103,7 @@
 	rollout_t *rollout; /* NULL without canary_share */
 	backpressure_t *backpressure;
 	completion_limit_t *completion_limit;
+	route_breaker_t *route_breaker;
 	route_calls_t *outbound_calls; /* of this node's target, by route */
 	GHashTable *retry_budgets;     /* service -> retry_budget_t */
 	GHashTable *resends;	       /* service -> resends_t; on the platform only */
--- a/include/routing/router.h
+++ b/include/routing/router.h
@@ -164,6 +164,9 @@
  */
 typedef void (*router_member_fn)(void *ctx, const member_t *member, usec_t since);
 
+/* Whether the service has such an instance as router_foreach_usable() finds. */
+bool router_has_instance(router_t *router, const char *service);
+
 /* Calls fn with each instance of the service whose zone is in service and whose node is
  * not silent. */
 void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
--- a/routing/router.c
+++ b/routing/router.c
@@ -581,6 +581,18 @@
 	return limit > 0 ? load / limit : 0;
 }
 
+bool router_has_instance(router_t *router, const char *service)
+{
+	GPtrArray *list = g_hash_table_lookup(router->services, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const instance_t *instance = list->pdata[i];
+		if (zone_in_service(router, instance) && !instance->silent)
+			return true;
+	}
+	return false;
+}
+
 void router_foreach_usable(router_t *router, const char *service, router_member_fn fn,
 			   void *ctx)
 {
