http: close stalled responses for other connections

Cause: a connection with a response in progress was never chosen when a place was needed. Clients that send a request and never read its response kept all places until the idle timeout (15 s on the platform). Also, the reads behind a refused request and those of a TLS session went on as long as the client sent, and a memory budget used up by busy connections refused nothing.

Change: a response whose client takes no byte for 5 s counts as stalled and is closed if nothing else can be. One read in each run behind a refused request, and of TLS what the session holds. Small heads get 503 if the busy connections alone exceed the budget; the former case 'a small one fits always' is split by what holds the memory. Closing an HTTP/1.0 response in progress resets the connection, so that its client does not take the part for the whole.

Six new cases in test_places, three of heads. The two bounded reads have no test of their own.

--- a/egretscaled/peers/ingress.c
+++ b/egretscaled/peers/ingress.c
@@ -310,7 +310,7 @@
 /* Closes the oldest connection that is not authenticated if there are too many. */
 static void make_place(worker_t *worker, usec_t now)
 {
-	place_t *place = places_choose(worker->pending_peers);
+	place_t *place = places_choose(worker->pending_peers, now);
 
 	if (!place || !places_are_full(worker->pending_peers))
 		return;
--- a/http/closing.c
+++ b/http/closing.c
@@ -18,10 +18,8 @@
 };
 
 static const char *const state_names[] = {
-	[PLACE_BUSY] = "busy",
-	[PLACE_IDLE] = "idle",
-	[PLACE_HEAD] = "head",
-	[PLACE_BODY] = "body",
+	[PLACE_BUSY] = "busy", [PLACE_IDLE] = "idle",	    [PLACE_HEAD] = "head",
+	[PLACE_BODY] = "body", [PLACE_STALLED] = "stalled",
 };
 
 void closing_note(closing_log_t *log, closing_reason_t reason, const places_t *places,
--- a/http/http_connection.c
+++ b/http/http_connection.c
@@ -170,10 +170,12 @@
 
 /* Whether the socket is to be read in this run. It is read once, since a client may send
  * faster than it is served, which would keep the other connections waiting; epoll reports
- * the rest. It does not report what a TLS session has read already. */
+ * the rest. It does not report what a TLS session has read already, at most a record. */
 static bool may_receive(const http_connection_t *connection)
 {
-	return connection->readable && (connection->tls || !connection->has_received);
+	return connection->readable &&
+	       (!connection->has_received ||
+		(connection->tls && tls_session_has_data(connection->tls)));
 }
 
 /* Returns whether more may be there to read. */
@@ -370,13 +372,12 @@
 	connection->polled = events;
 }
 
-/* Discards what the client still sends. */
+/* Discards what the client still sends. One read in each run: the client may send faster
+ * than it is read, and epoll reports the rest. */
 static void linger(http_connection_t *connection)
 {
 	ssize_t n = recv(connection->fd, connection->server->buffer, HTTP_READ_BYTES, 0);
 
-	while (n == HTTP_READ_BYTES)
-		n = recv(connection->fd, connection->server->buffer, HTTP_READ_BYTES, 0);
 	if (n == 0 || (n < 0 && errno != EAGAIN) ||
 	    (n < 0 && http_server_is_crowded(connection->server)))
 		connection->failed = true;
@@ -391,9 +392,11 @@
 	if (!first)
 		return request_reader_in_head(connection->reader) ? PLACE_HEAD
 								  : PLACE_IDLE;
-	return first == receiving_exchange(connection) && !first->entry.started &&
-			       !first->entry.responded
-		       ? PLACE_BODY
+	if (first == receiving_exchange(connection) && !first->entry.started &&
+	    !first->entry.responded)
+		return PLACE_BODY;
+	return first->entry.responded && connection->out_sent < connection->out->len
+		       ? PLACE_STALLED
 		       : PLACE_BUSY;
 }
 
@@ -414,11 +417,14 @@
 
 static void update_place(http_connection_t *connection)
 {
+	places_t *places = connection->server->places;
+	place_t *place = &connection->place;
 	size_t bytes = held_bytes(connection);
 
 	connection->bytes_max = MAX(connection->bytes_max, bytes);
-	places_update(connection->server->places, &connection->place,
-		      place_state(connection), bytes, clock_boot_usec());
+	places_update(places, place, place_state(connection), bytes, clock_boot_usec());
+	if (place->state == PLACE_STALLED && place->since < connection->last_active)
+		places_renew(places, place, clock_boot_usec());
 }
 
 static void unschedule(http_connection_t *connection)
@@ -526,7 +532,10 @@
 void http_connection_destroy(http_connection_t *connection)
 {
 	http_server_t *server = connection->server;
+	const http_exchange_t *first = first_exchange(connection);
 
+	if (first && !first->finished)
+		break_off(connection, first);
 	end_exchanges(connection);
 	unschedule(connection);
 	TAILQ_REMOVE(&server->connections, connection, link);
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -79,13 +79,13 @@
 /* Closes a connection for another one. Returns false if all are busy. */
 static bool make_place(http_server_t *server)
 {
-	place_t *place = places_choose(server->places);
+	place_t *place = places_choose(server->places, clock_boot_usec());
 
 	for (int i = 0; i < PASSED_OVER_MAX && place && place->state == PLACE_IDLE &&
 			!connection_of(place)->lingers && has_input(connection_of(place));
 	     i++) {
 		places_renew(server->places, place, clock_boot_usec());
-		place = places_choose(server->places);
+		place = places_choose(server->places, clock_boot_usec());
 	}
 	if (!place)
 		return false;
@@ -98,7 +98,7 @@
 	place_t *place;
 
 	while (places_exceed_memory(server->places) &&
-	       (place = places_choose_for_memory(server->places)))
+	       (place = places_choose_for_memory(server->places, clock_boot_usec())))
 		close_for(server, place, CLOSING_MEMORY);
 }
 
--- a/http/mhd_loop.c
+++ b/http/mhd_loop.c
@@ -184,7 +184,7 @@
 	place_t *place = NULL;
 
 	if (places_are_full(loop->places))
-		place = places_choose(loop->places);
+		place = places_choose(loop->places, clock_boot_usec());
 	if (place)
 		shut_client(loop, place, CLOSING_PLACE);
 	client = g_new0(mhd_client_t, 1);
--- a/http/places.c
+++ b/http/places.c
@@ -1,13 +1,15 @@
 #include "http/places.h"
 
 struct places {
-	TAILQ_HEAD(, place) waiting; /* those that are not busy, oldest first */
+	TAILQ_HEAD(place_list, place) waiting; /* not busy or stalled, oldest first */
+	struct place_list stalled;	       /* oldest first */
 	places_limits_t limits;
 	GHashTable *addresses; /* address -> number of its places */
 	uint32_t address_max;
 	uint32_t addresses_over; /* with more than address_max */
 	uint32_t count;
 	size_t bytes;
+	size_t busy_bytes;
 	uint32_t unfinished; /* heads and bodies */
 	size_t unfinished_bytes;
 };
@@ -23,6 +25,7 @@
 	uint64_t share = (uint64_t)limits->places_max * limits->address_share_percent;
 
 	TAILQ_INIT(&places->waiting);
+	TAILQ_INIT(&places->stalled);
 	places->limits = *limits;
 	places->address_max = (uint32_t)MAX(share / 100, 1);
 	places->addresses = g_hash_table_new(NULL, NULL);
@@ -58,11 +61,18 @@
 		g_hash_table_remove(places->addresses, GUINT_TO_POINTER(address));
 }
 
+static struct place_list *list_of(places_t *places, const place_t *place)
+{
+	return place->state == PLACE_STALLED ? &places->stalled : &places->waiting;
+}
+
 static void insert(places_t *places, place_t *place)
 {
 	places->bytes += place->bytes;
-	if (place->state != PLACE_BUSY)
-		TAILQ_INSERT_TAIL(&places->waiting, place, link);
+	if (place->state == PLACE_BUSY)
+		places->busy_bytes += place->bytes;
+	else
+		TAILQ_INSERT_TAIL(list_of(places, place), place, link);
 	if (!is_unfinished(place))
 		return;
 	places->unfinished++;
@@ -72,8 +82,10 @@
 static void take_out(places_t *places, place_t *place)
 {
 	places->bytes -= place->bytes;
-	if (place->state != PLACE_BUSY)
-		TAILQ_REMOVE(&places->waiting, place, link);
+	if (place->state == PLACE_BUSY)
+		places->busy_bytes -= place->bytes;
+	else
+		TAILQ_REMOVE(list_of(places, place), place, link);
 	if (!is_unfinished(place))
 		return;
 	places->unfinished--;
@@ -113,6 +125,8 @@
 	places->bytes += bytes - place->bytes;
 	if (is_unfinished(place))
 		places->unfinished_bytes += bytes - place->bytes;
+	if (place->state == PLACE_BUSY)
+		places->busy_bytes += bytes - place->bytes;
 	place->bytes = bytes;
 }
 
@@ -145,11 +159,21 @@
 
 bool places_fit_head(const places_t *places, size_t bytes)
 {
-	return places->limits.memory_max == 0 || bytes <= PLACES_SMALL_HEAD_BYTES ||
-	       places->bytes + bytes <= places->limits.memory_max;
+	size_t kept =
+		bytes <= PLACES_SMALL_HEAD_BYTES ? places->busy_bytes : places->bytes;
+
+	return places->limits.memory_max == 0 ||
+	       kept + bytes <= places->limits.memory_max;
+}
+
+static place_t *choose_stalled(const places_t *places, usec_t now)
+{
+	place_t *place = TAILQ_FIRST(&places->stalled);
+
+	return place && now - place->since >= PLACES_STALL_TIME ? place : NULL;
 }
 
-place_t *places_choose(const places_t *places)
+place_t *places_choose(const places_t *places, usec_t now)
 {
 	place_t *place;
 
@@ -160,22 +184,23 @@
 				return place;
 		}
 	}
-	return TAILQ_FIRST(&places->waiting);
+	place = TAILQ_FIRST(&places->waiting);
+	return place ? place : choose_stalled(places, now);
 }
 
-place_t *places_choose_for_memory(const places_t *places)
+place_t *places_choose_for_memory(const places_t *places, usec_t now)
 {
 	place_t *place;
 
 	if (places->unfinished == 0)
-		return NULL;
+		return choose_stalled(places, now);
 	size_t mean = places->unfinished_bytes / places->unfinished;
 	TAILQ_FOREACH(place, &places->waiting, link)
 	{
 		if (is_unfinished(place) && place->bytes >= mean)
 			return place;
 	}
-	return NULL;
+	return choose_stalled(places, now);
 }
 
 place_t *places_choose_expired(const places_t *places, usec_t now)
--- a/http/tls.c
+++ b/http/tls.c
@@ -99,6 +99,11 @@
 	return code >= 0 ? code : fail(code);
 }
 
+bool tls_session_has_data(const tls_session_t *session)
+{
+	return session->established && gnutls_record_check_pending(session->session) > 0;
+}
+
 ssize_t tls_session_send(tls_session_t *session, const void *data, size_t len)
 {
 	ssize_t code = shake_hands(session);
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -3,8 +3,8 @@
 
 #include "accounts/zone_rates.h"
 #include "admission/completion_limit.h"
-#include "admission/route_breaker.h"
 #include "admission/gate.h"
+#include "admission/route_breaker.h"
 #include "admission/stop.h"
 #include "claims/attempts.h"
 #include "config/config.h"
--- a/include/http/places.h
+++ b/include/http/places.h
@@ -19,11 +19,13 @@
  *	the process.
  *
  *	A connection is *busy* while a request of it may have run or its response is
- *	being sent; it is then never chosen. If a place is needed, the choice is the
+ *	being sent; it is then never chosen. It is *stalled* while the client takes
+ *	no bytes of its response. If a place is needed, the choice is the
  *	oldest idle or unfinished connection. Connections of an address with more than
- *	its share of the places come first. If memory is needed, it is the oldest
- *	unfinished connection that holds at least the mean of the unfinished ones, so
- *	that closing it frees some.
+ *	its share of the places come first. Without any, it is the one that has been
+ *	stalled longest, for at least PLACES_STALL_TIME. If memory is needed, it is the
+ *	oldest unfinished connection that holds at least the mean of the unfinished
+ *	ones, so that closing it frees some, or else a stalled one as above.
  *
  * OWNERSHIP
  *	Places are embedded in the caller's connections, and are removed before those are
@@ -35,13 +37,14 @@
 
 typedef enum place_state {
 	PLACE_BUSY,
-	PLACE_IDLE, /* between requests, or before the first byte */
-	PLACE_HEAD, /* a head has begun */
-	PLACE_BODY, /* a body is being read, and its request has not run */
+	PLACE_IDLE,    /* between requests, or before the first byte */
+	PLACE_HEAD,    /* a head has begun */
+	PLACE_BODY,    /* a body is being read, and its request has not run */
+	PLACE_STALLED, /* a response waits for the client to take its bytes */
 } place_state_t;
 
 typedef struct place {
-	TAILQ_ENTRY(place) link; /* while it is not busy */
+	TAILQ_ENTRY(place) link; /* while it is not busy, among the waiting or stalled */
 	uint32_t address;
 	place_state_t state;
 	usec_t since; /* when the state began */
@@ -76,16 +79,21 @@
 bool places_are_full(const places_t *places);
 bool places_exceed_memory(const places_t *places);
 
+/* A client that takes no byte of its response for this time does not read it: the bound
+ * for a head, which clients send within 3 s, with a margin for lost segments. */
+#define PLACES_STALL_TIME (5 * USEC_PER_SEC)
+
 /* Whether the budget has room for another head of this many bytes. Heads of at most
- * PLACES_SMALL_HEAD_BYTES always fit: other connections are closed for them. */
+ * PLACES_SMALL_HEAD_BYTES fit unless the busy connections alone use up the budget: others
+ * are closed for them. */
 #define PLACES_SMALL_HEAD_BYTES (16u << 10)
 bool places_fit_head(const places_t *places, size_t bytes);
 
 /* The connection to close for another one, or NULL if all are busy. */
-place_t *places_choose(const places_t *places);
+place_t *places_choose(const places_t *places, usec_t now);
 
-/* The connection to close for its memory, or NULL if none is unfinished. */
-place_t *places_choose_for_memory(const places_t *places);
+/* The connection to close for its memory, or NULL if none is unfinished or stalled. */
+place_t *places_choose_for_memory(const places_t *places, usec_t now);
 
 /* A connection whose head has taken too long, or NULL. */
 place_t *places_choose_expired(const places_t *places, usec_t now);
--- a/include/http/tls.h
+++ b/include/http/tls.h
@@ -2,6 +2,7 @@
 #define EGRET_HTTP_TLS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <sys/types.h>
 
@@ -35,6 +36,9 @@
 ssize_t tls_session_recv(tls_session_t *session, void *buffer, size_t size);
 ssize_t tls_session_send(tls_session_t *session, const void *data, size_t len);
 
+/* Whether data was read from the socket that tls_session_recv() has not returned yet. */
+bool tls_session_has_data(const tls_session_t *session);
+
 /* Tells the client that no more data follows; failures are ignored. */
 void tls_session_bye(tls_session_t *session);
 
--- a/tests/e2e/on_platform.py
+++ b/tests/e2e/on_platform.py
@@ -57,6 +57,7 @@
         self.instance_id, self.started_ms, self.sequence = "i-1", int(time.time() * 1000), 0
         # Requests as (method, path, headers, body); status and extra headers of a response.
         self.received, self.response, self.delay_sec = [], (200, {}), 0
+        self.body = b"ok"  # of each response
         self.running = 0  # requests whose client has not closed the connection
         # Makes the outbound call of each request and returns its status, if set.
         self.outbound_call = None
@@ -75,13 +76,14 @@
                 if target.outbound_call and target.outbound_call() != 200:
                     status = 500
                 self.send_response(status)
-                for name, value in {"Response-Seal": "seal", "Content-Length": "2",
+                for name, value in {"Response-Seal": "seal",
+                                    "Content-Length": str(len(target.body)),
                                     "Request-Attempt-Id": self.headers["Request-Attempt-Id"],
                                     **headers}.items():
                     self.send_header(name, value)
                 try:
                     self.end_headers()
-                    self.wfile.write(b"ok")
+                    self.wfile.write(target.body)
                 except OSError:
                     self.close_connection = True  # the node cancelled the request
 
--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -28,6 +28,12 @@
 COMPLETE_HEAD_FIELDS = 4000
 CROWD = 300  # more than the node has descriptors
 TRICKLE_PERIOD_SEC = 0.5
+# More than a connection's buffers hold if the client does not read, and less than would keep
+# the target from ending its response.
+UNREAD_BODY_BYTES = 100000
+UNREAD_BUFFER_BYTES = 2048
+UNREAD_TIMEOUT_SEC = 2
+LINK_SEGMENT_BYTES = 1400
 # Far more than --head-timeout (10 s) and the time of the operators' listeners (30 s).
 HEAD_CLOSED_SEC = 50
 ANSWER_TIMEOUT_SEC = 10  # of the ordinary request
@@ -121,6 +127,7 @@
             "control": ("PUT", "/instances/i-1", {}, report, ADDRESSES[0])},
             b"POST /f/deep/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: slow\r\n"
             b"Deadline-Ms: 3000\r\nAuthorization: Bearer key-a\r\nContent-Length: 100000\r\n\r\n")
+        site.target = target
         # Keeps the targets ready while the crowd is there.
         ends = threading.Event()
 
@@ -179,6 +186,34 @@
             connection.close()
 
 
+class UnreadResponses:
+    """Connections that have each sent a request and do not read its response."""
+
+    def __init__(self, address, count, request):
+        self.connections = []
+        host, port = address.split(":")
+        for _ in range(count):
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
+            # As on a real link: on loopback, the node's socket would take 2.6 MB.
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, LINK_SEGMENT_BYTES)
+            connection.settimeout(UNREAD_TIMEOUT_SEC)
+            self.connections.append(connection)
+            try:
+                connection.connect((host, int(port)))
+                connection.sendall(request)
+                connection.recv(1, socket.MSG_PEEK)
+            except OSError:
+                break  # all places are taken
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        for connection in self.connections:
+            connection.close()
+
+
 class Peaks:
     """Measures the highest memory and number of descriptors of a process."""
 
@@ -345,6 +380,23 @@
     check_listeners(platform_site, ["caller"])
 
 
+def case_on_platform_outside_unread():
+    """Clients that send a request each and never read its response do not keep the places of the
+    callers' listener, although the responses have begun."""
+    with platform_site() as site:
+        site.target.body = b"r" * UNREAD_BODY_BYTES
+        request = (b"GET /f/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: unread\r\n"
+                   b"Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\n\r\n")
+        with Peaks(site.process) as peaks, \
+                UnreadResponses(site.addresses["caller"], CROWD, request) as crowd:
+            answer = site.answer("caller")
+        print(f"  {len(crowd.connections)} connections, {peaks.rss >> 20} MB, "
+              f"{peaks.descriptors} descriptors, {answer}", flush=True)
+        assert site.process.poll() is None and answer == 200, answer
+        assert peaks.rss <= RSS_MAX_BYTES
+        assert peaks.descriptors <= DESCRIPTORS - DESCRIPTORS_RESERVED
+
+
 def case_on_platform_outside_ports():
     """Crowds at the platform's listeners for peers, reports and readiness."""
     check_listeners(platform_site, ["peer", "control", "readiness"])
--- a/tests/unit/test_places.c
+++ b/tests/unit/test_places.c
@@ -18,8 +18,9 @@
  *1 s apart:
  *	+/^  opens it, from address 1 / from address 2
  *	-    closes it
- *	i/h/b/w  is idle / has begun a head / a body / waits for its response; holds 1 KB
- *	H/B  the same as h and b, holding 40 KB
+ *	i/h/b/w/s  is idle / has begun a head / a body / waits for its response / has a
+ *	     response that the client does not take; holds 1 KB
+ *	H/B/W  the same as h, b and w, holding 40 KB
  *	r    is renewed
  *	.    (without a letter) 1 s passes
  */
@@ -57,7 +58,12 @@
 		places_update(places, place, PLACE_IDLE, 1000, now);
 		break;
 	case 'w':
-		places_update(places, place, PLACE_BUSY, 1000, now);
+	case 'W':
+		places_update(places, place, PLACE_BUSY, *step == 'w' ? 1000 : 40000,
+			      now);
+		break;
+	case 's':
+		places_update(places, place, PLACE_STALLED, 1000, now);
 		break;
 	case 'h':
 	case 'H':
@@ -86,8 +92,8 @@
 
 	for (const char *step = c->script; *step; now += USEC_PER_SEC)
 		step = run_step(places, all, step, now);
-	assert_int_equal(name_of(places_choose(places), all), c->chosen);
-	assert_int_equal(name_of(places_choose_for_memory(places), all),
+	assert_int_equal(name_of(places_choose(places, now), all), c->chosen);
+	assert_int_equal(name_of(places_choose_for_memory(places, now), all),
 			 c->chosen_for_memory);
 	assert_int_equal(name_of(places_choose_expired(places, now), all), c->expired);
 	assert_int_equal(places_are_full(places), c->full);
@@ -121,11 +127,23 @@
 	{"places: a small one frees nothing", "+aha^bHb+cHc^dHd", 'a', 'b', 0, true,
 	 true},
 	{"places: an idle one frees nothing", "+a^bHb+cHc^dHd", 'a', 'b', 0, true, true},
+	{"places: a stalled response after idle ones", "+asa^b.....", 'b', 'a', 0, false,
+	 false},
+	{"places: a stalled response before busy ones", "+asa^bwb.....", 'a', 'a', 0,
+	 false, false},
+	{"places: it has time until then", "+asa^bwb.", 0, 0, 0, false, false},
+	{"places: it has time again once bytes are taken", "+asa^bwb...ra..", 0, 0, 0,
+	 false, false},
+	{"places: the one that is stalled longest", "+asa^bsb......ra.....", 'b', 'b', 0,
+	 false, false},
+	{"places: memory of an unfinished one before it", "+asa^bhb.....", 'b', 'b', 0,
+	 false, false},
 	{"places: renewed, it is the youngest", "+a^bra", 'b', 0, 0, false, false},
 };
 
 typedef struct head_case {
 	const char *name;
+	place_state_t state; /* of the connection that holds memory */
 	size_t held;
 	size_t bytes;
 	bool fits;
@@ -140,16 +158,24 @@
 	place_t place = {0};
 
 	places_add(places, &place, 1, 0);
-	places_update(places, &place, PLACE_BUSY, c->held, 0);
+	places_update(places, &place, c->state, c->held, 0);
 	assert_int_equal(places_fit_head(places, c->bytes), c->fits);
 	places_destroy(places);
 }
 
 static const head_case_t head_cases[] = {
-	{"head: fits", 50000, 50000, true},
-	{"head: does not fit", 50001, 50000, false},
-	{"head: a small one fits always", 200000, PLACES_SMALL_HEAD_BYTES, true},
-	{"head: a larger one does not", 200000, PLACES_SMALL_HEAD_BYTES + 1, false},
+	{"head: fits", PLACE_BUSY, 50000, 50000, true},
+	{"head: does not fit", PLACE_BUSY, 50001, 50000, false},
+	/* An unfinished connection is closed for it. */
+	{"head: a small one fits beside unfinished ones", PLACE_HEAD, 200000,
+	 PLACES_SMALL_HEAD_BYTES, true},
+	{"head: a larger one does not", PLACE_HEAD, 200000, PLACES_SMALL_HEAD_BYTES + 1,
+	 false},
+	{"head: a small one fits within the budget", PLACE_BUSY,
+	 MEMORY_MAX - PLACES_SMALL_HEAD_BYTES, PLACES_SMALL_HEAD_BYTES, true},
+	/* Nothing could be closed for it. */
+	{"head: a small one does not fit beside busy ones", PLACE_BUSY, 200000,
+	 PLACES_SMALL_HEAD_BYTES, false},
 };
 
 int main(void)
