--- a/routing/router.c
+++ b/routing/router.c
@@ -401,16 +401,10 @@
 	return MIN(need, 1.0) * other.free / (other.free + own.free);
 }
 
-static instance_t *choose_by_time(router_t *router, candidates_t *found, usec_t now,
-				  router_choice_t *out)
+/* Chooses an instance of another zone if it is better than `own`, which may be NULL. */
+static instance_t *choose_other(router_t *router, candidates_t *found, instance_t *own,
+				usec_t now, router_choice_t *out)
 {
-	router->service = (service_state_t){0};
-	add_to_service(&router->service, found->own, now);
-	add_to_service(&router->service, found->other, now);
-	instance_t *own = best_of_two(router, found->own, now);
-	out->reason = ROUTER_OWN_ZONE;
-	if (own && g_rand_double(router->rand) >= spill_share(router, found, now))
-		return own;
 	instance_t *other = best_of_two(router, found->other, now);
 	if (other &&
 	    (!own || load_score(router, other, now) < load_score(router, own, now))) {
@@ -423,6 +417,19 @@
 	return best_of_two(router, found->ejected, now);
 }
 
+static instance_t *choose_by_time(router_t *router, candidates_t *found, usec_t now,
+				  router_choice_t *out)
+{
+	router->service = (service_state_t){0};
+	add_to_service(&router->service, found->own, now);
+	add_to_service(&router->service, found->other, now);
+	instance_t *own = best_of_two(router, found->own, now);
+	out->reason = ROUTER_OWN_ZONE;
+	if (own && g_rand_double(router->rand) >= spill_share(router, found, now))
+		return own;
+	return choose_other(router, found, own, now, out);
+}
+
 static instance_t *choose(router_t *router, candidates_t *found, usec_t now,
 			  router_choice_t *out)
 {
@@ -435,16 +442,7 @@
 		return own;
 	if (own)
 		remove_nearly_saturated(router, found->other, now);
-	instance_t *other = best_of_two(router, found->other, now);
-	if (other &&
-	    (!own || load_score(router, other, now) < load_score(router, own, now))) {
-		out->reason = ROUTER_SPILL;
-		return other;
-	}
-	if (own)
-		return own;
-	out->reason = ROUTER_LAST_RESORT;
-	return best_of_two(router, found->ejected, now);
+	return choose_other(router, found, own, now, out);
 }
 
 static void fill_choice(instance_t *instance, router_choice_t *out)
