admission: revert the completion limit that compares

A node sees too few requests in a second to tell whether the limit would let more of them complete: with two standard deviations or half of one it applied late or not at all.

--- a/egretscaled/node/node.c
+++ b/egretscaled/node/node.c
@@ -100,8 +100,7 @@
 				       settings->bounds.rollback_time, node->node_id);
 	node->backpressure = backpressure_create();
 	node->route_breaker = route_breaker_create();
-	node->completion_limit = completion_limit_create(settings->bounds.retry_window,
-							 settings->completion_limit_mode);
+	node->completion_limit = completion_limit_create(settings->bounds.retry_window);
 	node->outbound_calls = route_calls_create();
 	node->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/egretscaled/node/settings.c
+++ b/egretscaled/node/settings.c
@@ -167,17 +167,6 @@
 	return number;
 }
 
-static void set_completion_limit(settings_t *settings, int key, const char *value)
-{
-	bool compares = strcmp(value, "auto") == 0;
-
-	if (!compares && strcmp(value, "on") != 0 && strcmp(value, "off") != 0)
-		exit_invalid_value(key, value, "on, off or auto");
-	settings->completion_limit = strcmp(value, "off") != 0;
-	settings->completion_limit_mode =
-		compares ? COMPLETION_LIMIT_COMPARE : COMPLETION_LIMIT_ALWAYS;
-}
-
 static uint32_t parse_number(int key, const char *value, long low, long high)
 {
 	char allowed_text[64];
@@ -275,7 +264,9 @@
 		settings->bounds.canary_share = parse_fraction(key, value);
 		break;
 	case KEY_COMPLETION_LIMIT:
-		set_completion_limit(settings, key, value);
+		if (strcmp(value, "on") != 0 && strcmp(value, "off") != 0)
+			exit_invalid_value(key, value, "on or off");
+		settings->completion_limit = strcmp(value, "on") == 0;
 		break;
 	case KEY_HEAD_TIMEOUT:
 		settings->head_timeout_sec =
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define STATUS_ERROR 500
+
 /* Time after which a refused client may retry. */
 #define RETRY_AFTER (150 * USEC_PER_MSEC)
 /* A request that was shed may be sent again after a random part of its objective between
@@ -47,7 +48,6 @@
 	log_end(&rec);
 }
 
-/* Responses to clients tell admission what completes. */
 static void record_response(const http_request_t *request)
 {
 	node_t *node = request->worker->node;
@@ -60,9 +60,6 @@
 	    request->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED)
 		return;
 	pthread_mutex_lock(&node->router_lock);
-	if (node->settings->completion_limit && !failed)
-		completion_limit_record_completed(node->completion_limit, request->route,
-						  now);
 	bool changed = route_breaker_record(
 		node->route_breaker, request->route, failed,
 		1.0 - backpressure_missing(node->backpressure, request->route, now));
--- a/include/admission/completion_limit.h
+++ b/include/admission/completion_limit.h
@@ -22,24 +22,13 @@
  *	refused before it has run. The rate is a history over `window`, as that of the
  *	budget, so that more demand than before does not raise it.
  *
- *	Admitting all can be better: with few calls for each request, or if demand has
- *	risen more than the rejections. With COMPLETION_LIMIT_COMPARE the limit applies
- *	only from the time at which fewer requests complete than it would admit, over
- *	the routes whose share is below 1. How many would complete without it is not
- *	known from then on; it ends when no share is below 1 any more.
- *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
  */
 
 typedef struct completion_limit completion_limit_t;
 
-typedef enum completion_limit_mode {
-	COMPLETION_LIMIT_ALWAYS,
-	COMPLETION_LIMIT_COMPARE,
-} completion_limit_mode_t;
-
-completion_limit_t *completion_limit_create(usec_t window, completion_limit_mode_t mode);
+completion_limit_t *completion_limit_create(usec_t window);
 void completion_limit_destroy(completion_limit_t *limit);
 
 /* Returns whether a request of the route is admitted, and counts it if it is.
@@ -48,13 +37,6 @@
 			    double completable, uint32_t importance,
 			    const importance_range_t *range, usec_t now);
 
-/* A request of the route that was admitted has got a response that is no failure. */
-void completion_limit_record_completed(completion_limit_t *limit, const char *route,
-				       usec_t now);
-
-/* Whether the limit applies to routes whose share is below 1. */
-bool completion_limit_applies(const completion_limit_t *limit);
-
 /* Returns the share of requests to admit if `completable` of the calls that they make can
  * be completed: the more important half of the range first. If all routes have the same
  * importance, it is `completable`. */
--- a/include/egretscaled/node/settings.h
+++ b/include/egretscaled/node/settings.h
@@ -1,7 +1,6 @@
 #ifndef EGRET_EGRETSCALED_NODE_SETTINGS_H
 #define EGRET_EGRETSCALED_NODE_SETTINGS_H
 
-#include "admission/completion_limit.h"
 #include "common/clock.h"
 #include "common/log.h"
 #include "egretscaled/node/dialect.h"
@@ -80,8 +79,7 @@
 	uint32_t connection_memory; /* MiB, of unfinished requests and heads */
 	uint32_t address_share;	    /* percent of places; see http/places.h */
 	bool completion_limit;	    /* see admission/completion_limit.h */
-	completion_limit_mode_t completion_limit_mode;
-	router_balance_t balance; /* without the flag: by time on the platform only */
+	router_balance_t balance;   /* without the flag: by time on the platform only */
 	log_level_t log_level;
 	log_format_t log_format;
 } settings_t;
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -182,7 +182,7 @@
 	*sim = (sim_t){.load = load, .mechanism = mechanism};
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->resends = resends_create(RATIO, WINDOW);
-	sim->limit = completion_limit_create(WINDOW, COMPLETION_LIMIT_ALWAYS);
+	sim->limit = completion_limit_create(WINDOW);
 	sim->first_sends = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	sim->repeats = g_array_new(FALSE, FALSE, sizeof(usec_t));
 	for (usec_t now = START; now < end; now += STEP)
@@ -282,8 +282,7 @@
 static void test_rare_route(void **state)
 {
 	(void)state;
-	completion_limit_t *limit =
-		completion_limit_create(WINDOW, COMPLETION_LIMIT_ALWAYS);
+	completion_limit_t *limit = completion_limit_create(WINDOW);
 	usec_t now = START;
 	int admitted = 0;
 
@@ -302,8 +301,7 @@
 static void test_long_disturbance(void **state)
 {
 	(void)state;
-	completion_limit_t *limit =
-		completion_limit_create(WINDOW, COMPLETION_LIMIT_ALWAYS);
+	completion_limit_t *limit = completion_limit_create(WINDOW);
 	usec_t now = START;
 	int admitted = 0;
 
@@ -321,62 +319,6 @@
 	completion_limit_destroy(limit);
 }
 
-/* Requests that complete, of 100 a second before and `demand` times that during the
- * disturbance. */
-typedef struct compare_case {
-	const char *name;
-	double demand;
-	double completable;
-	double unlimited; /* share that completes if all are admitted */
-	bool limits;
-} limit_compare_case_t;
-
-static const limit_compare_case_t limit_compare_cases[] = {
-	{"nothing is rejected", 1, 1.0, 1.0, false},
-	{"fewer complete without the limit", 1, 0.3, 0.05, true},
-	{"more complete without the limit", 1, 0.3, 0.5, false},
-	{"more complete as the demand has risen", 3, 0.3, 0.15, false},
-	{"fewer complete although the demand has risen", 2, 0.3, 0.05, true},
-};
-
-/* Guards against a limit that refuses more requests than would have been lost. */
-static void test_limit_compares(void **state)
-{
-	const limit_compare_case_t *c = *state;
-	completion_limit_t *limit =
-		completion_limit_create(WINDOW, COMPLETION_LIMIT_COMPARE);
-	GRand *rand = g_rand_new_with_seed(1);
-	int refused_before = 0, refused = 0, refused_after = 0;
-
-	for (usec_t now = START; now < START + 30 * USEC_PER_SEC; now += STEP) {
-		bool disturbed = is_disturbed(now);
-		double arrivals = disturbed ? c->demand : 1;
-		bool late = now >= START + WARM_UP + 3 * USEC_PER_SEC;
-		for (int i = 0; i < (int)arrivals; i++) {
-			bool admitted = completion_limit_admit(
-				limit, "r", disturbed ? c->completable : 1.0, 5,
-				&same_importance, now);
-			/* What the limit admits is completed. */
-			double share = !disturbed			 ? 1
-				       : completion_limit_applies(limit) ? 1
-									 : c->unlimited;
-			if (admitted && g_rand_double(rand) < share)
-				completion_limit_record_completed(limit, "r", now);
-			refused += !admitted && disturbed && late;
-			refused_before += !admitted && now < START + WARM_UP;
-			refused_after += !admitted && !disturbed;
-		}
-	}
-	assert_int_equal(refused_before, 0);
-	assert_int_equal(refused_after, 0);
-	if (c->limits)
-		assert_true(refused > 300);
-	else
-		assert_int_equal(refused, 0);
-	g_rand_free(rand);
-	completion_limit_destroy(limit);
-}
-
 /* Guards against repeats on the other budget that are held against resends long after the
  * window that both are counted in. */
 static void test_old_retries(void **state)
@@ -408,6 +350,5 @@
 	};
 
 	return RUN_CASES("completed requests", load_cases, test_completed_requests) +
-	       RUN_CASES("limit compares", limit_compare_cases, test_limit_compares) +
 	       cmocka_run_group_tests(tests, NULL, NULL);
 }
