accounts: answer a repeated question for tokens with the same tokens

Cause: a question that is asked again after 20 ms, because it or its answer was lost or late, was granted tokens each time, and only one grant was used.

Change: a holder keeps the answers that it gave for 0.2 s, by the question's id.

--- a/accounts/zone_rates.c
+++ b/accounts/zone_rates.c
@@ -32,6 +32,9 @@
 #define UNREACHED_TIME (2 * USEC_PER_SEC)
 /* Tokens are taken ahead for the demand of this time. */
 #define AHEAD_SEC 0.1
+/* Answers are kept for all the times that a question is asked. */
+#define GIVEN_TIME (200 * USEC_PER_MSEC)
+#define GIVEN_MAX 20000
 #define DEMAND_TIME_CONSTANT_USEC ((double)USEC_PER_SEC)
 
 typedef struct candidate {
@@ -62,6 +65,13 @@
 	usec_t tokens_until;
 } entry_account_t;
 
+/* An answer that this node gave as a holder. */
+typedef struct given_answer {
+	uint64_t id; /* of the question */
+	usec_t at;
+	token_answer_t answer;
+} given_answer_t;
+
 struct zone_rates {
 	char address[ADDRESS_TEXT_BYTES];
 	zone_t *zones;
@@ -83,6 +93,8 @@
 	GHashTable *silent_until; /* address -> usec_t */
 	GHashTable *answered_at;  /* address -> usec_t */
 	GHashTable *accounts;	  /* account -> entry_account_t */
+	GHashTable *given;	  /* id -> given_answer_t */
+	usec_t given_purged_at;
 };
 
 static void add_zone(zone_rates_t *rates, const char *name, const char *own_zone)
@@ -115,6 +127,7 @@
 	rates->answered_at =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rates->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rates->given = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return rates;
 }
 
@@ -132,6 +145,7 @@
 	g_hash_table_destroy(rates->silent_until);
 	g_hash_table_destroy(rates->answered_at);
 	g_hash_table_destroy(rates->accounts);
+	g_hash_table_destroy(rates->given);
 	g_free(rates);
 }
 
@@ -344,22 +358,24 @@
 			      const char *account, const char *passed_over, usec_t now)
 {
 	uint32_t partition = account_partition(account);
-	const char *other = NULL;
+	const char *first = rates->zones[zone].candidates[partition][0].address;
+	const char *holder = find_holder(rates, zone, partition, passed_over, now);
 
-	if (*rates->suspect && zone == rates->own_zone)
-		other = find_other_holder(rates, partition, passed_over, now);
-	return other ? other : find_holder(rates, zone, partition, passed_over, now);
+	/* While this node may be cut off, it uses no tokens in place of another. */
+	if (*rates->suspect && zone == rates->own_zone && holder &&
+	    strcmp(holder, rates->address) == 0 && strcmp(first, rates->address) != 0)
+		return find_other_holder(rates, partition, passed_over, now);
+	return holder;
 }
 
 /* One holder that does not reply may be frozen. This node counts as cut off if a second
- * one does not reply either, or if there is no other to ask. */
+ * one does not reply either, or if there is no other member. */
 static void suspect_cut(zone_rates_t *rates, const char *address)
 {
-	if (strcmp(rates->suspect, address) == 0)
-		return;
-	bool second = *rates->suspect != '\0';
-	g_strlcpy(rates->suspect, address, sizeof(rates->suspect));
+	bool second = *rates->suspect && strcmp(rates->suspect, address) != 0;
+
 	rates->cut_off |= second || rates->zones[rates->own_zone].live < 3;
+	g_strlcpy(rates->suspect, address, sizeof(rates->suspect));
 }
 
 void zone_rates_set_silent(zone_rates_t *rates, const char *address, usec_t now)
@@ -473,6 +489,47 @@
 	return rates->cut_off;
 }
 
+static gboolean is_given_before(void *key, void *value, void *time)
+{
+	(void)key;
+	return ((const given_answer_t *)value)->at < *(usec_t *)time;
+}
+
+/* Finds the answer that the question got before. */
+static bool find_given(const zone_rates_t *rates, const token_question_t *question,
+		       usec_t now, token_answer_t *out)
+{
+	const given_answer_t *given =
+		question->id ? g_hash_table_lookup(rates->given, &question->id) : NULL;
+
+	if (!given || now - given->at >= GIVEN_TIME)
+		return false;
+	*out = given->answer;
+	out->wait = MAX(out->wait - (now - given->at), 0);
+	return true;
+}
+
+static void store_given(zone_rates_t *rates, const token_question_t *question,
+			const token_answer_t *answer, usec_t now)
+{
+	usec_t oldest = now - GIVEN_TIME;
+
+	/* An answer without tokens is computed anew: there may be some by then. */
+	if (!question->id || answer->tokens == 0)
+		return;
+	if (now - rates->given_purged_at >= GIVEN_TIME) {
+		g_hash_table_foreach_remove(rates->given, is_given_before, &oldest);
+		rates->given_purged_at = now;
+	}
+	if (g_hash_table_size(rates->given) >= GIVEN_MAX)
+		return;
+	given_answer_t *given = g_new0(given_answer_t, 1);
+	given->id = question->id;
+	given->at = now;
+	given->answer = *answer;
+	g_hash_table_replace(rates->given, &given->id, given);
+}
+
 void zone_rates_answer(zone_rates_t *rates, const token_question_t *question,
 		       const account_limits_t *limits, usec_t now, token_answer_t *out)
 {
@@ -482,6 +539,8 @@
 	*out = (token_answer_t){0};
 	if (question->asker)
 		record_contact(rates, question->asker, now);
+	if (find_given(rates, question, now, out))
+		return;
 	hold(rates, partition, now);
 	shares_t *shares = rates->held[partition].shares;
 	if (question->lend)
@@ -497,6 +556,7 @@
 	}
 	out->over_rate = verdict == SHARES_REFUSED;
 	out->pressure = shares_pressure(shares, question->account, now);
+	store_given(rates, question, out, now);
 }
 
 bool zone_rates_report(zone_rates_t *rates, uint32_t partition, usec_t now,
--- a/egretscaled/rates/shares_io.c
+++ b/egretscaled/rates/shares_io.c
@@ -242,6 +242,7 @@
 		.wait_max = MIN(message->wait_ms * USEC_PER_MSEC, WAIT_MAX),
 		.lend = message->lend,
 		.repeated = message->repeated,
+		.id = message->sequence,
 	};
 	token_answer_t result;
 
--- a/include/accounts/zone_rates.h
+++ b/include/accounts/zone_rates.h
@@ -91,6 +91,9 @@
 	usec_t wait_max; /* accepted until the token is due */
 	bool lend;	 /* for another zone */
 	bool repeated;	 /* the requests were counted as demand before */
+	/* The same if the question is asked again because no answer came; it then gets
+	 * the same answer instead of further tokens. 0: not asked again. */
+	uint64_t id;
 } token_question_t;
 
 typedef struct token_answer {
--- a/tests/unit/test_zone_rates.c
+++ b/tests/unit/test_zone_rates.c
@@ -100,6 +100,7 @@
 	sim_account_t accounts[ACCOUNTS_MAX];
 	GQueue *reports;
 	uint64_t datagrams;
+	uint64_t questions;
 	/* When each node was last reachable for the nodes of a group. */
 	usec_t *reachable_at[ALONE];
 	member_t members[NODES_MAX];
@@ -281,7 +282,8 @@
 
 /* One question from node i; returns false if there is no answer. */
 static bool ask(sim_t *sim, uint32_t i, const char *holder, const sim_account_t *account,
-		const token_action_t *action, uint32_t wanted, token_answer_t *answer)
+		const token_action_t *action, uint32_t wanted, uint64_t id,
+		token_answer_t *answer)
 {
 	uint32_t j = index_of(sim, holder);
 	account_limits_t limits = limits_of(sim, account);
@@ -292,6 +294,7 @@
 		.wait_max = action->wait_max,
 		.lend = action->lend,
 		.repeated = action->repeated,
+		.id = i == j ? 0 : id,
 	};
 
 	if (i != j)
@@ -313,6 +316,7 @@
 	const char *unanswered = NULL;
 	usec_t elapsed = 0;
 	uint32_t wanted;
+	uint64_t id = 0;
 
 	if (zone_rates_take(rates, account->name, sim->now, &wanted))
 		return 0;
@@ -330,6 +334,7 @@
 			return -1;
 		if (action.kind == TOKEN_ASK) {
 			question = action;
+			id = ++sim->questions;
 			holder = zone_rates_holder(rates, action.zone, account->name,
 						   unanswered, sim->now);
 		}
@@ -337,7 +342,7 @@
 			event = TOKEN_NO_HOLDER;
 			continue;
 		}
-		if (!ask(sim, i, holder, account, &question, wanted, &answer)) {
+		if (!ask(sim, i, holder, account, &question, wanted, id, &answer)) {
 			elapsed += TOKEN_REPLY_TIMEOUT;
 			event = TOKEN_TIMEOUT;
 			continue;
