admission: open circuit breakers by a report of their own

A probe was used up by a request that was refused for another reason, and a stored response closed the breaker although nothing ran.

Change: replies carry calls_unavailable, kept for 5 s; a probe counts when it is sent; stored responses do not count.

--- a/admission/route_breaker.c
+++ b/admission/route_breaker.c
@@ -4,8 +4,6 @@
 
 /* Beyond this number of routes, further ones are not watched. */
 #define ROUTES_MAX 4096
-/* Reports are rounded to thousandths. */
-#define COMPLETABLE_MIN 0.001
 
 typedef struct route {
 	uint32_t failures; /* in a row, at most ROUTE_BREAKER_FAILURES */
@@ -40,20 +38,24 @@
 	return route && route->open;
 }
 
-bool route_breaker_admit(route_breaker_t *breaker, const char *name, usec_t now)
+bool route_breaker_admits(const route_breaker_t *breaker, const char *name, usec_t now)
+{
+	const route_t *route = g_hash_table_lookup(breaker->routes, name);
+
+	return !route || !route->open ||
+	       now - route->probed_at >= ROUTE_BREAKER_PROBE_PERIOD;
+}
+
+void route_breaker_handle_send(route_breaker_t *breaker, const char *name, usec_t now)
 {
 	route_t *route = g_hash_table_lookup(breaker->routes, name);
 
-	if (!route || !route->open)
-		return true;
-	if (now - route->probed_at < ROUTE_BREAKER_PROBE_PERIOD)
-		return false;
-	route->probed_at = now;
-	return true;
+	if (route)
+		route->probed_at = now;
 }
 
 bool route_breaker_record(route_breaker_t *breaker, const char *name, bool failed,
-			  double completable)
+			  bool unavailable)
 {
 	route_t *route = g_hash_table_lookup(breaker->routes, name);
 
@@ -70,8 +72,7 @@
 		g_hash_table_insert(breaker->routes, g_strdup(name), route);
 	}
 	route->failures = MIN(route->failures + 1, ROUTE_BREAKER_FAILURES);
-	bool open = route->failures == ROUTE_BREAKER_FAILURES &&
-		    completable < COMPLETABLE_MIN;
+	bool open = route->failures == ROUTE_BREAKER_FAILURES && unavailable;
 	bool changed = open != route->open;
 	route->open = open;
 	return changed;
--- a/egretscaled/node/pressure.c
+++ b/egretscaled/node/pressure.c
@@ -40,9 +40,7 @@
 {
 	completable_search_t *search = ctx;
 	node_t *node = search->node;
-	double own = router_has_instance(node->router, service)
-			     ? node_completable_share(node, service, search->now)
-			     : 0.0;
+	double own = node_completable_share(node, service, search->now);
 	double downstream =
 		1.0 - backpressure_missing(node->backpressure, call_route, search->now);
 
@@ -61,6 +59,33 @@
 	return search.lowest;
 }
 
+typedef struct unavailable_search {
+	node_t *node;
+	usec_t now;
+	bool found;
+} unavailable_search_t;
+
+static void find_unavailable(void *ctx, const char *call_route, const char *service)
+{
+	unavailable_search_t *search = ctx;
+	node_t *node = search->node;
+
+	search->found |=
+		!router_has_instance(node->router, service) ||
+		backpressure_unavailable(node->backpressure, call_route, search->now);
+}
+
+bool node_calls_unavailable(node_t *node, const char *route)
+{
+	unavailable_search_t search = {.node = node, .now = clock_boot_usec()};
+
+	pthread_mutex_lock(&node->router_lock);
+	route_calls_foreach(node->outbound_calls, route, search.now, find_unavailable,
+			    &search);
+	pthread_mutex_unlock(&node->router_lock);
+	return search.found;
+}
+
 bool node_makes_calls(node_t *node)
 {
 	pthread_mutex_lock(&node->router_lock);
--- a/egretscaled/peers/call_codec.c
+++ b/egretscaled/peers/call_codec.c
@@ -153,6 +153,7 @@
 		out->downstream_completable =
 			1.0 - MIN(wire->load->incompletable_below_milli / MILLI, 1.0);
 		out->makes_calls = wire->load->makes_calls;
+		out->calls_unavailable = wire->load->calls_unavailable;
 	}
 	out->headers = headers_create();
 	decode_headers(wire->headers, wire->n_headers, out->headers);
@@ -182,6 +183,7 @@
 	load->incompletable_below_milli =
 		(uint32_t)((1.0 - CLAMP(reply->downstream_completable, 0, 1)) * MILLI);
 	load->makes_calls = reply->makes_calls;
+	load->calls_unavailable = reply->calls_unavailable;
 	wire->load = load;
 }
 
--- a/egretscaled/request/entry.c
+++ b/egretscaled/request/entry.c
@@ -271,7 +271,7 @@
 		1.0 - backpressure_missing(node->backpressure, request->route, now);
 	inputs->breaker_open = route_breaker_is_open(node->route_breaker, request->route);
 	bool shed =
-		!route_breaker_admit(node->route_breaker, request->route, now) ||
+		!route_breaker_admits(node->route_breaker, request->route, now) ||
 		!pressure_admits(inputs->pressure, importance, &range, draw) ||
 		(node->settings->completion_limit &&
 		 !completion_limit_admit(node->completion_limit, request->route,
@@ -313,7 +313,11 @@
 static void claim_or_dispatch(http_request_t *request)
 {
 	const char *key = request->parsed_headers.idempotency_key;
+	node_t *node = request->worker->node;
 
+	pthread_mutex_lock(&node->router_lock);
+	route_breaker_handle_send(node->route_breaker, request->route, clock_boot_usec());
+	pthread_mutex_unlock(&node->router_lock);
 	if (!key || !*request->context.account) {
 		http_attempt_dispatch(request);
 		return;
--- a/egretscaled/request/http_attempt.c
+++ b/egretscaled/request/http_attempt.c
@@ -313,6 +313,9 @@
 					     reply->downstream_pressure, now);
 		backpressure_record_missing(node->backpressure, request->route,
 					    1.0 - reply->downstream_completable, now);
+		backpressure_record_unavailable(node->backpressure, request->route,
+						reply->calls_unavailable, now);
+		request->calls_unavailable = reply->calls_unavailable;
 	}
 	pthread_mutex_unlock(&node->router_lock);
 }
--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -51,18 +51,17 @@
 static void record_response(const http_request_t *request)
 {
 	node_t *node = request->worker->node;
-	bool failed = request->status >= STATUS_ERROR;
-	usec_t now = clock_boot_usec();
 
+	/* A stored response says nothing: its request was not sent. */
 	if (!node->settings->dialect->outbound_on_caller_listener ||
-	    request->from_target || !request->route ||
+	    request->from_target || request->attempt_count == 0 || !request->route ||
 	    request->listener != HTTP_LISTENER_CALLERS ||
 	    request->outcome != EGRET__OUTCOME__OUTCOME_ANSWERED)
 		return;
 	pthread_mutex_lock(&node->router_lock);
-	bool changed = route_breaker_record(
-		node->route_breaker, request->route, failed,
-		1.0 - backpressure_missing(node->backpressure, request->route, now));
+	bool changed = route_breaker_record(node->route_breaker, request->route,
+					    request->status >= STATUS_ERROR,
+					    request->calls_unavailable);
 	bool open = route_breaker_is_open(node->route_breaker, request->route);
 	pthread_mutex_unlock(&node->router_lock);
 	if (changed)
--- a/egretscaled/request/target_call.c
+++ b/egretscaled/request/target_call.c
@@ -50,6 +50,8 @@
 		node_downstream_pressure(tc->worker->node, tc->call->route);
 	reply->downstream_completable =
 		node_downstream_completable(tc->worker->node, tc->call->route);
+	reply->calls_unavailable =
+		node_calls_unavailable(tc->worker->node, tc->call->route);
 	reply->makes_calls = node_makes_calls(tc->worker->node);
 	reply->has_load = true;
 	reply->level = load->level;
--- a/include/admission/route_breaker.h
+++ b/include/admission/route_breaker.h
@@ -15,11 +15,12 @@
  *	instance. Refused instead, they have not run, and their clients can send them
  *	again later.
  *
- *	The breaker of a route opens when the last ROUTE_BREAKER_FAILURES responses of the
- *	route were failures and the last of them reported that none of its calls can
- *	complete. A route whose requests do without the call keeps it closed. While it is
- *	open, one request in each ROUTE_BREAKER_PROBE_PERIOD is admitted. A response that
- *is no failure, or that reports that calls can complete again, closes it.
+ *	The breaker of a route opens when the last ROUTE_BREAKER_FAILURES responses of
+ *	the route were failures and the last of them reported that a service which is
+ *	called has no instance. A route whose requests do without the call keeps it
+ *	closed. While it is open, one request in each ROUTE_BREAKER_PROBE_PERIOD is
+ *	admitted. A response that is no failure, or that reports instances again,
+ *	closes it.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
@@ -34,13 +35,15 @@
 void route_breaker_destroy(route_breaker_t *breaker);
 
 /* Returns whether a request of the route is admitted. */
-bool route_breaker_admit(route_breaker_t *breaker, const char *route, usec_t now);
+bool route_breaker_admits(const route_breaker_t *breaker, const char *route, usec_t now);
 
-/* A request of the route has got a response. `completable` is the share of its calls that
- * can complete, as the response reported. Returns whether the breaker opened or closed.
- */
+/* A request of the route that was admitted is sent. */
+void route_breaker_handle_send(route_breaker_t *breaker, const char *route, usec_t now);
+
+/* A request of the route has got a response; `unavailable`: with a report that a service
+ * which is called has no instance. Returns whether the breaker opened or closed. */
 bool route_breaker_record(route_breaker_t *breaker, const char *route, bool failed,
-			  double completable);
+			  bool unavailable);
 
 bool route_breaker_is_open(const route_breaker_t *breaker, const char *route);
 
--- a/include/egretscaled/node/call.h
+++ b/include/egretscaled/node/call.h
@@ -73,6 +73,7 @@
 	/* Lowest share of the calls downstream that can be completed, 0 to 1, see
 	 * node_downstream_completable(). */
 	double downstream_completable;
+	bool calls_unavailable;	   /* see node_calls_unavailable() */
 	bool makes_calls;	   /* the target usually makes outbound calls */
 	uint32_t retries_returned; /* unused retries of the context */
 } call_reply_t;
--- a/include/egretscaled/node/node.h
+++ b/include/egretscaled/node/node.h
@@ -233,6 +233,10 @@
  * router_lock. */
 double node_downstream_completable(node_t *node, const char *route);
 
+/* Whether a service that the route's requests call, or that those calls lead to, has no
+ * instance. */
+bool node_calls_unavailable(node_t *node, const char *route);
+
 /* Whether the target usually makes outbound calls for its requests. Acquires router_lock.
  */
 bool node_makes_calls(node_t *node);
--- a/include/egretscaled/request/http_request.h
+++ b/include/egretscaled/request/http_request.h
@@ -109,6 +109,7 @@
 	uint32_t excluded_count;
 	bool routed; /* the router counts the current attempt as in flight */
 	priority_t downstream_level; /* lowest shed level that replies reported */
+	bool calls_unavailable;	     /* as the last reply reported */
 
 	/* Idempotency key. */
 	struct claim_handle *claim; /* NULL without one */
--- a/include/routing/backpressure.h
+++ b/include/routing/backpressure.h
@@ -2,7 +2,9 @@
 #define EGRET_ROUTING_BACKPRESSURE_H
 
 #include "admission/priority.h"
+
 #include "common/clock.h"
+#include <stdbool.h>
 
 /*
  * NAME
@@ -40,6 +42,12 @@
 double backpressure_pressure(const backpressure_t *backpressure, const char *key,
 			     usec_t now);
 
+/* Records whether a service downstream has no instance; kept for a few seconds. */
+void backpressure_record_unavailable(backpressure_t *backpressure, const char *key,
+				     bool unavailable, usec_t now);
+bool backpressure_unavailable(const backpressure_t *backpressure, const char *key,
+			      usec_t now);
+
 /* Records what is missing in the completable share of the calls downstream (0 to 1), see
  * retry/resends.h. It is smoothed where it is measured; smoothing it again at each hop
  * would delay it by seconds where a node gets few responses. It ages as a pressure does.
--- a/include/wire/egret.pb-c.h
+++ b/include/wire/egret.pb-c.h
@@ -168,6 +168,10 @@
    * share of calls below that cannot complete
    */
   uint32_t incompletable_below_milli;
+  /*
+   * a service that is called below has no instance
+   */
+  protobuf_c_boolean calls_unavailable;
   /*
    * smoothed, of the target; 0 if unknown
    */
@@ -175,7 +179,7 @@
 };
 #define EGRET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&egret__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Egret__Call
--- a/routing/backpressure.c
+++ b/routing/backpressure.c
@@ -9,6 +9,8 @@
  * second. */
 #define PRESSURE_HOLD_USEC (300 * USEC_PER_MSEC)
 #define PRESSURE_LIFETIME_USEC USEC_PER_SEC
+/* Longer than a request takes, so that a report reaches the entry over several calls. */
+#define UNAVAILABLE_LIFETIME_USEC (5 * USEC_PER_SEC)
 #define KEYS_MAX 4096
 
 typedef struct entry {
@@ -18,6 +20,7 @@
 	usec_t pressure_updated;
 	double missing;
 	usec_t missing_updated;
+	usec_t unavailable_until;
 } entry_t;
 
 struct backpressure {
@@ -116,6 +119,24 @@
 	return entry ? entry->missing * pressure_left(entry->missing_updated, now) : 0;
 }
 
+void backpressure_record_unavailable(backpressure_t *backpressure, const char *key,
+				     bool unavailable, usec_t now)
+{
+	entry_t *entry = lookup_entry(backpressure, key, unavailable, now);
+
+	if (entry)
+		entry->unavailable_until =
+			unavailable ? now + UNAVAILABLE_LIFETIME_USEC : 0;
+}
+
+bool backpressure_unavailable(const backpressure_t *backpressure, const char *key,
+			      usec_t now)
+{
+	const entry_t *entry = g_hash_table_lookup(backpressure->entries, key);
+
+	return entry && now < entry->unavailable_until;
+}
+
 void backpressure_record_level(backpressure_t *backpressure, const char *key,
 			       priority_t level, usec_t now)
 {
--- a/wire/egret.pb-c.c
+++ b/wire/egret.pb-c.c
@@ -1370,7 +1370,7 @@
   (ProtobufCMessageInit) egret__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor egret__load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor egret__load__field_descriptors[10] =
 {
   {
     "level",
@@ -1468,6 +1468,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "calls_unavailable",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Egret__Load, calls_unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "response_time_usec",
     20,
@@ -1483,6 +1495,7 @@
 };
 static const unsigned egret__load__field_indices_by_name[] = {
   4,   /* field[4] = below */
+  8,   /* field[8] = calls_unavailable */
   7,   /* field[7] = incompletable_below_milli */
   2,   /* field[2] = inflight */
   0,   /* field[0] = level */
@@ -1490,13 +1503,13 @@
   6,   /* field[6] = makes_calls */
   5,   /* field[5] = pressure_below_milli */
   3,   /* field[3] = queued */
-  8,   /* field[8] = response_time_usec */
+  9,   /* field[9] = response_time_usec */
 };
 static const ProtobufCIntRange egret__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 8 },
-  { 0, 9 }
+  { 20, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor egret__load__descriptor =
 {
@@ -1506,7 +1519,7 @@
   "Egret__Load",
   "egret",
   sizeof(Egret__Load),
-  9,
+  10,
   egret__load__field_descriptors,
   egret__load__field_indices_by_name,
   2,  egret__load__number_ranges,
