http: look at a stalled client before its connection is closed

Cause (review): a response counted as stalled if send() took nothing for 5 s. With a large socket buffer that also holds for a slow client that reads, and after a pause of the process for one that has read everything. Bytes that such a client sent renewed its time, stalled bytes were missing from the budget that refuses small heads, and the last part of an HTTP/1.0 response could be cut without a reset.

Change: before it is closed, the socket is asked whether the client has acknowledged bytes since, or whether it is writable. Only bytes sent renew the time and the idle timeout of a pending response.

No test plays a slow client that reads.

--- a/http/http_connection.c
+++ b/http/http_connection.c
@@ -4,8 +4,11 @@
 #include "http/headers.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -264,7 +267,7 @@
 			return false;
 		}
 		connection->out_sent += (size_t)n;
-		connection->last_active = clock_boot_usec();
+		connection->last_active = connection->last_sent = clock_boot_usec();
 	}
 	g_byte_array_set_size(out, 0);
 	connection->out_sent = 0;
@@ -415,6 +418,22 @@
 	return bytes;
 }
 
+static int unacknowledged_bytes(const http_connection_t *connection)
+{
+	int bytes = 0;
+
+	return ioctl(connection->fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+bool http_connection_takes_response(http_connection_t *connection)
+{
+	struct pollfd pollfd = {.fd = connection->fd, .events = POLLOUT};
+	int before = connection->unacknowledged;
+
+	connection->unacknowledged = unacknowledged_bytes(connection);
+	return connection->unacknowledged < before || poll(&pollfd, 1, 0) > 0;
+}
+
 static void update_place(http_connection_t *connection)
 {
 	places_t *places = connection->server->places;
@@ -423,8 +442,10 @@
 
 	connection->bytes_max = MAX(connection->bytes_max, bytes);
 	places_update(places, place, place_state(connection), bytes, clock_boot_usec());
-	if (place->state == PLACE_STALLED && place->since < connection->last_active)
-		places_renew(places, place, clock_boot_usec());
+	if (place->state != PLACE_STALLED || place->since >= connection->last_sent)
+		return;
+	connection->unacknowledged = unacknowledged_bytes(connection);
+	places_renew(places, place, clock_boot_usec());
 }
 
 static void unschedule(http_connection_t *connection)
@@ -495,8 +516,9 @@
 
 	if (connection->lingers)
 		return now >= connection->lingers_until;
-	bool waits_for_client = !first || receiving_exchange(connection) ||
-				connection->out_sent < connection->out->len;
+	if (connection->out_sent < connection->out->len)
+		return now - connection->last_sent >= timeout;
+	bool waits_for_client = !first || receiving_exchange(connection);
 	return waits_for_client && now - connection->last_active >= timeout;
 }
 
@@ -518,7 +540,7 @@
 		pipeline_create(&server->options.pipeline, &server->budget);
 	connection->unread = g_byte_array_new();
 	connection->out = g_byte_array_new();
-	connection->last_active = clock_boot_usec();
+	connection->last_active = connection->last_sent = clock_boot_usec();
 	connection->polled = EPOLLIN | EPOLLRDHUP;
 	struct epoll_event event = {.events = connection->polled, .data.ptr = connection};
 	epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, fd, &event);
@@ -534,7 +556,7 @@
 	http_server_t *server = connection->server;
 	const http_exchange_t *first = first_exchange(connection);
 
-	if (first && !first->finished)
+	if (first && (!first->finished || connection->out_sent < connection->out->len))
 		break_off(connection, first);
 	end_exchanges(connection);
 	unschedule(connection);
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -76,14 +76,24 @@
 	http_connection_destroy(connection_of(place));
 }
 
+/* Whether the connection is not what its place says, as it is looked at only by events.
+ */
+static bool is_passed_over(place_t *place, int passed_over)
+{
+	http_connection_t *connection = connection_of(place);
+
+	if (place->state == PLACE_STALLED)
+		return http_connection_takes_response(connection);
+	return place->state == PLACE_IDLE && passed_over < PASSED_OVER_MAX &&
+	       !connection->lingers && has_input(connection);
+}
+
 /* Closes a connection for another one. Returns false if all are busy. */
 static bool make_place(http_server_t *server)
 {
 	place_t *place = places_choose(server->places, clock_boot_usec());
 
-	for (int i = 0; i < PASSED_OVER_MAX && place && place->state == PLACE_IDLE &&
-			!connection_of(place)->lingers && has_input(connection_of(place));
-	     i++) {
+	for (int i = 0; place && is_passed_over(place, i); i++) {
 		places_renew(server->places, place, clock_boot_usec());
 		place = places_choose(server->places, clock_boot_usec());
 	}
@@ -98,8 +108,12 @@
 	place_t *place;
 
 	while (places_exceed_memory(server->places) &&
-	       (place = places_choose_for_memory(server->places, clock_boot_usec())))
-		close_for(server, place, CLOSING_MEMORY);
+	       (place = places_choose_for_memory(server->places, clock_boot_usec()))) {
+		if (place->state == PLACE_STALLED && is_passed_over(place, 0))
+			places_renew(server->places, place, clock_boot_usec());
+		else
+			close_for(server, place, CLOSING_MEMORY);
+	}
 }
 
 /* Returns false if there is nothing to accept or no room for it. */
--- a/http/places.c
+++ b/http/places.c
@@ -9,7 +9,7 @@
 	uint32_t addresses_over; /* with more than address_max */
 	uint32_t count;
 	size_t bytes;
-	size_t busy_bytes;
+	size_t kept_bytes;   /* of those that are busy or stalled */
 	uint32_t unfinished; /* heads and bodies */
 	size_t unfinished_bytes;
 };
@@ -19,6 +19,11 @@
 	return place->state == PLACE_HEAD || place->state == PLACE_BODY;
 }
 
+static bool has_response(const place_t *place)
+{
+	return place->state == PLACE_BUSY || place->state == PLACE_STALLED;
+}
+
 places_t *places_create(const places_limits_t *limits)
 {
 	places_t *places = g_new0(places_t, 1);
@@ -69,9 +74,9 @@
 static void insert(places_t *places, place_t *place)
 {
 	places->bytes += place->bytes;
-	if (place->state == PLACE_BUSY)
-		places->busy_bytes += place->bytes;
-	else
+	if (has_response(place))
+		places->kept_bytes += place->bytes;
+	if (place->state != PLACE_BUSY)
 		TAILQ_INSERT_TAIL(list_of(places, place), place, link);
 	if (!is_unfinished(place))
 		return;
@@ -82,9 +87,9 @@
 static void take_out(places_t *places, place_t *place)
 {
 	places->bytes -= place->bytes;
-	if (place->state == PLACE_BUSY)
-		places->busy_bytes -= place->bytes;
-	else
+	if (has_response(place))
+		places->kept_bytes -= place->bytes;
+	if (place->state != PLACE_BUSY)
 		TAILQ_REMOVE(list_of(places, place), place, link);
 	if (!is_unfinished(place))
 		return;
@@ -125,8 +130,8 @@
 	places->bytes += bytes - place->bytes;
 	if (is_unfinished(place))
 		places->unfinished_bytes += bytes - place->bytes;
-	if (place->state == PLACE_BUSY)
-		places->busy_bytes += bytes - place->bytes;
+	if (has_response(place))
+		places->kept_bytes += bytes - place->bytes;
 	place->bytes = bytes;
 }
 
@@ -160,7 +165,7 @@
 bool places_fit_head(const places_t *places, size_t bytes)
 {
 	size_t kept =
-		bytes <= PLACES_SMALL_HEAD_BYTES ? places->busy_bytes : places->bytes;
+		bytes <= PLACES_SMALL_HEAD_BYTES ? places->kept_bytes : places->bytes;
 
 	return places->limits.memory_max == 0 ||
 	       kept + bytes <= places->limits.memory_max;
--- a/include/http/http_connection.h
+++ b/include/http/http_connection.h
@@ -69,6 +69,8 @@
 	bool failed;  /* to be destroyed */
 	bool lingers; /* the last response was sent; reads until the client closes */
 	usec_t last_active;
+	usec_t last_sent;   /* when the client last took bytes of a response */
+	int unacknowledged; /* bytes sent, when the response stalled */
 	usec_t lingers_until;
 };
 
@@ -107,6 +109,11 @@
  * none may be in use. */
 void http_server_bound_memory(http_server_t *server);
 
+/* Whether the client of a stalled response has taken bytes of it since the last call, or
+ * since it stalled: the socket's buffer may take no further bytes for seconds although a
+ * slow client reads. */
+bool http_connection_takes_response(http_connection_t *connection);
+
 /* Whether the connection was idle or lingered for too long. */
 bool http_connection_is_expired(const http_connection_t *connection, usec_t now);
 
--- a/include/http/places.h
+++ b/include/http/places.h
@@ -84,8 +84,8 @@
 #define PLACES_STALL_TIME (5 * USEC_PER_SEC)
 
 /* Whether the budget has room for another head of this many bytes. Heads of at most
- * PLACES_SMALL_HEAD_BYTES fit unless the busy connections alone use up the budget: others
- * are closed for them. */
+ * PLACES_SMALL_HEAD_BYTES fit unless busy and stalled connections alone use up the
+ * budget: others are closed for them. */
 #define PLACES_SMALL_HEAD_BYTES (16u << 10)
 bool places_fit_head(const places_t *places, size_t bytes);
 
--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -187,10 +187,12 @@
 
 
 class UnreadResponses:
-    """Connections that have each sent a request and do not read its response."""
+    """Connections that have each sent a request and do not read its response. Each then sends a
+    byte of `next_head` each TRICKLE_PERIOD_SEC."""
 
-    def __init__(self, address, count, request):
-        self.connections = []
+    def __init__(self, address, count, request, next_head):
+        self.connections, self.next_head, self.ends = [], next_head, threading.Event()
+        self.thread = threading.Thread(target=self.send)
         host, port = address.split(":")
         for _ in range(count):
             connection = socket.socket()
@@ -206,10 +208,21 @@
             except OSError:
                 break  # all places are taken
 
+    def send(self):
+        for n in range(len(self.next_head)):
+            if self.ends.wait(TRICKLE_PERIOD_SEC):
+                return
+            for connection in self.connections:
+                with contextlib.suppress(OSError):  # closed by the node
+                    connection.send(self.next_head[n:n + 1], socket.MSG_DONTWAIT)
+
     def __enter__(self):
+        self.thread.start()
         return self
 
     def __exit__(self, *unused):
+        self.ends.set()
+        self.thread.join()
         for connection in self.connections:
             connection.close()
 
@@ -382,19 +395,20 @@
 
 def case_on_platform_outside_unread():
     """Clients that send a request each and never read its response do not keep the places of the
-    callers' listener, although the responses have begun."""
-    with platform_site() as site:
-        site.target.body = b"r" * UNREAD_BODY_BYTES
-        request = (b"GET /f/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: unread\r\n"
-                   b"Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\n\r\n")
-        with Peaks(site.process) as peaks, \
-                UnreadResponses(site.addresses["caller"], CROWD, request) as crowd:
-            answer = site.answer("caller")
-        print(f"  {len(crowd.connections)} connections, {peaks.rss >> 20} MB, "
-              f"{peaks.descriptors} descriptors, {answer}", flush=True)
-        assert site.process.poll() is None and answer == 200, answer
-        assert peaks.rss <= RSS_MAX_BYTES
-        assert peaks.descriptors <= DESCRIPTORS - DESCRIPTORS_RESERVED
+    callers' listener, although the responses have begun, nor if they go on sending."""
+    request = (b"GET /f/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: unread\r\n"
+               b"Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\n\r\n")
+    for next_head in (b"", request):
+        with platform_site() as site:
+            site.target.body = b"r" * UNREAD_BODY_BYTES
+            with Peaks(site.process) as peaks, UnreadResponses(
+                    site.addresses["caller"], CROWD, request, next_head) as crowd:
+                answer = site.answer("caller")
+            print(f"  {len(crowd.connections)} connections, {peaks.rss >> 20} MB, "
+                  f"{peaks.descriptors} descriptors, {answer}", flush=True)
+            assert site.process.poll() is None and answer == 200, (next_head[:3], answer)
+            assert peaks.rss <= RSS_MAX_BYTES
+            assert peaks.descriptors <= DESCRIPTORS - DESCRIPTORS_RESERVED
 
 
 def case_on_platform_outside_ports():
--- a/tests/unit/test_places.c
+++ b/tests/unit/test_places.c
@@ -173,6 +173,8 @@
 	 false},
 	{"head: a small one fits within the budget", PLACE_BUSY,
 	 MEMORY_MAX - PLACES_SMALL_HEAD_BYTES, PLACES_SMALL_HEAD_BYTES, true},
+	{"head: a small one does not fit beside stalled ones", PLACE_STALLED, 200000,
+	 PLACES_SMALL_HEAD_BYTES, false},
 	/* Nothing could be closed for it. */
 	{"head: a small one does not fit beside busy ones", PLACE_BUSY, 200000,
 	 PLACES_SMALL_HEAD_BYTES, false},
