rollout: judge from the whole directory whether all instances have a version

Cause (review): whether an order is for the version that all instances have was decided once, when the order was learned. A node that had restarted and knew only itself could take a new version for the only one and send to it without a bound, also after a rollback; one whose directory came later than the order answered 503.

A node that did not know the service before the order also waits until it knows what was decided.

--- a/egretscaled/node/rollout.c
+++ b/egretscaled/node/rollout.c
@@ -8,31 +8,42 @@
 
 typedef struct order_list {
 	node_t *node;
-	GPtrArray *services; /* names */
-	GHashTable *sole;    /* services; see rollout_set_sole() */
+	GPtrArray *services;  /* names */
+	GHashTable *versions; /* see node_rollout_list_versions() */
 	usec_t now;
 } order_list_t;
 
-/* Adds the service of an order if all instances in the directory have its version, those
- * of nodes that are not reached included. */
-static void find_sole(void *ctx, const record_t *record)
+GHashTable *node_rollout_list_versions(node_t *node)
 {
-	order_list_t *list = ctx;
+	GHashTable *versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	const member_t *member;
-	bool has_new = false;
+	void *known;
 
-	LIST_FOREACH(member, directory_members(gossip_directory(list->node->gossip)),
-		     link)
+	/* A node that has just started knows itself only. */
+	if (!atomic_load(&node->has_directory))
+		return versions;
+	pthread_mutex_lock(&node->gossip_lock);
+	LIST_FOREACH(member, directory_members(gossip_directory(node->gossip)), link)
 	{
 		if (member->state == EGRET__MEMBER_STATE__MEMBER_LEFT ||
-		    strcmp(member->service, record->name) != 0)
+		    member->target != EGRET__TARGET_STATE__TARGET_UP)
 			continue;
-		if (strcmp(member->version, record->rollout.to_version) != 0)
-			return;
-		has_new = true;
+		if (!g_hash_table_lookup_extended(versions, member->service, NULL,
+						  &known))
+			g_hash_table_insert(versions, g_strdup(member->service),
+					    g_strdup(member->version));
+		else if (g_strcmp0(known, member->version) != 0)
+			g_hash_table_insert(versions, g_strdup(member->service), NULL);
 	}
-	if (has_new)
-		g_hash_table_add(list->sole, g_strdup(record->name));
+	pthread_mutex_unlock(&node->gossip_lock);
+	return versions;
+}
+
+/* Whether all known instances of the service have the version. */
+static bool is_sole(GHashTable *versions, const char *service, const char *version)
+{
+	return g_strcmp0(g_hash_table_lookup(versions, service), version) == 0;
 }
 
 static void log_order(const rollout_order_t *order)
@@ -99,8 +110,8 @@
 	g_ptr_array_add(list->services, g_strdup(record->name));
 	if (!rollout_set_order(list->node->rollout, &order, list->now))
 		return;
-	rollout_set_sole(list->node->rollout, order.service,
-			 g_hash_table_contains(list->sole, order.service));
+	if (is_sole(list->versions, order.service, order.to))
+		rollout_set_sole_before(list->node->rollout, order.service);
 	log_order(&order);
 }
 
@@ -114,14 +125,9 @@
 	if (!node->rollout)
 		return;
 	GPtrArray *known = g_ptr_array_new_with_free_func(g_free);
-	order_list_t ordered = {
-		node, g_ptr_array_new_with_free_func(g_free),
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-		clock_boot_usec()};
+	order_list_t ordered = {node, g_ptr_array_new_with_free_func(g_free),
+				node_rollout_list_versions(node), clock_boot_usec()};
 
-	pthread_mutex_lock(&node->gossip_lock);
-	config_foreach(config, RECORD_ROLLOUT, find_sole, &ordered);
-	pthread_mutex_unlock(&node->gossip_lock);
 	pthread_mutex_lock(&node->router_lock);
 	config_foreach(config, RECORD_ROLLOUT, apply_order, &ordered);
 	rollout_foreach(node->rollout, ordered.now, collect_service, known);
@@ -133,18 +139,17 @@
 		router_set_idle(node->router, known->pdata[i], NULL, false);
 		log_withdrawal(known->pdata[i]);
 	}
-	node_rollout_refresh(node, ordered.now);
+	node_rollout_refresh(node, ordered.versions, ordered.now);
 	pthread_mutex_unlock(&node->router_lock);
 	g_ptr_array_free(known, TRUE);
 	g_ptr_array_free(ordered.services, TRUE);
-	g_hash_table_destroy(ordered.sole);
+	g_hash_table_destroy(ordered.versions);
 }
 
 /* The instances of one version that a request may get. */
 typedef struct version_filter {
 	const char *to;
 	bool wants_new;
-	bool has_other;	   /* instances of another version are usable */
 	GArray *instances; /* of rollout_instance_t: usable ones of the new version */
 	bool *used;	   /* for each of these; NULL if all are */
 } version_filter_t;
@@ -298,16 +303,15 @@
 	pthread_mutex_unlock(&node->router_lock);
 }
 
-static void count_versions(void *ctx, const member_t *member, usec_t since)
+static void count_new(void *ctx, const member_t *member, usec_t since)
 {
 	(void)since;
 	version_filter_t *filter = ctx;
 
 	filter->wants_new |= is_new(filter, member);
-	filter->has_other |= !is_new(filter, member);
 }
 
-void node_rollout_refresh(node_t *node, usec_t now)
+void node_rollout_refresh(node_t *node, GHashTable *versions, usec_t now)
 {
 	GPtrArray *services = g_ptr_array_new_with_free_func(g_free);
 
@@ -316,10 +320,10 @@
 		const char *service = services->pdata[i];
 		version_filter_t filter = {.to = rollout_version(node->rollout, service)};
 
-		router_foreach_usable(node->router, service, count_versions, &filter);
+		router_foreach_usable(node->router, service, count_new, &filter);
 		rollout_set_available(node->rollout, service, filter.wants_new);
-		if (filter.has_other)
-			rollout_set_sole(node->rollout, service, false);
+		rollout_set_sole(node->rollout, service,
+				 is_sole(versions, service, filter.to));
 		router_set_idle(node->router, service, filter.to,
 				rollout_state(node->rollout, service) !=
 					ROLLOUT_COMPLETED);
--- a/egretscaled/peers/rollout_gossip.c
+++ b/egretscaled/peers/rollout_gossip.c
@@ -279,6 +279,7 @@
 	node_t *node = gossip->node;
 	uint32_t known;
 	GArray *nodes = list_live_nodes(node, &known);
+	GHashTable *versions = node_rollout_list_versions(node);
 	round_t round = {
 		.node = node,
 		.now = clock_boot_usec(),
@@ -288,7 +289,7 @@
 	};
 
 	pthread_mutex_lock(&node->router_lock);
-	node_rollout_refresh(node, round.now);
+	node_rollout_refresh(node, versions, round.now);
 	rollout_tick(node->rollout, known, round.now, handle_verdict, &round);
 	rollout_foreach(node->rollout, round.now, collect_report, &round);
 	pthread_mutex_unlock(&node->router_lock);
@@ -299,6 +300,7 @@
 	g_ptr_array_free(round.reports, TRUE);
 	g_ptr_array_free(round.verdicts, TRUE);
 	g_array_free(nodes, TRUE);
+	g_hash_table_destroy(versions);
 }
 
 /* Whether this node knows something of the order that the sender does not. */
--- a/include/egretscaled/node/rollout.h
+++ b/include/egretscaled/node/rollout.h
@@ -26,7 +26,12 @@
 
 /* Finds out for each order whether the new version has usable instances, and leaves the
  * version that gets few requests out of the service's pressure. Under router_lock. */
-void node_rollout_refresh(node_t *node, usec_t now);
+void node_rollout_refresh(node_t *node, GHashTable *versions, usec_t now);
+
+/* Returns a new table of the services in the directory: the version of all instances,
+ * those of nodes out of reach included, or NULL if there are several. Empty while the
+ * directory may be incomplete. Not under router_lock. */
+GHashTable *node_rollout_list_versions(node_t *node);
 
 /* Counts and logs a state that this node has decided, or learned from `source`. */
 void node_rollout_log(const rollout_status_t *status, const char *source);
--- a/include/rollout/rollout.h
+++ b/include/rollout/rollout.h
@@ -167,12 +167,16 @@
 /* Whether usable instances of the new version exist; false for a new order. */
 void rollout_set_available(rollout_t *rollout, const char *service, bool has_new);
 
-/* Whether every instance that was known when this node learned of the order has the new
- * version, and no other version has appeared since; false for a new order. Requests then
- * go on as before the order. If no node has counted a response of another version,
+/* Whether every known instance of the service has the new version, those out of reach
+ * included; false for a new order. Once what was decided before is known, requests then
+ * go on as before the order. Unless some node has counted a response of another version,
  * nothing is compared and the order is completed in its time. */
 void rollout_set_sole(rollout_t *rollout, const char *service, bool sole);
 
+/* The same as rollout_set_sole(), of an order that this node has just learned of: it sent
+ * requests to the version before, so that it need not know what was decided. */
+void rollout_set_sole_before(rollout_t *rollout, const char *service);
+
 /* The version that the next request to the service gets. Whoever then sends to an
  * instance calls rollout_handle_send(). Returns ROLLOUT_OLD even if there is no old
  * instance and the share of the new version is used up. */
--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -36,7 +36,8 @@
 	usec_t learned_at; /* by this node */
 	bool allowed;
 	bool has_new;
-	bool sole;
+	bool sole;	  /* see rollout_set_sole() */
+	bool sole_before; /* when this node learned of the order */
 	rollout_state_t state;
 	usec_t state_at;
 	bool recorded;
@@ -170,6 +171,14 @@
 		order->sole = sole;
 }
 
+void rollout_set_sole_before(rollout_t *rollout, const char *service)
+{
+	order_t *order = find_order(rollout, service);
+
+	if (order)
+		order->sole = order->sole_before = true;
+}
+
 rollout_choice_t rollout_choose(const rollout_t *rollout, const char *service)
 {
 	const order_t *order = find_order(rollout, service);
@@ -178,7 +187,8 @@
 		return ROLLOUT_ANY;
 	if (order->state == ROLLOUT_COMPLETED)
 		return ROLLOUT_NEW;
-	if (order->sole && order->state == ROLLOUT_IN_PROGRESS)
+	if (order->sole && order->state == ROLLOUT_IN_PROGRESS &&
+	    (order->sole_before || order->allowed))
 		return ROLLOUT_NEW;
 	if (order->state == ROLLOUT_ROLLED_BACK || !order->allowed || !order->has_new)
 		return ROLLOUT_OLD;
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -281,6 +281,7 @@
 	rollout_outcome_t outcome; /* of the ordered version's responses */
 	uint32_t old_responses;	   /* that another node reports */
 	bool appears;		   /* an instance of another version, during the order */
+	bool restarted;		   /* the node, so that it may not know of a verdict */
 	rollout_choice_t choice;
 	rollout_state_t result;
 } sole_case_t;
@@ -301,11 +302,13 @@
 	bool used[G_N_ELEMENTS(instances)];
 
 	rollout_set_order(rollout, &order, SEC);
+	if (!c->restarted)
+		rollout_set_sole_before(rollout, "s");
 	rollout_set_sole(rollout, "s", true);
 	rollout_set_available(rollout, "s", true);
-	/* Before an earlier verdict is known, too: the row is not readable in an outage.
-	 */
-	assert_int_equal(rollout_choose(rollout, "s"), ROLLOUT_NEW);
+	/* Before an earlier verdict is known: the row is not readable in an outage. */
+	assert_int_equal(rollout_choose(rollout, "s"),
+			 c->restarted ? ROLLOUT_OLD : ROLLOUT_NEW);
 	rollout_select(rollout, "s", instances, G_N_ELEMENTS(instances), 2 * SEC, used);
 	for (size_t i = 0; i < G_N_ELEMENTS(instances); i++)
 		assert_true(used[i]);
@@ -340,12 +343,14 @@
 }
 
 static const sole_case_t sole_cases[] = {
-	{"good", ROLLOUT_GOOD, 0, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
-	{"failing", ROLLOUT_FAILED, 0, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
-	{"failing, another node knows the old version", ROLLOUT_FAILED, 500, false,
+	{"good", ROLLOUT_GOOD, 0, false, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
+	{"good, after a restart", ROLLOUT_GOOD, 0, false, true, ROLLOUT_NEW,
+	 ROLLOUT_COMPLETED},
+	{"failing", ROLLOUT_FAILED, 0, false, false, ROLLOUT_NEW, ROLLOUT_COMPLETED},
+	{"failing, another node knows the old version", ROLLOUT_FAILED, 500, false, false,
 	 ROLLOUT_NEW, ROLLOUT_ROLLED_BACK},
 	/* What went to the ordered version before counts against its share. */
-	{"another version appears", ROLLOUT_GOOD, 0, true, ROLLOUT_OLD,
+	{"another version appears", ROLLOUT_GOOD, 0, true, false, ROLLOUT_OLD,
 	 ROLLOUT_COMPLETED},
 };
 
