tests: balance while a node dies and after a pause

Cause: no test had an instance that stops answering while it has the best score, or reports that are all old.

Change: the simulation of test_balance gets a node that dies, a link that is cut and a pause of the arrivals; test_balance_failures counts the share of the sends that goes to the best of a zone's three instances.

--- a/tests/unit/balance_sim.c
+++ b/tests/unit/balance_sim.c
@@ -32,7 +32,7 @@
 	int caller, instance;
 	usec_t arrived, started, duration;
 	int reroutes, retries;
-	bool refused, failed;
+	bool refused, failed, lost;
 	router_request_t request;
 	router_report_t report;
 	struct sim_call *next; /* in the instance's queue */
@@ -80,6 +80,7 @@
 	uint32_t windows[WINDOWS];
 	uint64_t calls, failed, sends, other_zone, rejected;
 	double busiest_event;
+	struct sim_share before, lost, back, after;
 } sim_t;
 
 static bool step_before(const sim_step_t *a, const sim_step_t *b)
@@ -161,6 +162,27 @@
 		       : DELAY_ZONE;
 }
 
+/* Whether no frame passes between the caller's node and the instance. */
+static bool is_cut(const sim_t *sim, const sim_call_t *call)
+{
+	usec_t since = sim->now - START - SIM_EVENT_USEC;
+
+	if (call->instance != 0 || since < 0)
+		return false;
+	return sim->setup->event == SIM_DIES ||
+	       (sim->setup->event == SIM_CUT && call->caller == 0 &&
+		since < SIM_EVENT_SPAN_USEC);
+}
+
+/* The caller's node learns of it when the instance is silent. */
+static void lose(sim_t *sim, sim_call_t *call)
+{
+	usec_t silent = START + SIM_EVENT_USEC + SIM_SILENT_AFTER_USEC;
+
+	call->lost = true;
+	push(sim, MAX(sim->now, silent), STEP_REPLY, 0, call);
+}
+
 static void run(sim_t *sim, sim_instance_t *instance, sim_call_t *call)
 {
 	double work = (double)sim->setup->work * (0.7 + 0.6 * g_rand_double(sim->rand));
@@ -183,6 +205,10 @@
 {
 	const sim_instance_t *instance = &sim->instances[call->instance];
 
+	if (is_cut(sim, call)) {
+		lose(sim, call);
+		return;
+	}
 	call->report = (router_report_t){
 		.level = PRIORITY_LEVEL_ALL,
 		.limit = SLOTS,
@@ -201,7 +227,12 @@
 
 	call->refused = false;
 	call->failed = false;
+	call->lost = false;
 	call->next = NULL;
+	if (is_cut(sim, call)) {
+		lose(sim, call);
+		return;
+	}
 	if (instance->running < SLOTS) {
 		run(sim, instance, call);
 	} else if (instance->queued < QUEUE_FACTOR * SLOTS) {
@@ -251,6 +282,30 @@
 	g_free(call);
 }
 
+static void count_share(struct sim_share *share, const sim_call_t *call)
+{
+	share->sends++;
+	share->first += call->instance == 0;
+}
+
+static void count_shares(sim_t *sim, const sim_call_t *call)
+{
+	usec_t since = sim->now - START - SIM_EVENT_USEC;
+	usec_t back = since - SIM_EVENT_SPAN_USEC;
+
+	if (sim->caller_zone[call->caller] != 0 ||
+	    sim->instances[call->instance].zone != 0)
+		return;
+	if (since >= -EVENT_SPAN && since < 0)
+		count_share(&sim->before, call);
+	if (since >= 0 && since < SIM_SILENT_AFTER_USEC)
+		count_share(&sim->lost, call);
+	if (back >= 0 && back < SIM_BACK_USEC)
+		count_share(&sim->back, call);
+	if (back >= USEC_PER_SEC && back < 4 * USEC_PER_SEC)
+		count_share(&sim->after, call);
+}
+
 static void send_call(sim_t *sim, sim_call_t *call)
 {
 	router_choice_t choice;
@@ -262,6 +317,7 @@
 	}
 	call->instance = atoi(strchr(choice.address, ':') + 1) - 1000;
 	sim->sends++;
+	count_shares(sim, call);
 	sim->other_zone +=
 		sim->instances[call->instance].zone != sim->caller_zone[call->caller];
 	push(sim, sim->now + delay(sim, call), STEP_INSTANCE, 0, call);
@@ -274,10 +330,11 @@
 	int *repeats = call->refused ? &call->reroutes : &call->retries;
 
 	router_done(sim->routers[call->caller], address,
-		    call->refused || (call->failed && !is_error) ? ROUTER_REFUSED
-								 : ROUTER_ANSWERED,
-		    &call->report, sim->now);
-	if (!call->refused && (!call->failed || is_error)) {
+		    call->lost					   ? ROUTER_FAILED
+		    : call->refused || (call->failed && !is_error) ? ROUTER_REFUSED
+								   : ROUTER_ANSWERED,
+		    call->lost ? NULL : &call->report, sim->now);
+	if (!call->lost && !call->refused && (!call->failed || is_error)) {
 		end_call(sim, call, !is_error);
 		return;
 	}
@@ -309,11 +366,15 @@
 {
 	double peak = sim->zone_rate[zone] * (1.0 + sim->setup->variation);
 	usec_t at = sim->now;
+	usec_t pause = START + SIM_EVENT_USEC;
 
 	if (peak <= 0)
 		return;
 	for (;;) {
 		at += exponential(sim, 1.0 / peak);
+		if (sim->setup->event == SIM_PAUSES && at >= pause &&
+		    at < pause + SIM_EVENT_SPAN_USEC)
+			at += SIM_EVENT_SPAN_USEC;
 		double phase = 2 * G_PI *
 			       ((double)(at - START) / (double)DEMAND_PERIOD +
 				(double)zone / SIM_ZONES);
@@ -336,6 +397,13 @@
 		member_t *member = &sim->instances[0].member;
 		if (event == SIM_JOINS && from < at && until >= at)
 			router_update(router, member, until);
+		if ((event == SIM_DIES || (event == SIM_CUT && i == 0)) &&
+		    from < at + SIM_SILENT_AFTER_USEC &&
+		    until >= at + SIM_SILENT_AFTER_USEC)
+			router_set_silent(router, member->address, true);
+		if (event == SIM_CUT && from < at + SIM_EVENT_SPAN_USEC &&
+		    until >= at + SIM_EVENT_SPAN_USEC)
+			router_set_silent(router, member->address, false);
 		if (event != SIM_RETURNS)
 			continue;
 		if (from < at - SILENT_SPAN && until >= at - SILENT_SPAN)
@@ -447,6 +515,10 @@
 		.rejected = (double)sim->rejected / (double)sim->sends,
 		.failed = (double)sim->failed / (double)sim->calls,
 		.busiest_event = sim->busiest_event,
+		.before = sim->before,
+		.lost = sim->lost,
+		.back = sim->back,
+		.after = sim->after,
 	};
 }
 
