tests: resends of a node that restarts and of two halves of a partition

Cause: resends were tested with one node only. A node that restarts has no history, and the halves of a partition count their calls separately.

Change: two nodes with their own budgets, with 0.45 of the sends rejected. From its start each process stays within 0.2 of its own calls, and both stay within the deployment's bound in sum.

Trials that fail: a least rate of the budget (100 calls a second without history), resends that are not taken from the budget, a ratio 1.3 times as high.

--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -232,6 +232,97 @@
 	}
 }
 
+/* --- several nodes, each with its own counts ---------------------------------- */
+
+#define NODES 2
+#define SPLIT (START + 20 * USEC_PER_SEC) /* in the middle of the rejections */
+#define SPLIT_END (SPLIT + 20 * USEC_PER_SEC)
+#define REJECTED 0.45
+
+typedef struct nodes_case {
+	const char *name;
+	double before[NODES], after[NODES]; /* calls per second, by the time of SPLIT */
+	bool restarts;			    /* node 0, at SPLIT */
+} nodes_case_t;
+
+static const nodes_case_t nodes_cases[] = {
+	{"a node restarts", {160, 160}, {160, 160}, true},
+	{"a node restarts, the other has many more calls", {40, 360}, {40, 360}, true},
+	{"a node with few calls restarts", {1, 400}, {1, 400}, true},
+	{"two halves of a partition", {200, 200}, {200, 200}, false},
+	{"two unequal halves of a partition", {40, 360}, {40, 360}, false},
+};
+
+typedef struct node_counts {
+	resends_t *resends;
+	int calls, repeats; /* since the start of the process */
+} node_counts_t;
+
+static void make_call(sim_t *sim, node_counts_t *node, usec_t now)
+{
+	bool rejects = now >= START + WARM_UP;
+
+	resends_record_call(node->resends, now);
+	g_array_append_val(sim->first_sends, now);
+	node->calls++;
+	for (int i = 0; i < RESENDS_PER_CALL_MAX; i++) {
+		bool rejected = rejects && g_rand_double(sim->rand) < REJECTED;
+		resends_record_result(node->resends, rejected, now);
+		if (!rejected || !resends_take(node->resends, now))
+			return;
+		g_array_append_val(sim->repeats, now);
+		node->repeats++;
+	}
+}
+
+static void restart(node_counts_t *node)
+{
+	resends_destroy(node->resends);
+	*node = (node_counts_t){.resends = resends_create(RATIO, WINDOW)};
+}
+
+/* Guards against a node that resends on calls of another process or node, or on none:
+ * since its start each stays within the bound by its own calls (one resend is allowed
+ * before the first five), and in sum they stay within that of the deployment. */
+static void test_nodes(void **state)
+{
+	const nodes_case_t *c = *state;
+	const load_case_t load = {.name = c->name};
+
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t sim = {.load = &load, .rand = g_rand_new_with_seed(seed)};
+		node_counts_t nodes[NODES] = {{0}};
+
+		sim.first_sends = g_array_new(FALSE, FALSE, sizeof(usec_t));
+		sim.repeats = g_array_new(FALSE, FALSE, sizeof(usec_t));
+		for (int i = 0; i < NODES; i++)
+			restart(&nodes[i]);
+		for (usec_t now = START; now < SPLIT_END; now += STEP) {
+			if (now == SPLIT && c->restarts)
+				restart(&nodes[0]);
+			for (int i = 0; i < NODES; i++) {
+				double rate = now < SPLIT ? c->before[i] : c->after[i];
+				double expected = rate * STEP / USEC_PER_SEC;
+				for (; expected > 0; expected--) {
+					if (g_rand_double(sim.rand) < expected)
+						make_call(&sim, &nodes[i], now);
+				}
+				assert_true(nodes[i].repeats <=
+					    RATIO_ALLOWED * nodes[i].calls + 1);
+			}
+		}
+		print_message("seed %u: %u calls, %u repeats\n", seed,
+			      sim.first_sends->len, sim.repeats->len);
+		assert_true(sim.repeats->len > 0);
+		check_bound(&sim, SPLIT_END);
+		for (int i = 0; i < NODES; i++)
+			resends_destroy(nodes[i].resends);
+		g_array_free(sim.first_sends, TRUE);
+		g_array_free(sim.repeats, TRUE);
+		g_rand_free(sim.rand);
+	}
+}
+
 /* --- shares by importance ------------------------------------------------------ */
 
 typedef struct share_case {
@@ -350,5 +441,6 @@
 	};
 
 	return RUN_CASES("completed requests", load_cases, test_completed_requests) +
+	       RUN_CASES("nodes", nodes_cases, test_nodes) +
 	       cmocka_run_group_tests(tests, NULL, NULL);
 }
