retry: count the resends of the last window

Cause: resends are paced by the calls of up to two windows ago. When the calls of a node fall while their target still rejects, its resends go on at the earlier pace and exceed the bound of the window.

Change: a resend is refused also if those of the last window have reached the budget of the calls that the bound compares them with.

--- a/include/retry/call_history.h
+++ b/include/retry/call_history.h
@@ -26,4 +26,7 @@
 /* Events per second. */
 double call_history_rate(call_history_t *history, usec_t now);
 
+/* Returns the events of the last window. */
+uint64_t call_history_last(call_history_t *history, usec_t now);
+
 #endif
--- a/include/retry/resends.h
+++ b/include/retry/resends.h
@@ -21,7 +21,8 @@
  *	earlier, whichever has most, so that the budget outlasts the fall of the
  *	calls that follows when requests are refused at their entry. Resends are
  *	paced at the average rate of the budget: they help in each second of a long
- *	disturbance and not only in its first one.
+ *	disturbance and not only in its first one. Those of the last window are counted
+ *	too, since their pace was that of earlier calls and the calls may have fallen.
  *
  * THREADS
  *	None of its own; the owner holds one lock around every call.
--- a/retry/call_history.c
+++ b/retry/call_history.c
@@ -63,3 +63,9 @@
 	most = MAX(most, count(history, WINDOW_BUCKETS));
 	return (double)most * USEC_PER_SEC / (double)history->window;
 }
+
+uint64_t call_history_last(call_history_t *history, usec_t now)
+{
+	advance(history, now);
+	return count(history, 0);
+}
--- a/retry/resends.c
+++ b/retry/resends.c
@@ -18,6 +18,7 @@
 	double ratio;
 	usec_t window;
 	call_history_t *calls; /* by the time of their first send */
+	call_history_t *repeats;
 	double tokens;
 	usec_t refilled_at;
 	/* Sums that decay over AVERAGE_TIME. */
@@ -33,6 +34,7 @@
 	resends->ratio = ratio;
 	resends->window = window;
 	resends->calls = call_history_create(window);
+	resends->repeats = call_history_create(window);
 	resends->tokens = BURST_MIN;
 	return resends;
 }
@@ -42,6 +44,7 @@
 	if (!resends)
 		return;
 	call_history_destroy(resends->calls);
+	call_history_destroy(resends->repeats);
 	g_free(resends);
 }
 
@@ -82,12 +85,24 @@
 	resends->recent_rejected += rejected;
 }
 
+/* Repeats that were paced while there were more calls may be too many for the last window
+ * when the calls have fallen. */
+static bool exceeds_window(resends_t *resends, usec_t now)
+{
+	double allowed =
+		allowed_rate(resends, now) * (double)resends->window / USEC_PER_SEC;
+
+	return (double)call_history_last(resends->repeats, now) >=
+	       MAX(allowed, BURST_MIN);
+}
+
 bool resends_take(resends_t *resends, usec_t now)
 {
 	refill(resends, now);
-	if (resends->tokens < 1.0)
+	if (resends->tokens < 1.0 || exceeds_window(resends, now))
 		return false;
 	resends->tokens -= 1.0;
+	call_history_record(resends->repeats, now);
 	return true;
 }
 
@@ -99,6 +114,7 @@
 		allowed_rate(resends, now) * (double)resends->window / USEC_PER_SEC;
 
 	refill(resends, now);
+	call_history_record(resends->repeats, now);
 	resends->tokens = MAX(resends->tokens - 1.0, -MAX(debt_max, BURST_MIN));
 }
 
--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -251,6 +251,8 @@
 	{"a node with few calls restarts", {1, 400}, {1, 400}, true},
 	{"two halves of a partition", {200, 200}, {200, 200}, false},
 	{"two unequal halves of a partition", {40, 360}, {40, 360}, false},
+	{"the calls move from one half to the other", {200, 200}, {80, 320}, false},
+	{"each half gets half of the calls", {200, 200}, {100, 100}, false},
 };
 
 typedef struct node_counts {
