retry: move the Retry-After of shed requests to a function that is tested

Cause: the time after which a shed client may retry was computed inside http_request.c, so that no test covered its range and spread.

Change: retry_after_shed(objective, random) in retry/retry_after.c, with the same values as before; test_retry_after checks 0.2 to 0.6 of the objective, at least 150 ms, and an equal part of the times in each tenth of the range.

--- a/egretscaled/request/http_request.c
+++ b/egretscaled/request/http_request.c
@@ -2,19 +2,12 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "retry/retry_after.h"
 
 #include <string.h>
 
 #define STATUS_ERROR 500
 
-/* Time after which a refused client may retry. */
-#define RETRY_AFTER (150 * USEC_PER_MSEC)
-/* A request that was shed may be sent again after a random part of its objective between
- * these two: overload lasts for seconds, clients often retry only once, and some that
- * were refused together must not return together. */
-#define SHED_RETRY_AFTER_MIN 0.2
-#define SHED_RETRY_AFTER_MAX 0.6
-
 http_request_t *http_request_find(worker_t *worker, uint64_t number)
 {
 	return g_hash_table_lookup(worker->requests, &number);
@@ -137,13 +130,10 @@
 static usec_t retry_after(const http_request_t *request)
 {
 	const settings_t *settings = request->worker->node->settings;
-	double uniform = (double)(node_random_id() >> 11) / (double)(1ull << 53);
-	double part = SHED_RETRY_AFTER_MIN +
-		      uniform * (SHED_RETRY_AFTER_MAX - SHED_RETRY_AFTER_MIN);
 
 	if (request->reason != EGRET__REASON__REASON_SHED || !settings->on_platform)
-		return RETRY_AFTER;
-	return MAX((usec_t)(part * (double)request->objective), RETRY_AFTER);
+		return RETRY_AFTER_MIN;
+	return retry_after_shed(request->objective, node_random_id());
 }
 
 refusal_t http_request_refusal(const http_request_t *request)
