--- a/tests/unit/test_resends.c
+++ b/tests/unit/test_resends.c
@@ -305,9 +305,10 @@
 			for (int i = 0; i < NODES; i++) {
 				double rate = now < SPLIT ? c->before[i] : c->after[i];
 				double expected = rate * STEP / USEC_PER_SEC;
-				for (; expected > 0; expected--) {
+				while (expected > 0) {
 					if (g_rand_double(sim.rand) < expected)
 						make_call(&sim, &nodes[i], now);
+					expected -= 1.0;
 				}
 				assert_true(nodes[i].repeats <=
 					    RATIO_ALLOWED * nodes[i].calls + 1);
