--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -994,6 +994,8 @@
     assert check.undetected_faults() == []
 
 
+REASON_CHARACTERS = 200  # of a failure in the summary, which CI always keeps
+
 CASES = {name[5:]: fn for name, fn in list(globals().items()) if name.startswith("case_")}
 
 
@@ -1005,26 +1007,27 @@
 
 
 def run_one(name):
+    """Returns what failed, or None."""
     start = time.monotonic()
     try:
         CASES[name]()
-    except Exception:  # pylint: disable=broad-except
+    except Exception as error:  # pylint: disable=broad-except
         print(f"FAILED {name} after {time.monotonic() - start:.1f} s", flush=True)
         traceback.print_exc(limit=6)
-        return False
+        return repr(error)[:REASON_CHARACTERS]
     print(f"ok     {name} ({time.monotonic() - start:.1f} s)", flush=True)
-    return True
+    return None
 
 
 def main(names):
     red = known_red()
     results = {name: run_one(name) for name in names or CASES}
     for name in red & results.keys():
-        print(f"known red: {name}: {'passed' if results[name] else 'failed'}, see KNOWN-RED.txt")
-    failed = [n for n, ok in results.items() if not ok and n not in red]
-    if failed:
-        print(f"failed: {' '.join(failed)}")
-    passed = sum(results.values())
+        print(f"known red: {name}: {'failed' if results[name] else 'passed'}, see KNOWN-RED.txt")
+    failed = [n for n, reason in results.items() if reason and n not in red]
+    for name in failed:
+        print(f"failed: {name}: {results[name]}")
+    passed = sum(not reason for reason in results.values())
     print(f"{passed} passed, {len(failed)} failed")
     return 1 if failed else 0
 
