rollout: move the sums of counts into a file of their own

Cause: rollout.c held orders, counts, windows, the choice of instances and the decision in 720 lines.

Change: counts_t is opaque, in rollout/counts.c; no change in behaviour.

--- a/rollout/rollout.c
+++ b/rollout/rollout.c
@@ -1,5 +1,7 @@
 #include "rollout/rollout.h"
 
+#include "rollout/counts.h"
+
 #include <glib.h>
 #include <math.h>
 #include <string.h>
@@ -20,11 +22,6 @@
 /* Responses of the new version that complete a roll-out at ROLLOUT_COMPLETE_AT. */
 #define RESPONSES_MIN 100
 
-/* Counts of all nodes; grows as needed. */
-typedef struct counts {
-	GArray *cells; /* of rollout_cell_t */
-} counts_t;
-
 typedef struct source {
 	rollout_report_t report;
 	usec_t received_at;
@@ -48,7 +45,7 @@
 	usec_t decided_at;
 	/* Sums at the start of the last rotations, the oldest first: a version that
 	 * becomes bad later is compared by its recent responses, too. */
-	counts_t window[WINDOW_ROTATIONS];
+	counts_t *window[WINDOW_ROTATIONS];
 	int64_t window_rotation;
 	usec_t open_since; /* of COMPARE_OPEN; 0 if not */
 	compare_result_t found;
@@ -80,18 +77,13 @@
 	return XXH32(name, strlen(name), 0);
 }
 
-static counts_t counts_create(void)
-{
-	return (counts_t){g_array_new(FALSE, TRUE, sizeof(rollout_cell_t))};
-}
-
 static void free_order(void *data)
 {
 	order_t *order = data;
 
 	g_hash_table_destroy(order->sources);
 	for (int i = 0; i < WINDOW_ROTATIONS; i++)
-		g_array_free(order->window[i].cells, TRUE);
+		counts_destroy(order->window[i]);
 	g_free(order);
 }
 
@@ -266,27 +258,11 @@
 		order->sent_new++;
 }
 
-static bool is_same_cell(const rollout_cell_t *a, const rollout_cell_t *b)
-{
-	return a->is_new == b->is_new && a->route == b->route && a->zone == b->zone &&
-	       a->instance == b->instance;
-}
-
-static rollout_cell_t *find_cell(GArray *cells, const rollout_cell_t *like)
-{
-	for (guint i = 0; i < cells->len; i++) {
-		rollout_cell_t *cell = &g_array_index(cells, rollout_cell_t, i);
-		if (is_same_cell(cell, like))
-			return cell;
-	}
-	return NULL;
-}
-
 /* Finds the cell of a report or adds it; returns NULL if there is no room. */
 static rollout_cell_t *report_cell(rollout_report_t *report, const rollout_cell_t *like)
 {
 	for (uint32_t i = 0; i < report->cell_count; i++) {
-		if (is_same_cell(&report->cells[i], like))
+		if (counts_same_cell(&report->cells[i], like))
 			return &report->cells[i];
 	}
 	if (report->cell_count == ROLLOUT_CELLS_MAX)
@@ -428,67 +404,19 @@
 	return is_order(order, to, order_id) && take_state(order, state, true, now);
 }
 
-static void add_cell(counts_t *counts, const rollout_cell_t *from)
-{
-	rollout_cell_t *cell = find_cell(counts->cells, from);
-
-	if (!cell) {
-		g_array_append_val(counts->cells, *from);
-		return;
-	}
-	cell->responses += from->responses;
-	cell->failures += from->failures;
-	cell->lost += from->lost;
-	for (int i = 0; i < COMPARE_TIME_BUCKETS; i++)
-		cell->times[i] += from->times[i];
-}
-
-static void add_cells(counts_t *counts, const rollout_report_t *report)
-{
-	for (uint32_t i = 0; i < report->cell_count; i++)
-		add_cell(counts, &report->cells[i]);
-}
-
-static counts_t sum_counts(const order_t *order)
+static counts_t *sum_counts(const order_t *order)
 {
-	counts_t sum = counts_create();
+	counts_t *sum = counts_create();
 	GHashTableIter iter;
 	void *value;
 
-	add_cells(&sum, &order->own);
+	counts_add(sum, order->own.cells, order->own.cell_count);
 	g_hash_table_iter_init(&iter, order->sources);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		add_cells(&sum, &((const source_t *)value)->report);
-	return sum;
-}
-
-static void subtract(uint32_t *from, uint32_t count)
-{
-	*from -= MIN(*from, count);
-}
-
-/* Subtracts earlier sums, so that the recent responses remain. */
-static void subtract_counts(counts_t *counts, const counts_t *earlier)
-{
-	for (guint i = 0; i < earlier->cells->len; i++) {
-		const rollout_cell_t *old =
-			&g_array_index(earlier->cells, rollout_cell_t, i);
-		rollout_cell_t *cell = find_cell(counts->cells, old);
-
-		if (!cell)
-			continue;
-		subtract(&cell->responses, old->responses);
-		subtract(&cell->failures, old->failures);
-		subtract(&cell->lost, old->lost);
-		for (int t = 0; t < COMPARE_TIME_BUCKETS; t++)
-			subtract(&cell->times[t], old->times[t]);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const rollout_report_t *report = &((const source_t *)value)->report;
+		counts_add(sum, report->cells, report->cell_count);
 	}
-}
-
-static void copy_counts(counts_t *to, const counts_t *from)
-{
-	g_array_set_size(to->cells, 0);
-	g_array_append_vals(to->cells, from->cells->data, from->cells->len);
+	return sum;
 }
 
 static void rotate_windows(order_t *order, const counts_t *sum, usec_t now)
@@ -498,8 +426,8 @@
 	if (current == order->window_rotation)
 		return;
 	for (int i = 0; i + 1 < WINDOW_ROTATIONS; i++)
-		copy_counts(&order->window[i], &order->window[i + 1]);
-	copy_counts(&order->window[WINDOW_ROTATIONS - 1], sum);
+		counts_copy(order->window[i], order->window[i + 1]);
+	counts_copy(order->window[WINDOW_ROTATIONS - 1], sum);
 	order->window_rotation = current;
 }
 
@@ -508,14 +436,13 @@
 static void compare_since(order_t *order, const counts_t *sum, const counts_t *earlier,
 			  bool has_many_instances)
 {
-	counts_t counts = counts_create();
+	counts_t *counts = counts_create();
 	compare_result_t result;
 
-	copy_counts(&counts, sum);
+	counts_copy(counts, sum);
 	if (earlier)
-		subtract_counts(&counts, earlier);
-	compare_versions((const rollout_cell_t *)counts.cells->data, counts.cells->len,
-			 &result);
+		counts_subtract(counts, earlier);
+	counts_compare(counts, &result);
 	if (result.verdict == COMPARE_OPEN && !has_many_instances)
 		result.verdict = COMPARE_LOCAL;
 	if (!earlier) {
@@ -526,42 +453,29 @@
 		result.responses_old = order->found.responses_old;
 		order->found = result;
 	}
-	g_array_free(counts.cells, TRUE);
-}
-
-static uint64_t count_responses(const counts_t *counts, bool is_new)
-{
-	uint64_t responses = 0;
-
-	for (guint i = 0; i < counts->cells->len; i++) {
-		const rollout_cell_t *cell =
-			&g_array_index(counts->cells, rollout_cell_t, i);
-		if (cell->is_new == is_new)
-			responses += cell->responses;
-	}
-	return responses;
+	counts_destroy(counts);
 }
 
 static void compare(order_t *order, usec_t now)
 {
-	counts_t sum = sum_counts(order);
+	counts_t *sum = sum_counts(order);
 
 	/* There is nothing to compare with and no instance to go back to. */
-	if (order->sole && count_responses(&sum, false) == 0) {
+	if (order->sole && counts_responses(sum, false) == 0) {
 		order->overall = COMPARE_GOOD;
 		order->found = (compare_result_t){
 			.verdict = COMPARE_GOOD,
-			.responses_new = count_responses(&sum, true),
+			.responses_new = counts_responses(sum, true),
 		};
-		g_array_free(sum.cells, TRUE);
+		counts_destroy(sum);
 		return;
 	}
-	rotate_windows(order, &sum, now);
-	compare_since(order, &sum, NULL, true);
-	compare_since(order, &sum, &order->window[0], true);
+	rotate_windows(order, sum, now);
+	compare_since(order, sum, NULL, true);
+	compare_since(order, sum, order->window[0], true);
 	/* These come from one or two instances, which says nothing of the others. */
-	compare_since(order, &sum, &order->window[WINDOW_ROTATIONS - 2], false);
-	g_array_free(sum.cells, TRUE);
+	compare_since(order, sum, order->window[WINDOW_ROTATIONS - 2], false);
+	counts_destroy(sum);
 }
 
 static uint32_t nodes_in_contact(const order_t *order, usec_t now)
