egretscaled: leave descriptors when all listeners are full

Cause: with 256 descriptors, the parts of all listeners (192 for callers, 32, 8 and 4) and what the node itself uses (31) exceed the limit, since the parts for target, peers and operators have least numbers. With crowds at all ports at once no descriptor was left for the store, targets and peers, and the operators' listener accepted nothing.

Change: callers get fewer places, at least 3/8 of the descriptors, if 48 would not be left. With 4,100 descriptors and one worker nothing changes.

--- a/egretscaled/control/admin.c
+++ b/egretscaled/control/admin.c
@@ -1,6 +1,7 @@
 #include "egretscaled/control/admin.h"
 
 #include "common/counters.h"
+#include "egretscaled/node/worker.h"
 #include "egretscaled/rates/loans_io.h"
 
 #include <inttypes.h>
@@ -12,8 +13,6 @@
 #include <unistd.h>
 
 #define ADMIN_IDLE_TIMEOUT_SEC 30
-/* Connections of operators, metrics collectors and readiness checks. */
-#define OPERATORS_MAX(descriptors) MAX((descriptors) / 64, 4)
 
 static void append_gauge(GString *out, const char *name, const char *help, double value)
 {
--- a/egretscaled/node/worker.c
+++ b/egretscaled/node/worker.c
@@ -16,6 +16,10 @@
  * open after a response. The rest is for targets, peers, the store and files. */
 #define CALLERS_MAX(descriptors) MAX((descriptors) / 4 * 3, 1)
 #define CALLERS_KEPT(descriptors) MAX((descriptors) / 8 * 3, 1)
+/* Descriptors beside the connections of the listeners: files, event loops, and
+ * connections to the store, to targets and to peers. Without a peer and with one target,
+ * 31 are in use. */
+#define DESCRIPTORS_OWN 48
 /* Connections of the target: reports alone, or, in the product's own mode, with its
  * outbound calls, of which each of its slots may make some at a time. */
 #define REPORTS_MAX(descriptors) MAX((descriptors) / 16, 8)
@@ -175,6 +179,18 @@
 	};
 }
 
+/* All listeners may be full at the same time. With few descriptors, the least numbers of
+ * the other listeners leave fewer for callers. */
+static uint32_t callers_max(const settings_t *settings, uint32_t target_max)
+{
+	uint32_t descriptors = settings->descriptors_max / settings->workers;
+	uint32_t others = target_max + PENDING_PEERS_MAX(descriptors) +
+			  2 * OPERATORS_MAX(descriptors) + DESCRIPTORS_OWN;
+	uint32_t left = descriptors > others ? descriptors - others : 0;
+
+	return CLAMP(left, CALLERS_KEPT(descriptors), CALLERS_MAX(descriptors));
+}
+
 static http_server_t *listen_for_callers(worker_t *worker, GError **error)
 {
 	node_t *node = worker->node;
@@ -188,7 +204,7 @@
 	options.address = node->settings->caller_listen;
 	options.tls_cert = cert;
 	options.tls_key = key;
-	options.connections_max = CALLERS_MAX(descriptors);
+	options.connections_max = callers_max(node->settings, options.connections_max);
 	options.connections_kept = CALLERS_KEPT(descriptors);
 	options.name = "caller";
 	options.address_share_percent = node->settings->address_share;
--- a/include/egretscaled/node/worker.h
+++ b/include/egretscaled/node/worker.h
@@ -52,6 +52,10 @@
 	void (*sweep)(worker_t *worker, usec_t now); /* every second */
 } worker_ops_t;
 
+/* Connections of operators, metrics collectors and readiness checks, at each of the two
+ * listeners for them. */
+#define OPERATORS_MAX(descriptors) MAX((descriptors) / 64, 4)
+
 #define WORKER_TICK (50 * USEC_PER_MSEC)
 
 struct worker {
--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -15,6 +15,7 @@
 
 from deployment import ServingDeployment, key_record
 from on_platform import ADDRESSES, PlatformDeployment, wait_for
+from on_platform_nodes import METRICS_PORT
 
 MACHINE_BYTES = 160 << 20  # memory of the smallest machine (docs/design/hard-load.md)
 # A quarter of the machine is left for its system and the target.
@@ -43,7 +44,7 @@
 # Of the crowd, not of the ordinary request: longer than a busy machine may take.
 HANDSHAKE_TIMEOUT_SEC = 30
 CLIENT_HELLO_START = b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"  # of 517 bytes
-ADDRESS_SHARE_PERCENT = 10  # 19 of the 192 places for callers
+ADDRESS_SHARE_PERCENT = 10  # 16 of the 160 places for callers
 # Connections at the same time, by source address. Up to 96 of them are kept after a response. All
 # together exceed the places, although none of them has the default share of 50 percent.
 ORDINARY = {f"127.1.1.{i}": 10 for i in range(1, 10)}
@@ -147,9 +148,11 @@
             "sequence": target.sequence}).encode()
         addresses = {name: d.listen_address(0, name)
                      for name in ("peer", "outbound", "readiness", "control")}
+        addresses["metrics"] = f"{d.node_ip(0)}:{METRICS_PORT}"
         site = Site(d.daemons[0], {**addresses, "caller": addresses["outbound"]}, {
             "caller": ("POST", "/f/deep/x", headers, b"", None),
             "readiness": ("GET", "/ready", {}, None, None),
+            "metrics": ("GET", "/metrics", {}, None, None),
             "control": ("PUT", "/instances/i-1", {}, report, ADDRESSES[0])},
             b"POST /f/deep/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: slow\r\n"
             b"Deadline-Ms: 3000\r\nAuthorization: Bearer key-a\r\nContent-Length: 100000\r\n\r\n")
@@ -462,6 +465,28 @@
     check_listeners(platform_site, ["peer", "control", "readiness"])
 
 
+def check_all_ports(open_site, listeners):
+    """Sends each kind of crowd to all listeners of a site at the same time."""
+    failures = []
+    with open_site() as site:
+        for name, first, repeated in kinds(site):
+            crowds = [Crowd(site.addresses[listener], CROWD, first, repeated)
+                      for listener in listeners if listener != "peer" or name != "a body"]
+            failures += check_crowds(site, name, "all ports", crowds, site.checks)
+    assert not failures, "\n".join(failures)
+
+
+def case_outside_all_ports():
+    """Crowds at all ports at the same time do not use up the descriptors together, although each
+    listener keeps to its part."""
+    check_all_ports(own_site, ["caller", "outbound", "peer", "admin"])
+
+
+def case_on_platform_outside_all_ports():
+    """The same on the platform, with the port for metrics."""
+    check_all_ports(platform_site, ["caller", "control", "peer", "readiness", "metrics"])
+
+
 def case_outside_tls():
     """Callers with TLS: neither crowds that do not end a handshake nor those that send unfinished
     requests after it take all places for callers, or more memory for their sessions than the machine
