tests: let a target come back with another version

Cause: RestartingTarget always reports version v1, so that no test with restarting targets can roll out a version.

Change: next_version is what the next process reports. It takes effect behind the new instance_id, so that a request to the former process does not count for the new version.

--- a/tests/harness/restarting_target.py
+++ b/tests/harness/restarting_target.py
@@ -22,6 +22,7 @@
     def __init__(self, address, report_address, service, handle, zone="za"):
         self.address, self.report_address, self.handle = address, report_address, handle
         self.service, self.zone, self.slots = service, zone, 20
+        self.version = self.next_version = "v1"  # of this process, and of the next one
         self.lock, self.lives, self.sockets = threading.Lock(), 0, set()
         self.crashed_at = []  # time.monotonic()
         self.resets = True  # whether the end of the process resets its connections
@@ -46,6 +47,8 @@
                     return False  # the request was cut off
 
         self.lives, self.sequence = self.lives + 1, 0
+        # Behind the new instance_id, with which requests to the former process are refused.
+        self.version = self.next_version
         self.started_ms = int(time.time() * 1000)
         self.raw = Server(self.address, self.respond)
         self.state = "ready"
@@ -54,7 +57,7 @@
     def report_body(self, **fields):
         self.sequence += 1
         return {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": self.state,
+                "version": self.version, "slots": self.slots, "state": self.state,
                 "cold_remaining": "0ms", "born": self.started_ms, "sequence": self.sequence,
                 **fields}
 
