soak: roll-outs, a store from an older copy, and two zones

Change: each seed orders a good version for one service and one whose responses fail by half for the other, while the other faults go on. Checks: CANARY (requests to the bad version between the order and the end of its duration, 0.1 of all plus 50) and ORDER (no request to a version that the status row denies, from 1 s after it was read; times at which a node is paused, and what follows a repeated order, are left out). store_restored: the store comes back without the withdrawal of a key and without what the operator wrote since; check RESTORED (a process that has accepted and then refused the key does not accept it again). The nodes are in two zones; zone_silent moves the load between them and pauses one. No fault separates nodes, since a node announces the address on which it listens. Each seed has both faults at least once; they come alone, since each takes seconds.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -58,7 +58,7 @@
 
     def connect(self):
         host, port = self.fleet.listen_address(
-            self.rand.randrange(self.fleet.count), "outbound").split(":")
+            self.fleet.pick_node(self.rand), "outbound").split(":")
         self.connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_SEC)
 
     def send(self, request_id, sent):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of a soak: the platform, nodes behind relays to the store, and targets."""
 
 import hashlib
+import http.client
 import os
 import random
 import signal
@@ -13,6 +14,7 @@
 # pylint: disable=wrong-import-position
 from deployment import Deployment, free_base_port  # noqa: E402
 from on_platform import PORTS, PlatformDeployment, wait_for  # noqa: E402
+from on_platform_restored import restore  # noqa: E402
 from restarting_target import RestartingTarget  # noqa: E402
 
 CONTACT_SEC = 3.0  # undisturbed for this long, nodes are bound by the times of the settings
@@ -21,6 +23,15 @@
 RATE = 20000  # of the account; above what the clients send
 READY_SEC = 20
 BYTES_MAX = 3000  # longest part of a body
+TIMING_SLACK_SEC = 0.5  # of this program, which shares the machine with the nodes
+ZONES = ("za", "zb")  # each has nodes of both services
+ZONE_BIAS = 0.8  # share of new connections that go to the zone with more load
+CANARY_SHARE, CANARY_SLACK = 0.1, 50
+OLD_VERSION, GOOD_VERSION, BAD_VERSION = "v1", "v2", "v3"
+BAD_SHARE = 0.5  # of the responses of the bad version
+PAUSE_SEC = 1.0  # a node that was paused learns of a verdict this long afterwards
+WRITE_SEC = 10  # the operator repeats a write that fails
+ERRORS = (OSError, AssertionError, ValueError, KeyError, http.client.HTTPException)
 
 
 def response_body(request_id):
@@ -35,6 +46,7 @@
     def __init__(self, message, target):
         self.at, self.path, self.body = time.monotonic(), message["path"], message["body"]
         self.instance, self.headers = target.instance_id, message["headers"]
+        self.service, self.version = target.service, target.version
 
 
 class Fleet(PlatformDeployment):
@@ -50,6 +62,13 @@
         self.disturbed_until = 0.0  # time.monotonic(); nodes or store, also in the future
         # pids of nodes that were ended, and of those that were killed; violations
         self.expected_ends, self.killed, self.failures = set(), set(), []
+        self.pauses = []  # of nodes, as [begin, end]
+        self.bad_share = BAD_SHARE
+        self.loaded_zone = None  # zone that gets more load than the other
+        # The operator's rows: value and time of the last write by key, and the times at which a
+        # row was written again after the store had lost it.
+        self.operator_lock, self.revision = threading.RLock(), 0
+        self.written, self.written_again = {}, {}
 
     def node_ip(self, i):
         return f"127.{self.network}.0.{i + 2}"
@@ -57,10 +76,61 @@
     def node_service(self, i):
         return "front" if i % 3 == 0 else "back"
 
+    def node_zone(self, i):
+        return ZONES[i % len(ZONES)]
+
+    def settings(self, i):
+        settings = super().settings(i)
+        settings.update(zone=self.node_zone(i), zones={zone: "r" for zone in ZONES})
+        settings["bounds"].update(canary_share=CANARY_SHARE, canary_slack=CANARY_SLACK,
+                                  rollback="5s")
+        return settings
+
+    def pick_node(self, rand):
+        """Returns the index of a node for a client's connection."""
+        if self.loaded_zone and rand.random() < ZONE_BIAS:
+            return rand.choice([i for i in range(self.count)
+                                if self.node_zone(i) == self.loaded_zone])
+        return rand.randrange(self.count)
+
+    def configure(self, **options):
+        with self.operator_lock:
+            self.revision += 1
+            super().configure(rate=RATE, version=f"r{self.revision}", **options)
+
+    def write_row(self, key, value):
+        with self.operator_lock:
+            wait_for(f"the row {key}", lambda: self.try_row(key, value), WRITE_SEC)
+            self.written[key] = (value, time.monotonic())
+
+    def try_row(self, key, value):
+        try:
+            super().write_row(key, value)
+            return True
+        except ERRORS:
+            return False
+
+    def restore_store(self, copied):
+        """The store comes back from the copy. Returns the rows that the operator has to write
+        again, with their values."""
+        with self.operator_lock:
+            self.disturb()
+            restore(self)
+            self.disturb()
+            return {key: value for key, (value, at) in self.written.items() if at > copied}
+
+    def write_again(self, rows):
+        for key, value in rows.items():
+            with self.operator_lock:
+                if self.written[key][0] == value:
+                    self.write_row(key, value)
+                    self.written_again.setdefault(key, []).append(time.monotonic())
+
     def __enter__(self):
         Deployment.__enter__(self)
         try:
-            self.configure(rate=RATE)
+            self.platform_drill("begin")
+            self.configure()
             for i in range(self.count):
                 self.relays.append(self.add_store_relay(i))
                 self.daemons.append(self.start_node(i))
@@ -68,7 +138,7 @@
                 wait_for(f"node {i} to be ready", lambda i=i: self.ready(i), READY_SEC)
                 self.targets.append(RestartingTarget(
                     self.listen_address(i, "app"), self.listen_address(i, "control"),
-                    self.node_service(i), self.handle))
+                    self.node_service(i), self.handle, self.node_zone(i)))
             wait_for("requests to be served", self.serves, READY_SEC)
         except BaseException:
             self.__exit__()
@@ -90,11 +160,12 @@
         with self.lock:
             self.runs.setdefault(request_id, []).append(Run(message, target))
             work, fault, chunked = self.rand.random(), self.rand.random(), self.rand.random() < 0.3
+            failed = target.version == BAD_VERSION and self.rand.random() < self.bad_share
         if message["path"].endswith("/crash"):
             return None
         time.sleep(0.3 if work > 0.97 else work * 0.03)
         body = response_body(request_id)
-        head = (f"HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {request_id}\r\n"
+        head = (f"HTTP/1.1 {500 if failed else 200} X\r\nRequest-Attempt-Id: {request_id}\r\n"
                 f"Response-Seal: {hashlib.sha256(body).hexdigest()}\r\n")
         response = self.frame(head, body, chunked)
         if fault < getattr(target, "fault_share", 0):
@@ -128,6 +199,25 @@
         """Whether nothing disturbed the nodes from CONTACT_SEC before `start` on."""
         return self.disturbed_until < start - CONTACT_SEC
 
+    def pause(self, nodes, seconds):
+        """Stops the processes of nodes for some seconds."""
+        processes = [self.daemons[i] for i in nodes]
+        self.disturb(seconds)
+        pause = [time.monotonic(), float("inf")]
+        self.pauses.append(pause)
+        for process in processes:
+            process.was_paused = True
+            process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+        pause[1] = time.monotonic()
+        self.disturb()
+
+    def was_paused(self, at):
+        """Whether a node was paused then or shortly before."""
+        return any(begin < at < end + PAUSE_SEC for begin, end in self.pauses)
+
     def is_up(self, i):
         return self.daemons[i].poll() is None
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,8 +6,12 @@
 Each seed gives the times and kinds of the faults, which come in series and overlap. Afterwards
 everything is healed, and what clients and targets saw is checked: responses belong to their
 requests and are whole, nothing that may run once runs twice, refusals are true, targets that left
-or crash get nothing, withdrawn keys are refused, nodes do not end by themselves, end in time when
-they are stopped, and serve again. The logs of a seed that failed are kept.
+or crash get nothing, withdrawn keys are refused, also after the store lost the withdrawal, versions
+get the requests that their orders allow, nodes do not end by themselves, end in time when they are
+stopped, and serve again. The logs of a seed that failed are kept.
+
+The nodes are in two zones. No fault separates the nodes of the zones: nodes announce the address on
+which they listen, so that no relay can stand between them. Instead all nodes of a zone are paused.
 """
 
 import argparse
@@ -23,11 +27,13 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 # pylint: disable=wrong-import-position
 from clients import Client, check_runs, served_share  # noqa: E402
-from fleet import Fleet, READY_SEC  # noqa: E402
+from fleet import (BAD_VERSION, ERRORS, Fleet, GOOD_VERSION, READY_SEC,  # noqa: E402
+                   TIMING_SLACK_SEC, ZONES)
+from on_platform_restored import copy  # noqa: E402
+from orders import Order  # noqa: E402
 
 APPLY_SEC = 2.0  # setting config_apply
 DRAIN_SEC = 2.0  # setting drain
-TIMING_SLACK_SEC = 0.5  # of this program, which shares the machine with the nodes
 CRASHES_MAX = 6  # of one request: three, and three retries
 SERVED_MIN = 0.2
 MEMORY_MAX_BYTES = 260 << 20
@@ -43,6 +49,10 @@
         self.fleet, self.rand, self.seconds = fleet, random.Random(seed), seconds
         self.clients = [Client(fleet, n, seed) for n in range(clients)]
         self.threads, self.events, self.leaves = [], [], []
+        services = self.rand.sample(("front", "back"), 2)
+        self.orders = [Order(fleet, self.rand, service, version)
+                       for service, version in zip(services, (GOOD_VERSION, BAD_VERSION))]
+        self.drill_lock = threading.Lock()
         self.start = time.monotonic()
 
     def note(self, text):
@@ -63,13 +73,18 @@
         self.fleet.start_again(i)
 
     def fault_pause(self, i, duration):
-        node = self.fleet.daemons[i]
-        node.was_paused = True
-        self.fleet.disturb(duration)
-        node.send_signal(signal.SIGSTOP)
-        time.sleep(duration)
-        node.send_signal(signal.SIGCONT)
-        self.fleet.disturb()
+        self.fleet.pause([i], duration)
+
+    def fault_zone_silent(self, i, duration):
+        """Most of the load is in one zone. Its nodes become silent, and the load moves."""
+        zone, other = self.fleet.node_zone(i), ZONES[(i + 1) % len(ZONES)]
+        self.fleet.loaded_zone = zone
+        time.sleep(duration / 2)
+        self.fleet.loaded_zone = other
+        self.fleet.pause([j for j in range(self.fleet.count)
+                          if self.fleet.node_zone(j) == zone], duration)
+        time.sleep(duration / 2)
+        self.fleet.loaded_zone = None
 
     def fault_reload(self, i, duration):
         for _ in range(3):
@@ -129,40 +144,76 @@
     def fault_key_withdrawn(self, i, _):
         """Keys come and go; a withdrawn one is refused in time, where nothing disturbs."""
         key = f"key-{len(self.events)}-{i}"
-        with self.config_lock:
-            self.fleet.configure(keys=("key-a", key), rate=20000)
+        self.fleet.configure(keys=("key-a", key))
         time.sleep(APPLY_SEC / 2)
-        with self.config_lock:
-            self.fleet.configure(rate=20000)
+        self.fleet.configure()
         acknowledged = time.monotonic()
         time.sleep(APPLY_SEC + TIMING_SLACK_SEC)
-        try:
-            status = self.fleet.send("/f/key", node=i, headers={
-                "Authorization": f"Bearer {key}", "Request-Attempt-Id": f"key-{key}"})[0]
-        except (OSError, ValueError):
-            return
-        if status == 200 and self.fleet.calm_since(acknowledged):
+        if self.accepts(i, key) and self.fleet.calm_since(acknowledged):
             self.fleet.failures.append(f"CONFIG: node {i} accepts a key withdrawn "
                                        f"{time.monotonic() - acknowledged:.1f} s ago")
 
-    config_lock = threading.Lock()
+    def accepts(self, i, key):
+        """Whether a node serves a request with a key; None if it does not respond."""
+        try:
+            return self.fleet.send("/f/key", node=i, headers={
+                "Authorization": f"Bearer {key}", "Request-Attempt-Id": f"key-{key}"})[0] == 200
+        except ERRORS:
+            return None
+
+    def fault_store_restored(self, _, duration):
+        """The store comes back without the withdrawal of a key, which each node that has refused
+        the key still refuses, until the operator has written its rows again and afterwards."""
+        key = f"key-restored-{len(self.events)}"
+        with self.drill_lock:
+            self.fleet.configure(keys=("key-a", key))
+            time.sleep(APPLY_SEC / 2)
+            accepting = self.nodes_that(lambda i: self.accepts(i, key))
+            with self.fleet.operator_lock:
+                copy(self.fleet)
+                copied = time.monotonic()
+            self.fleet.configure()
+            time.sleep(APPLY_SEC / 2 + duration / 2)
+            # A node that has refused the key because it did not know it may read it in the copy.
+            refusing = accepting & self.nodes_that(lambda i: self.accepts(i, key) is False)
+            rows = self.fleet.restore_store(copied)
+            self.check_refused(refusing, key)
+            self.fleet.write_again(rows)
+            self.check_refused(refusing, key)
+
+    def nodes_that(self, condition):
+        """Returns the nodes that meet a condition, as (index, pid)."""
+        return {(i, node.pid) for i, node in enumerate(self.fleet.daemons) if condition(i)}
+
+    def check_refused(self, refusing, key):
+        end = time.monotonic() + APPLY_SEC
+        while time.monotonic() < end:
+            again = refusing & self.nodes_that(lambda i: self.accepts(i, key))
+            self.fleet.failures += [f"RESTORED: node {i} accepts {key} again" for i, _ in again]
+            refusing = refusing - again
+            time.sleep(0.1)
 
     def run_fault(self, fault, i, duration):
         name = fault.__name__.removeprefix("fault_")
         self.note(f"{name} node={i} seconds={duration:.2f}")
         try:
             fault(i, duration)
-        except (OSError, AssertionError, ValueError, KeyError) as error:
+        except ERRORS as error:
             self.note(f"{name} node={i} failed: {error!r}")
         self.note(f"{name} node={i} over")
 
     def inject(self):
         """Starts faults, alone and in series, one thread each."""
         faults = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
+        # Once in each seed, and one at a time.
+        long = [self.fault_store_restored, self.fault_zone_silent]
+        plan = long + self.rand.choices(faults, k=3)
+        self.rand.shuffle(plan)
         end = self.start + self.seconds - CALM_SEC
         time.sleep(WARM_SEC)
         while time.monotonic() < end:
-            fault, series = self.rand.choice(faults), self.rand.choice((1, 1, 2, 3))
+            fault = plan.pop() if plan else self.rand.choice(faults)
+            series = 1 if fault in long else self.rand.choice((1, 1, 2, 3))
             for _ in range(series):
                 thread = threading.Thread(target=self.run_fault, daemon=True, args=(
                     fault, self.rand.randrange(self.fleet.count), 0.2 + self.rand.random() * 2.5))
@@ -227,6 +278,10 @@
         """Returns the violations and the share of requests that were served."""
         for client in self.clients:
             client.start()
+        for order in self.orders:
+            self.threads.append(threading.Thread(target=order.run, daemon=True, args=(
+                WARM_SEC + self.rand.random(), self.note)))
+            self.threads[-1].start()
         self.inject()
         self.heal()
         self.check_return()
@@ -238,6 +293,8 @@
         self.check_memory()
         self.check_leaves()
         self.check_crashes()
+        for order in self.orders:
+            self.fleet.failures += order.check()
         share = served_share(self.clients)
         if share < SERVED_MIN:
             self.fleet.failures.append(f"only {share:.2f} of the requests were served")
@@ -251,7 +308,7 @@
         found, share = soak.run()
     requests = sum(len(client.sent) for client in soak.clients)
     print(f"seed {seed}: {'failed' if found else 'passed'}; {requests} requests, {share:.2f} served, "
-          f"{len(soak.events)} events", flush=True)
+          f"{len(soak.events)} events; {'; '.join(map(str, soak.orders))}", flush=True)
     for violation in found[:20]:
         print(f"  {violation}")
     if not found:
