soak: clients outside the limits beside ordinary ones

Cause: the soak's clients all stayed within the limits.

A node that ends fails the check that the soak already has.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -90,7 +90,7 @@
     for request_id, runs in fleet.runs.items():
         request = sent.get(request_id)
         if request is None:
-            if not request_id.startswith(("id-1", "crash-", "key-")):
+            if not request_id.startswith(("id-1", "crash-", "key-", "unread")):
                 found.append(f"UNASKED: {request_id!r} was run, and no client sent it")
             continue
         for run in runs:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,7 @@
 RATE = 20000  # of the account; above what the clients send
 READY_SEC = 20
 BYTES_MAX = 3000  # longest part of a body
+LARGE_BYTES = 100000  # of a response to a path with the end /large
 TIMING_SLACK_SEC = 0.5  # of this program, which shares the machine with the nodes
 ZONES = ("za", "zb")  # each has nodes of both services
 ZONE_BIAS = 0.8  # share of new connections that go to the zone with more load
@@ -165,6 +166,8 @@
             return None
         time.sleep(0.3 if work > 0.97 else work * 0.03)
         body = response_body(request_id)
+        if message["path"].endswith("/large"):
+            body = body[:1] * LARGE_BYTES
         head = (f"HTTP/1.1 {500 if failed else 200} X\r\nRequest-Attempt-Id: {request_id}\r\n"
                 f"Response-Seal: {hashlib.sha256(body).hexdigest()}\r\n")
         response = self.frame(head, body, chunked)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,8 +7,8 @@
 everything is healed, and what clients and targets saw is checked: responses belong to their
 requests and are whole, nothing that may run once runs twice, refusals are true, targets that left
 or crash get nothing, withdrawn keys are refused, also after the store lost the withdrawal, versions
-get the requests that their orders allow, nodes do not end by themselves, end in time when they are
-stopped, and serve again. The logs of a seed that failed are kept.
+get the requests that their orders allow, nodes do not end by themselves, keep their memory, end in
+time when they are stopped, and serve again. The logs of a seed that failed are kept.
 
 The nodes are in two zones. No fault separates the nodes of the zones: nodes announce the address on
 which they listen, so that no relay can stand between them. Instead all nodes of a zone are paused.
@@ -31,12 +31,15 @@
                    TIMING_SLACK_SEC, ZONES)
 from on_platform_restored import copy  # noqa: E402
 from orders import Order  # noqa: E402
+from outside_limits import (Crowd, HEAD_FIELDS, HEADS, Peaks, RSS_MAX_BYTES,  # noqa: E402
+                            UnreadResponses)
 
 APPLY_SEC = 2.0  # setting config_apply
 DRAIN_SEC = 2.0  # setting drain
 CRASHES_MAX = 6  # of one request: three, and three retries
 SERVED_MIN = 0.2
 MEMORY_MAX_BYTES = 260 << 20
+UNREAD = 40  # connections that do not read
 WARM_SEC = 1.0  # before the first fault
 # Faults end this long before the end, so that they do not hide what the last ones cause.
 CALM_SEC = 3.0
@@ -52,7 +55,7 @@
         services = self.rand.sample(("front", "back"), 2)
         self.orders = [Order(fleet, self.rand, service, version)
                        for service, version in zip(services, (GOOD_VERSION, BAD_VERSION))]
-        self.drill_lock = threading.Lock()
+        self.drill_lock, self.crowd_lock = threading.Lock(), threading.Lock()
         self.start = time.monotonic()
 
     def note(self, text):
@@ -193,6 +196,19 @@
             refusing = refusing - again
             time.sleep(0.1)
 
+    def fault_crowd(self, i, _):
+        """Clients outside the limits: unfinished heads, empty lines, unread responses."""
+        address = self.fleet.listen_address(i, "outbound")
+        unread = (b"GET /f/unread/large HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 3000\r\n"
+                  b"Request-Attempt-Id: unread\r\nAuthorization: Bearer key-a\r\n\r\n")
+        with self.crowd_lock, Peaks(self.fleet.daemons[i]) as peaks:
+            with Crowd(address, HEADS, b"GET /x HTTP/1.1\r\n" + HEAD_FIELDS, b""):
+                time.sleep(0.5)
+            with Crowd(address, HEADS, b"", b"\r\n"), UnreadResponses(address, UNREAD, unread):
+                time.sleep(0.5)
+        self.note(f"crowd node={i}: {peaks.rss >> 20} MB")
+        self.check_size(i, peaks.rss, RSS_MAX_BYTES)
+
     def run_fault(self, fault, i, duration):
         name = fault.__name__.removeprefix("fault_")
         self.note(f"{name} node={i} seconds={duration:.2f}")
@@ -206,7 +222,7 @@
         """Starts faults, alone and in series, one thread each."""
         faults = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("fault_")]
         # Once in each seed, and one at a time.
-        long = [self.fault_store_restored, self.fault_zone_silent]
+        long = [self.fault_crowd, self.fault_store_restored, self.fault_zone_silent]
         plan = long + self.rand.choices(faults, k=3)
         self.rand.shuffle(plan)
         end = self.start + self.seconds - CALM_SEC
@@ -271,8 +287,11 @@
         for i, node in enumerate(self.fleet.daemons):
             with open(f"/proc/{node.pid}/statm", encoding="ascii") as file:
                 size = int(file.read().split()[1]) * 4096
-            if size > MEMORY_MAX_BYTES:
-                self.fleet.failures.append(f"node {i} takes {size} bytes")
+            self.check_size(i, size, MEMORY_MAX_BYTES)
+
+    def check_size(self, i, size, size_max):
+        if size > size_max:
+            self.fleet.failures.append(f"MEMORY: node {i} takes {size} bytes")
 
     def run(self):
         """Returns the violations and the share of requests that were served."""
