--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -227,7 +227,7 @@
     """Connections that have each sent a request and do not read its response. Each then sends a
     byte of `next_head` each TRICKLE_PERIOD_SEC."""
 
-    def __init__(self, address, count, request, next_head):
+    def __init__(self, address, count, request, next_head=b""):
         self.connections, self.next_head, self.ends = [], next_head, threading.Event()
         self.thread = threading.Thread(target=self.send)
         host, port = address.split(":")
