http: note what a stalled client has acknowledged when it stalls

Cause: the number was noted only if a response had been sent further while it was stalled. At the first look it was 0, so that no client seemed to take bytes, and a slow one that reads lost its connection.

Change: noted when the response stalls, and with each part that is sent.

--- a/http/http_connection.c
+++ b/http/http_connection.c
@@ -438,14 +438,18 @@
 {
 	places_t *places = connection->server->places;
 	place_t *place = &connection->place;
+	bool was_stalled = place->state == PLACE_STALLED;
 	size_t bytes = held_bytes(connection);
 
 	connection->bytes_max = MAX(connection->bytes_max, bytes);
 	places_update(places, place, place_state(connection), bytes, clock_boot_usec());
-	if (place->state != PLACE_STALLED || place->since >= connection->last_sent)
+	if (place->state != PLACE_STALLED)
+		return;
+	if (place->since < connection->last_sent)
+		places_renew(places, place, clock_boot_usec());
+	else if (was_stalled)
 		return;
 	connection->unacknowledged = unacknowledged_bytes(connection);
-	places_renew(places, place, clock_boot_usec());
 }
 
 static void unschedule(http_connection_t *connection)
--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -12,6 +12,7 @@
 import ssl
 import subprocess
 import threading
+import time
 
 from deployment import ServingDeployment, key_record
 from on_platform import ADDRESSES, PlatformDeployment, wait_for
@@ -37,6 +38,8 @@
 UNREAD_BUFFER_BYTES = 2048
 UNREAD_TIMEOUT_SEC = 2
 LINK_SEGMENT_BYTES = 1400
+SLOW_READ_SETTLE_SEC = 6  # until the node's socket takes nothing more for a while
+SLOW_READ_BYTES = 250  # each TRICKLE_PERIOD_SEC
 # Far more than --head-timeout (10 s) and the time of the operators' listeners (30 s).
 HEAD_CLOSED_SEC = 50
 ANSWER_TIMEOUT_SEC = 10  # of the ordinary request
@@ -223,6 +226,46 @@
             connection.close()
 
 
+def connect_unread(address):
+    """Connects with buffers as on a real link: on loopback, the node's socket would take 2.6 MB."""
+    host, port = address.split(":")
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, LINK_SEGMENT_BYTES)
+    connection.settimeout(ANSWER_TIMEOUT_SEC)
+    connection.connect((host, int(port)))
+    return connection
+
+
+class SlowReader:
+    """A client that reads its response slowly until `hurry` is set."""
+
+    def __init__(self, address, request):
+        self.connection, self.received, self.hurry = connect_unread(address), b"", threading.Event()
+        self.connection.sendall(request)
+        self.thread = threading.Thread(target=self.read)
+        self.thread.start()
+
+    def read(self):
+        with contextlib.suppress(OSError):
+            while self.body_bytes() < UNREAD_BODY_BYTES:
+                data = self.connection.recv(65536 if self.hurry.is_set() else SLOW_READ_BYTES)
+                if not data:
+                    return
+                self.received += data
+                self.hurry.wait(TRICKLE_PERIOD_SEC)
+
+    def body_bytes(self):
+        return len(self.received.partition(b"\r\n\r\n")[2])
+
+    def end(self):
+        """Returns the length of the body."""
+        self.hurry.set()
+        self.thread.join()
+        self.connection.close()
+        return self.body_bytes()
+
+
 class UnreadResponses:
     """Connections that have each sent a request and do not read its response. Each then sends a
     byte of `next_head` each TRICKLE_PERIOD_SEC."""
@@ -230,16 +273,11 @@
     def __init__(self, address, count, request, next_head=b""):
         self.connections, self.next_head, self.ends = [], next_head, threading.Event()
         self.thread = threading.Thread(target=self.send)
-        host, port = address.split(":")
         for _ in range(count):
-            connection = socket.socket()
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
-            # As on a real link: on loopback, the node's socket would take 2.6 MB.
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, LINK_SEGMENT_BYTES)
-            connection.settimeout(UNREAD_TIMEOUT_SEC)
-            self.connections.append(connection)
             try:
-                connection.connect((host, int(port)))
+                connection = connect_unread(address)
+                self.connections.append(connection)
+                connection.settimeout(UNREAD_TIMEOUT_SEC)
                 connection.sendall(request)
                 connection.recv(1, socket.MSG_PEEK)
             except OSError:
@@ -442,16 +480,32 @@
     check_listeners(platform_site, ["caller"])
 
 
+UNREAD_REQUEST = (
+    b"GET /f/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: unread\r\n"
+    b"Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\n\r\n")
+
+
+def case_on_platform_outside_slow_reader():
+    """A client that reads its response slowly gets all of it, although its place is the oldest and
+    the other places are taken by clients that do not read."""
+    with platform_site() as site:
+        site.target.body = b"r" * UNREAD_BODY_BYTES
+        reader = SlowReader(site.addresses["caller"], UNREAD_REQUEST)
+        time.sleep(SLOW_READ_SETTLE_SEC)
+        with UnreadResponses(site.addresses["caller"], CROWD, UNREAD_REQUEST):
+            answer = site.answer("caller")
+        length = reader.end()
+        assert answer == 200 and length == UNREAD_BODY_BYTES, (answer, length)
+
+
 def case_on_platform_outside_unread():
     """Clients that send a request each and never read its response do not keep the places of the
     callers' listener, although the responses have begun, nor if they go on sending."""
-    request = (b"GET /f/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: unread\r\n"
-               b"Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\n\r\n")
-    for next_head in (b"", request):
+    for next_head in (b"", UNREAD_REQUEST):
         with platform_site() as site:
             site.target.body = b"r" * UNREAD_BODY_BYTES
             with Peaks(site.process) as peaks, UnreadResponses(
-                    site.addresses["caller"], CROWD, request, next_head) as crowd:
+                    site.addresses["caller"], CROWD, UNREAD_REQUEST, next_head) as crowd:
                 answer = site.answer("caller")
             print(f"  {len(crowd.connections)} connections, {peaks.rss >> 20} MB, "
                   f"{peaks.descriptors} descriptors, {answer}", flush=True)
--- a/tests/e2e/run.py
+++ b/tests/e2e/run.py
@@ -64,9 +64,10 @@
     case_on_platform_outside_all_ports, case_on_platform_outside_callers,
     case_on_platform_outside_complete_heads, case_on_platform_outside_heads,
     case_on_platform_outside_heads_report, case_on_platform_outside_ports,
-    case_on_platform_outside_unread, case_outside_addresses, case_outside_all_ports,
-    case_outside_callers, case_outside_complete_heads, case_outside_heads,
-    case_outside_heads_target, case_outside_ports, case_outside_slow_heads, case_outside_tls)
+    case_on_platform_outside_slow_reader, case_on_platform_outside_unread,
+    case_outside_addresses, case_outside_all_ports, case_outside_callers,
+    case_outside_complete_heads, case_outside_heads, case_outside_heads_target,
+    case_outside_ports, case_outside_slow_heads, case_outside_tls)
 from pipelines import (  # noqa: E402,F401
     case_pipeline_bodies, case_pipeline_closed_by_caller, case_pipeline_depth,
     case_pipeline_hangup, case_pipeline_malformed, case_pipeline_mixed, case_pipeline_stop,
