rollout: take a version for the only one only when the order is learned

When the old instances of a service were away for a moment, the new version counted as the only one, and a bad one got 219 of 862 requests.

Change: that every instance has the version is found out when the order is learned, and only withdrawn later.

--- a/egretscaled/node/rollout.c
+++ b/egretscaled/node/rollout.c
@@ -322,8 +322,9 @@
 
 		router_foreach_usable(node->router, service, count_new, &filter);
 		rollout_set_available(node->rollout, service, filter.wants_new);
-		rollout_set_sole(node->rollout, service,
-				 is_sole(versions, service, filter.to));
+		/* Never set later: the instances of another version may be away. */
+		if (!is_sole(versions, service, filter.to))
+			rollout_set_sole(node->rollout, service, false);
 		router_set_idle(node->router, service, filter.to,
 				rollout_state(node->rollout, service) !=
 					ROLLOUT_COMPLETED);
