--- a/tests/e2e/outside_limits.py
+++ b/tests/e2e/outside_limits.py
@@ -238,10 +238,10 @@
 
 
 class SlowReader:
-    """A client that reads its response slowly until `hurry` is set."""
+    """A client that reads its response slowly until `read_fast` is set."""
 
     def __init__(self, address, request):
-        self.connection, self.received, self.hurry = connect_unread(address), b"", threading.Event()
+        self.connection, self.received, self.read_fast = connect_unread(address), b"", threading.Event()
         self.connection.sendall(request)
         self.thread = threading.Thread(target=self.read)
         self.thread.start()
@@ -249,18 +249,18 @@
     def read(self):
         with contextlib.suppress(OSError):
             while self.body_bytes() < UNREAD_BODY_BYTES:
-                data = self.connection.recv(65536 if self.hurry.is_set() else SLOW_READ_BYTES)
+                data = self.connection.recv(65536 if self.read_fast.is_set() else SLOW_READ_BYTES)
                 if not data:
                     return
                 self.received += data
-                self.hurry.wait(TRICKLE_PERIOD_SEC)
+                self.read_fast.wait(TRICKLE_PERIOD_SEC)
 
     def body_bytes(self):
         return len(self.received.partition(b"\r\n\r\n")[2])
 
     def end(self):
         """Returns the length of the body."""
-        self.hurry.set()
+        self.read_fast.set()
         self.thread.join()
         self.connection.close()
         return self.body_bytes()
