--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -93,6 +93,9 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def handle_error(self, *_):
+                pass  # a node was killed while it waited for an answer
+
         self.server = Server((ip, port), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
