--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -59,6 +59,8 @@
 
     def __init__(self, ip, port):
         self.rows, self.ver, self.changed = {}, 0, threading.Condition()
+        self.away = False  # answers 503
+        self.era, self.copy = 0, None  # letter 10: the header Store-Era, and a copy
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -69,22 +71,26 @@
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(text)))
+                if store.era:
+                    self.send_header("Store-Era", str(store.era))
                 self.end_headers()
                 self.wfile.write(text)
 
             def do_GET(self):
                 url = urlparse(self.path)
                 query = {k: v[0] for k, v in parse_qs(url.query).items()}
-                if url.path == "/rows-get":
+                if store.away:
+                    self.reply(503, {})
+                elif url.path == "/rows-get":
                     self.reply(200, store.get(query))
                 elif url.path == "/rows-feed":
-                    self.reply(200, store.feed(query))
+                    self.reply(*store.feed(query))
                 else:
                     self.reply(404, {})
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                self.reply(*store.commit(body))
+                self.reply(*((503, {}) if store.away else store.commit(body)))
 
             def log_message(self, *_):
                 pass
@@ -123,13 +129,26 @@
         after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
             while True:
+                if after > self.ver:
+                    return 410, {}
                 found = sorted((row[1], key) for key, row in self.rows.items()
                                if key[0] == query["table"] and row[1] > after)
                 if found or time.monotonic() >= end:
-                    return {"rows": [self.encode(key, self.rows[key]) for _, key in found],
-                            "ver": self.ver, "now": self.now()}
+                    return 200, {"rows": [self.encode(key, self.rows[key]) for _, key in found],
+                                 "ver": self.ver, "now": self.now()}
                 self.changed.wait(max(end - time.monotonic(), 0))
 
+    def take_copy(self):
+        with self.changed:
+            self.copy = (dict(self.rows), self.ver)
+
+    def restore(self):
+        """Comes back from the copy, in the next era."""
+        with self.changed:
+            self.rows, self.ver = dict(self.copy[0]), self.copy[1]
+            self.era += 1
+            self.changed.notify_all()
+
     def commit(self, body):
         def key(entry):
             return entry["table"], entry.get("part", ""), entry["key"]
