--- a/review/6/run.py
+++ b/review/6/run.py
@@ -7,9 +7,13 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
-from rig import HOST, TROUBLE, Instance, Rig, main, read_answer, read_body  # noqa: E402
+from rig import HOST, TROUBLE, CannotRun, Instance, Rig, main, read_answer, read_body  # noqa: E402
 
-UPLOADS = 8
+UPLOADS_MAX = 16
+EARLY = 2  # early answers, then the run ends
+# Limits of the site's `garble`: a share of 0.35 of the instances, 0.02 of their answers.
+INSTANCES, EARLY_INSTANCE, ANSWERS_PER_EARLY = 3, 1, 50
+PLAIN = 420  # other requests, before the uploads
 PARTS, PART_BYTES, PART_GAP_SEC = 4, 50000, 0.2
 EARLY_BYTES = 20000  # what the instance reads before it answers early
 READ_ON_SEC = 3
@@ -20,6 +24,7 @@
 
     def __init__(self, rig, index):
         super().__init__(rig, index, EarlyInstance.serve_early)
+        self.answers = self.early = 0
         self.uploads = {}  # attempt id -> (bytes of the body, whether the body was complete)
 
     @staticmethod
@@ -33,12 +38,17 @@
             return None
         self.note_run(lines, headers)
         attempt = headers["request-attempt-id"]
-        while TROUBLE and len(rest) < EARLY_BYTES:
+        self.answers += 1
+        long = "transfer-encoding" in headers
+        early = (TROUBLE and long and self.index == EARLY_INSTANCE and
+                 self.answers >= ANSWERS_PER_EARLY * (self.early + 1))
+        self.early += early
+        while early and len(rest) < EARLY_BYTES:
             part = sock.recv(65536)
             if not part:
                 return None
             rest += part
-        if TROUBLE:
+        if early:
             self.answer_in_chunks(sock, attempt)
             sock.settimeout(READ_ON_SEC)
         try:
@@ -46,7 +56,7 @@
             self.uploads[attempt] = (body, True) if body is not None else (rest, False)
         except OSError:
             self.uploads[attempt] = (b"", False)
-        if not TROUBLE:
+        if not early:
             self.answer_in_chunks(sock, attempt)
         return None if self.uploads[attempt][1] is False else rest
 
@@ -73,24 +83,33 @@
 
 
 def run(record):
-    rig = Rig(["caisse", "dossiers"])
+    rig = Rig(["caisse"] + ["dossiers"] * INSTANCES)
     broken = False
     try:
         rig.config([("up", "/up/", "non_idempotent", "dossiers", "4s", 1)])
         rig.start_all()
-        instances = [Instance(rig, 0), EarlyInstance(rig, 1)]
+        servers = [EarlyInstance(rig, n + 1) for n in range(INSTANCES)]
+        instances = [Instance(rig, 0), *servers]
         for instance in instances:
             instance.beat()
         time.sleep(2)
-        for n in range(UPLOADS):
+        chosen = servers[EARLY_INSTANCE - 1]
+        plain = [rig.request(n % len(instances), "/up/plan", f"plain-{n}", "POST", b"plan")[0]
+                 for n in range(PLAIN)]
+        record(f"{plain.count(200)} of {PLAIN} other requests got 200; answers of the instances "
+               f"{[server.answers for server in servers]}")
+        for n in range(UPLOADS_MAX):
+            if chosen.early >= EARLY:
+                break
             attempt = f"upload-{n}"
-            length = upload(rig, n % 2, attempt, record)
+            length = upload(rig, n % len(instances), attempt, record)
             end = time.monotonic() + READ_ON_SEC + 1
-            while attempt not in instances[1].uploads and time.monotonic() < end:
+            while not any(attempt in s.uploads for s in servers) and time.monotonic() < end:
                 time.sleep(0.05)
-            body, complete = instances[1].uploads.get(attempt, (b"", False))
-            if attempt not in instances[1].uploads:
-                record(f"{attempt}: the instance got nothing")
+            server = next((s for s in servers if attempt in s.uploads), None)
+            body, complete = server.uploads[attempt] if server else (b"", False)
+            if not server:
+                record(f"{attempt}: no instance got it")
             elif not complete:
                 record(f"{attempt}: at the instance the connection ended within the body")
             elif len(body) == length:
@@ -99,9 +118,12 @@
                 record(f"{attempt}: the instance read the end of the body (0 CR LF CR LF) after "
                        f"{len(body)} of {length} bytes")
                 broken = True
+        record(f"{chosen.early} of {chosen.answers} answers of 1 of {INSTANCES} instances came early")
+        if TROUBLE and not chosen.early:
+            raise CannotRun("no upload reached the instance that answers early")
+        return broken
     finally:
         rig.close()
-    return broken
 
 
 main(FOLDER, run)
